Split the sidecar's runs: shared steps, completions, keyed calls

Cause: one module held three jobs and two owners are about to work on it. Before and after: same behaviour, bin/test green. Conclusion: no change for users.

--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -14,8 +14,8 @@
 from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.engine import EngineClient
 from tamarackfield.sidecar.peers import PeerServer
-from tamarackfield.sidecar.runs import TargetAddress
 from tamarackfield.sidecar.scheduler import Scheduler
+from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Hello, server_context
 
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -8,8 +8,9 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
 from tamarackfield.sidecar.reply import Reply
-from tamarackfield.sidecar.runs import TargetAddress, run_request
+from tamarackfield.sidecar.runs import run_request
 from tamarackfield.sidecar.scheduler import SlotState
+from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
     Cancel,
     Credit,
--- /dev/null
+++ b/tamarackfield/sidecar/target.py
@@ -0,0 +1,88 @@
+"""The target beside this sidecar, and the steps that every call to it shares."""
+
+import contextlib
+import itertools
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
+from tamarackfield.core.outcome import Outcome
+from tamarackfield.ledger import Ledger
+from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.worker import TargetWorker
+from tamarackfield.web import ClientError, ClientResponse, open_request
+from tamarackfield.wire import Submit
+
+#: Headers of an answer that are passed on to the caller.
+PASSED_HEADERS = ('content-type',)
+_job_ids = itertools.count(1)
+
+
+@dataclass(slots=True)
+class TargetAddress:
+    """The target beside this sidecar and the records of its keyed calls."""
+
+    name: str
+    address: tuple[str, int]
+    worker: TargetWorker
+    ledger: Ledger
+    horizon_seconds: int
+
+
+def open_target(
+    target: TargetAddress,
+    submit: Submit,
+) -> contextlib.AbstractAsyncContextManager[ClientResponse]:
+    """Send a request to the target; the context manager hands out its answer."""
+    headers = [(name, text) for name, text in submit.headers]
+    return open_request(target.address, submit.method, submit.path, submit.body, headers)
+
+
+def new_job(submit: Submit) -> Job:
+    """Return the job that stands for a request in the scheduler."""
+    adapter = f'{submit.adapter}@{submit.version}' if submit.adapter else ''
+    return Job(
+        job_id=next(_job_ids),
+        adapter=adapter,
+        caller=submit.caller,
+        priority=submit.priority,
+        arrived_at=SYSTEM_CLOCK.monotonic(),
+        deadline=deadline_from_unix_ms(submit.deadline_unix_ms),
+    )
+
+
+def check_deadline(job: Job, peer: str) -> None:
+    """Raise with outcome ``not_run`` if a job's deadline has passed, such as after a pause."""
+    if SYSTEM_CLOCK.monotonic() >= job.deadline:
+        raise RequestError(
+            'the deadline passed before the request was dispatched',
+            step='dispatch',
+            peer=peer,
+            code='deadline_passed',
+            retry_after=1,
+        )
+
+
+def error_from_client(error: ClientError, peer: str) -> RequestError:
+    """Return what a broken exchange with the target means for the request."""
+    if error.sent:
+        return RequestError(
+            f'the target broke off: {error.message}',
+            step=error.step,
+            peer=peer,
+            outcome=Outcome.UNKNOWN,
+            status=HTTPStatus.BAD_GATEWAY,
+            code='target_broke_off',
+        )
+    return RequestError(
+        f'the target cannot be reached: {error.message}',
+        step=error.step,
+        peer=peer,
+        code='target_unreachable',
+        retry_after=1,
+    )
+
+
+def passed_headers(response: ClientResponse) -> list[list[str]]:
+    """Return the headers of an answer that go on to the caller."""
+    return [[name, response.headers[name]] for name in PASSED_HEADERS if name in response.headers]
