Measure slopes of streams, requests and tokens; spend less on each token

Cause: bin/slopes gave 164 us of processor time a token in the entry and 176 us in the sidecar (streams of 1, 50 and 150 tokens, 150 requests each), too much at 16 M tokens/s over 3,100 nodes. Each frame made a task for its read timeout, each chunk a timer for its write, and each chunk a credit message. Ruled out: JSON of events (the sidecar alone parses them, the entry cost as much). Change: silence is watched by the heartbeat task, credit is returned in steps of 64 KiB, an answer waits for the caller only if the socket did not take all, a waiting frame is taken without a timer.

--- /dev/null
+++ b/benchmarks/fake_peers.py
@@ -0,0 +1,93 @@
+"""Light peers for the slopes: many sidecars in one process, or many entries in one process.
+
+They run the real streams and the real reports; only the targets and the callers are missing.
+"""
+
+import asyncio
+import json
+
+import click
+
+from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
+from tamarackfield.ledger import Ledger
+from tamarackfield.observe import AuditTrail, Metrics
+from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
+from tamarackfield.sidecar.peers import PeerServer
+from tamarackfield.sidecar.scheduler import Scheduler, Slot, SlotState
+from tamarackfield.sidecar.target import TargetAddress
+from tamarackfield.sidecar.worker import TargetWorker
+from tamarackfield.testing.processes import HOST
+from tamarackfield.wire import Hello, PeerStream, connect
+
+BATCH = 64
+
+
+@click.group()
+def main() -> None:
+    """Run light peers until they are ended."""
+
+
+@main.command()
+@click.argument('ports', type=int, nargs=-1)
+@click.option('--slots', default=32, help='Adapters that each target holds.')
+def sidecars(ports: tuple[int, ...], slots: int) -> None:
+    """Offer one sidecar without a target on each port, named fake-1 and so on."""
+    asyncio.run(_run_sidecars(ports, slots))
+
+
+@main.command()
+@click.argument('port', type=int)
+@click.option('--count', default=10, help='Number of entries.')
+@click.option('--seconds', default=5.0, help='Time over which bytes are counted.')
+def entries(port: int, count: int, seconds: float) -> None:
+    """Connect as many entries to one sidecar and print the bytes that each stream carried."""
+    click.echo(json.dumps(asyncio.run(_run_entries(port, count, seconds))))
+
+
+async def _run_sidecars(ports: tuple[int, ...], slots: int) -> None:
+    application = Application('fake')
+    for index, port in enumerate(ports):
+        server = _make_sidecar(application, f'fake-{index + 1}', slots)
+        await asyncio.start_server(server.accept, HOST, port)
+    await asyncio.Event().wait()
+
+
+def _make_sidecar(application: Application, name: str, slots: int) -> PeerServer:
+    scheduler = Scheduler(slots, BATCH, EVICTIONS['lru'], QUEUE_ORDERS['fifo'])
+    now = SYSTEM_CLOCK.monotonic()
+    for index in range(slots):
+        scheduler.table[f'adapter-{name}-{index}@v1'] = Slot(SlotState.RESIDENT, now)
+    worker = TargetWorker(application, scheduler, None, AuditTrail(), Metrics(name))
+    worker.ready.set()
+    target = TargetAddress(name, (HOST, 0), worker, Ledger(), 1)
+    incarnation = new_incarnation()
+    return PeerServer(target, lambda: Hello('sidecar', name, incarnation, 'zone-1', SYSTEM_CLOCK.unix_ms(), name))
+
+
+async def _run_entries(port: int, count: int, seconds: float) -> dict[str, float]:
+    streams = [await _connect_entry(port, index) for index in range(count)]
+    tasks = [asyncio.ensure_future(_drain(stream)) for stream in streams]
+    tasks.extend(asyncio.ensure_future(stream.beat()) for stream in streams)
+    before = [(stream.bytes_sent, stream.bytes_received) for stream in streams]
+    await asyncio.sleep(seconds)
+    sent = sum(stream.bytes_sent - start[0] for stream, start in zip(streams, before, strict=True))
+    received = sum(stream.bytes_received - start[1] for stream, start in zip(streams, before, strict=True))
+    for task in tasks:
+        task.cancel()
+    return {'streams': count, 'to_sidecar_per_second': sent / seconds, 'from_sidecar_per_second': received / seconds}
+
+
+async def _connect_entry(port: int, index: int) -> PeerStream:
+    stream = await connect(HOST, port, None)
+    name = f'fake-entry-{index + 1}'
+    await stream.greet(Hello('entry', name, new_incarnation(), 'zone-1', SYSTEM_CLOCK.unix_ms(), ''))
+    return stream
+
+
+async def _drain(stream: PeerStream) -> None:
+    while True:
+        await stream.receive()
+
+
+if __name__ == '__main__':
+    main()
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -37,6 +37,8 @@
 MAX_RECONNECT = 2.0
 #: Bytes of one answer that may be under way or wait in this entry.
 ANSWER_CREDIT = 262_144
+#: Bytes of credit that are returned in one message.
+CREDIT_STEP = 65_536
 _MS_PER_SECOND = 1000
 
 
@@ -49,11 +51,16 @@
         self.link = link
         self.inbox: asyncio.Queue[Message] = asyncio.Queue()
         self.next_sequence = 0
+        self.unreturned = 0
 
     def consumed(self, size: int) -> None:
-        """Let the sidecar send this many more bytes."""
+        """Let the sidecar send this many more bytes; small amounts are returned together."""
+        self.unreturned += size
+        if self.unreturned < CREDIT_STEP:
+            return
         with contextlib.suppress(StreamClosedError, PeerBusyError):
-            self.link.send(Credit(self.request_id, size))
+            self.link.send(Credit(self.request_id, self.unreturned))
+        self.unreturned = 0
 
     def close(self) -> None:
         """End the exchange; a sidecar that still works on it is told to stop."""
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -100,6 +100,8 @@
         self.metrics.count('answers')
 
     async def _next(self, call: Call, exchange: Exchange) -> Message:
+        if not exchange.inbox.empty():
+            return exchange.inbox.get_nowait()
         try:
             async with asyncio.timeout_at(call.deadline + DEADLINE_GRACE):
                 return await exchange.inbox.get()
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -67,12 +67,13 @@
         self.streams.add(stream)
         if self.draining:
             stream.send(Draining(self.draining))
-        beats = asyncio.gather(stream.beat(), self._report(stream))
+        beats = [asyncio.create_task(stream.beat()), asyncio.create_task(self._report(stream))]
         try:
             while True:
                 self._take(await stream.receive(), stream, mine)
         finally:
-            beats.cancel()
+            for beat in beats:
+                beat.cancel()
 
     def _forget(self, stream: PeerStream, mine: Runs) -> None:
         self.streams.discard(stream)
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -82,6 +82,8 @@
         encoded = self.connection.send(event)
         if encoded:
             self.writer.write(encoded)
+        if not self.writer.transport.get_write_buffer_size():
+            return
         try:
             async with asyncio.timeout(WRITE_TIMEOUT):
                 await self.writer.drain()
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -48,6 +48,7 @@
         self.received: deque[Message] = deque()
         self.hello: Hello | None = None
         self.closed = False
+        self.silent = False
         self.last_heard = SYSTEM_CLOCK.monotonic()
         self.skew_ms = 0
         self.bytes_sent = 0
@@ -84,7 +85,7 @@
         Raises
         ------
         StreamClosedError
-            If the peer closed the stream or was silent for too long.
+            If the peer closed the stream, or was silent for too long while `beat` ran.
         FrameError
             If the peer sent something that is not a message.
         """
@@ -126,8 +127,12 @@
         return message
 
     async def beat(self) -> None:
-        """Send heartbeats until the stream closes."""
+        """Send heartbeats until the stream closes; a peer that is silent for too long is cut off."""
         while not self.closed:
+            if SYSTEM_CLOCK.monotonic() - self.last_heard > SILENCE_TIMEOUT:
+                self.silent = True
+                self.abort()
+                return
             try:
                 self.send(Heartbeat(SYSTEM_CLOCK.unix_ms(), max(0, SYSTEM_CLOCK.unix_ms() + self.skew_ms)))
             except StreamClosedError:
@@ -150,13 +155,12 @@
 
     async def _fill(self) -> None:
         try:
-            chunk = await asyncio.wait_for(self.reader.read(_READ_BYTES), SILENCE_TIMEOUT)
-        except TimeoutError:
-            raise StreamClosedError('peer is silent', step='receive', peer=self.peer) from None
+            chunk = await self.reader.read(_READ_BYTES)
         except (OSError, ssl.SSLError) as exc:
             raise StreamClosedError(repr(exc), step='receive', peer=self.peer) from exc
         if not chunk:
-            raise StreamClosedError('peer closed the stream', step='receive', peer=self.peer)
+            reason = 'peer is silent' if self.silent else 'peer closed the stream'
+            raise StreamClosedError(reason, step='receive', peer=self.peer)
         self.last_heard = SYSTEM_CLOCK.monotonic()
         self.bytes_received += len(chunk)
         self.received.extend(self.decoder.feed(chunk))
