Write the frames of one turn of the event loop in one call

Cause: a profile of 100 streams of 150 tokens showed one socket send a frame in the sidecar. Before, interleaved with after, three pairs (us of processor time a token, entry and sidecar): 96/124, 131/139, 78/81; after: 73/93, 82/104, 62/91. The machine was loaded by other work. Conclusion: kept; means 102 -> 72 and 115 -> 96 us.

--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -46,6 +46,7 @@
         self.writer = writer
         self.decoder = FrameDecoder()
         self.received: deque[Message] = deque()
+        self.outgoing: list[bytes] = []
         self.hello: Hello | None = None
         self.closed = False
         self.silent = False
@@ -72,7 +73,15 @@
             raise PeerBusyError('peer does not read', step='send', peer=self.peer)
         frame = encode(message)
         self.bytes_sent += len(frame)
-        self.writer.write(frame)
+        if not self.outgoing:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self.outgoing.append(frame)
+
+    def flush(self) -> None:
+        """Write the messages queued in this turn of the event loop in one call."""
+        if self.outgoing and not self.writer.is_closing():
+            self.writer.write(b''.join(self.outgoing))
+        self.outgoing.clear()
 
     async def receive(self) -> Message:
         """Return the next message; heartbeats are taken in on the way.
@@ -146,11 +155,13 @@
         """Close the stream; whatever waits to be sent is sent first if the peer reads."""
         if not self.closed:
             self.closed = True
+            self.flush()
             self.writer.close()
 
     def abort(self) -> None:
         """Close the stream at once and drop what waits to be sent."""
         self.closed = True
+        self.outgoing.clear()
         self.writer.transport.abort()
 
     async def _fill(self) -> None:
