Refuse bad input at the entry: framing, sizes, times, parameters

Cause: h11 leaves obs-fold, bare line feeds, lists of lengths and doubled JSON names to the application; bodies were read before their stated length was checked; neither connections nor buffered bodies were bounded; a handler's unexpected exception killed the connection task (/audit?since=x answered nothing); limits could not be set.

The server is split into reading, responder, limits and server; every answer carries X-Request-Id.

--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -12,12 +12,12 @@
 from tamarackfield.entry.links import Link
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
-from tamarackfield.web import HttpServer
+from tamarackfield.web import HTTP_SCHEMA, HttpLimits, HttpServer
 from tamarackfield.wire import Hello, client_context
 
 SETTINGS_SCHEMA = program_schema(
     ('listen',),
-    {'listen': {**ADDRESS_SCHEMA, 'description': 'where callers connect'}},
+    {'listen': {**ADDRESS_SCHEMA, 'description': 'where callers connect'}, 'http': HTTP_SCHEMA},
 )
 
 
@@ -46,7 +46,7 @@
         self.fleet = Fleet(self.application, self._make_link)
         relay = Relay(self.fleet, settings['zone'], self.metrics)
         self.interface = CallerInterface(lambda: self.follower.bundle, relay, self.is_ready, self.metrics)
-        self.server = HttpServer(self.interface.handle, self.interface.on_error)
+        self.server = HttpServer(self.interface.handle, self.interface.on_error, HttpLimits(**settings['http']))
         self.operations = Operations(
             self.status,
             self.is_ready,
@@ -73,6 +73,8 @@
             'bundle_source': self.follower.source,
             'port': self.server.port,
             'busy': len(self.server.busy),
+            'connections': len(self.server.busy) + len(self.server.idle),
+            'buffered_bytes': self.server.budget.held,
             'targets': {
                 name: {'usable': link.usable, 'draining': link.draining, 'outstanding': len(link.exchanges)}
                 for name, link in self.fleet.links.items()
--- a/tamarackfield/entry/calls.py
+++ b/tamarackfield/entry/calls.py
@@ -1,6 +1,5 @@
 """Reads a caller's request against the bundle: who calls, what is named, may it, until when."""
 
-import json
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -9,6 +8,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, AdapterRef, RequestError, deadline_from_unix_ms, parse_adapter_ref
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.ids import AdapterRefError
+from tamarackfield.entry.parameters import check_parameters, read_json
 from tamarackfield.policy import home_target
 from tamarackfield.web import HttpRequest
 
@@ -21,7 +21,9 @@
 SERVICES_PREFIX = '/services/'
 COMPLETION_PATHS = ('/v1/chat/completions', '/v1/completions')
 _MAX_KEY_LENGTH = 256
+_MAX_DEADLINE_DIGITS = 15
 _PASSED_TO_SERVICES = ('content-type', 'accept')
+_SERVICE_METHODS = frozenset(('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +104,7 @@
         With outcome ``not_run`` if it is malformed or not allowed.
     """
     caller = authenticate(request, bundle)
-    document = _read_json(request.body)
+    document = read_json(request.body)
     adapter = _read_adapter(document)
     entry = bundle.adapters.get(adapter.name)
     model = bundle.model_of(adapter)
@@ -110,6 +112,7 @@
         raise refusal(
             f'no adapter {adapter} is known', step='resolve', code='model_not_found', status=HTTPStatus.NOT_FOUND
         )
+    check_parameters(document, request.path)
     if caller.name not in entry.grants:
         raise refusal(
             f'{caller.name} may not use {adapter.name}', step='authorize', code='no_grant', status=HTTPStatus.FORBIDDEN
@@ -150,6 +153,7 @@
         With outcome ``not_run`` if it is malformed or not allowed.
     """
     caller = authenticate(request, bundle)
+    _check_method(request.method)
     name, _, rest = request.path.removeprefix(SERVICES_PREFIX).partition('/')
     path = f'/{rest}'
     service = bundle.services.get(name)
@@ -169,7 +173,7 @@
         _check_key(key)
         home = home_target(f'{caller.name}|{key}', [target.name for target in targets])
         targets = tuple(target for target in targets if target.name == home)
-    headers = [(header, request.headers[header]) for header in _PASSED_TO_SERVICES if header in request.headers]
+    headers = _passed_headers(request)
     if key:
         headers.append(('idempotency-key', f'{caller.name}|{key}'))
     return Call(
@@ -198,7 +202,7 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return request.received_at + DEFAULT_SECONDS
-    if not text.isascii() or not text.isdigit():
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DEADLINE_DIGITS:
         raise refusal(f'{DEADLINE_HEADER} is not Unix milliseconds', step='read_request', code='bad_deadline')
     deadline = deadline_from_unix_ms(int(text))
     if deadline <= SYSTEM_CLOCK.monotonic():
@@ -211,16 +215,6 @@
     return min(deadline, request.received_at + MAX_SECONDS)
 
 
-def _read_json(body: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        raise refusal(f'the body is not JSON in UTF-8: {exc}', step='read_request', code='bad_json') from None
-    if not isinstance(document, dict):
-        raise refusal('the body is not a JSON object', step='read_request', code='bad_json')
-    return document
-
-
 def _read_adapter(document: dict[str, Any]) -> AdapterRef:
     model = document.get('model')
     if not isinstance(model, str):
@@ -231,8 +225,26 @@
         raise refusal(exc.message, step='resolve', code='bad_model') from None
 
 
+def _check_method(method: str) -> None:
+    if method not in _SERVICE_METHODS:
+        raise refusal(
+            f'method {method} is not passed on',
+            step='read_request',
+            code='bad_method',
+            status=HTTPStatus.METHOD_NOT_ALLOWED,
+        )
+
+
+def _passed_headers(request: HttpRequest) -> list[tuple[str, str]]:
+    passed = [(name, request.headers[name]) for name in _PASSED_TO_SERVICES if name in request.headers]
+    for name, text in passed:
+        if not text.isascii():
+            raise refusal(f'header {name} is not ASCII', step='read_request', code='bad_header')
+    return passed
+
+
 def _check_key(key: str) -> None:
     if not key:
         raise refusal('this call needs an Idempotency-Key', step='read_request', code='idempotency_key_missing')
-    if len(key) > _MAX_KEY_LENGTH or not key.isprintable():
-        raise refusal('the Idempotency-Key is too long or not printable', step='read_request', code='bad_key')
+    if len(key) > _MAX_KEY_LENGTH or not key.isprintable() or not key.isascii():
+        raise refusal('the Idempotency-Key is too long or not printable ASCII', step='read_request', code='bad_key')
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -9,6 +9,7 @@
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, RequestError
 from tamarackfield.core.errors import refusal
+from tamarackfield.core.outcome import Outcome
 from tamarackfield.entry.calls import (
     COMPLETION_PATHS,
     SERVICES_PREFIX,
@@ -19,7 +20,7 @@
 )
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
-from tamarackfield.web import HttpRequest, Responder
+from tamarackfield.web import CallerGoneError, HttpRequest, Responder, internal_error
 
 _MS_PER_SECOND = 1000
 
@@ -65,16 +66,28 @@
             return
         call = self._read(request, bundle)
         try:
-            await self.relay.run(call, responder)
+            await self._run(call, request, responder)
         except RequestError as exc:
             await self._fail(exc, call, responder)
         finally:
             self._log(call, request, responder)
 
+    async def _run(self, call: Call, request: HttpRequest, responder: Responder) -> None:
+        """Run a call; a fault of this process ends it with outcome unknown, for it may have been sent."""
+        try:
+            await self.relay.run(call, responder)
+        except (RequestError, CallerGoneError, OSError):
+            raise
+        except Exception as exc:
+            bound = logger.bind(request_id=request.request_id, caller=call.caller, step='relay', error=repr(exc))
+            bound.opt(exception=exc).error('handler_failed')
+            raise internal_error(Outcome.UNKNOWN) from exc
+
     async def on_error(self, error: RequestError, responder: Responder) -> None:
         """Answer a request that ended in an error before its answer began."""
         self.metrics.count(f'refusals.{error.outcome.value}')
         logger.bind(
+            request_id=responder.request_id,
             step=error.step,
             peer=error.peer,
             code=error.code,
@@ -84,6 +97,17 @@
         await answer_error(error, responder)
 
     def _read(self, request: HttpRequest, bundle: Bundle) -> Call:
+        """Read a call; nothing has been sent yet, so a fault of this process means that it did not run."""
+        try:
+            return self._read_call(request, bundle)
+        except RequestError:
+            raise
+        except Exception as exc:
+            bound = logger.bind(request_id=request.request_id, step='resolve', error=repr(exc))
+            bound.opt(exception=exc).error('handler_failed')
+            raise internal_error(Outcome.NOT_RUN) from exc
+
+    def _read_call(self, request: HttpRequest, bundle: Bundle) -> Call:
         if request.path in COMPLETION_PATHS and request.method == 'POST':
             return read_completion(request, bundle)
         if request.path.startswith(SERVICES_PREFIX):
@@ -108,7 +132,13 @@
             await self.on_error(error, responder)
             return
         self.metrics.count(f'refusals.{error.outcome.value}')
-        logger.bind(step=error.step, peer=error.peer, code=error.code, caller=call.caller).warning('answer_cut')
+        logger.bind(
+            request_id=responder.request_id,
+            step=error.step,
+            peer=error.peer,
+            code=error.code,
+            caller=call.caller,
+        ).warning('answer_cut')
         responder.close_after = True
         if call.stream:
             event = json.dumps(error_document(error))
@@ -116,6 +146,7 @@
 
     def _log(self, call: Call, request: HttpRequest, responder: Responder) -> None:
         logger.bind(
+            request_id=request.request_id,
             caller=call.caller,
             adapter=str(call.adapter or ''),
             path=request.path,
--- a/tamarackfield/observe/operations.py
+++ b/tamarackfield/observe/operations.py
@@ -28,6 +28,7 @@
         },
     },
 }
+_MAX_SINCE_DIGITS = 15
 Status = Callable[[], dict[str, Any]]
 Command = Callable[[], Awaitable[dict[str, Any]]]
 
@@ -63,9 +64,7 @@
         elif request.path == '/status':
             await responder.send_json(HTTPStatus.OK, self.status())
         elif request.path == '/audit':
-            query = urllib.parse.parse_qs(request.query)
-            since = int(query.get('since', ['0'])[0])
-            await responder.send_json(HTTPStatus.OK, {'changes': self.audit.since(since)})
+            await responder.send_json(HTTPStatus.OK, {'changes': self.audit.since(_read_since(request.query))})
         elif not await answer_health(request, responder, self.is_ready):
             raise refusal(f'no page {request.path}', step='operations', code='not_found', status=HTTPStatus.NOT_FOUND)
 
@@ -87,6 +86,13 @@
         await responder.send_json(HTTPStatus.OK, await command())
 
 
+def _read_since(query: str) -> int:
+    text = urllib.parse.parse_qs(query).get('since', ['0'])[0]
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_SINCE_DIGITS:
+        raise refusal(f'since={text!r} is not a sequence number', step='operations', code='bad_since')
+    return int(text)
+
+
 async def answer_health(request: HttpRequest, responder: Responder, is_ready: Callable[[], bool]) -> bool:
     """Answer ``/livez`` and ``/readyz``.
 
--- a/tamarackfield/web/__init__.py
+++ b/tamarackfield/web/__init__.py
@@ -1,15 +1,22 @@
 """HTTP/1.1 by h11: server and client tasks."""
 
 from tamarackfield.web.client import ClientError, ClientResponse, fetch, fetch_json, open_request
-from tamarackfield.web.server import HttpRequest, HttpServer, Responder
+from tamarackfield.web.limits import HTTP_SCHEMA, HttpLimits
+from tamarackfield.web.request import HttpRequest
+from tamarackfield.web.responder import CallerGoneError, Responder
+from tamarackfield.web.server import HttpServer, internal_error
 
 __all__ = [
+    'HTTP_SCHEMA',
+    'CallerGoneError',
     'ClientError',
     'ClientResponse',
+    'HttpLimits',
     'HttpRequest',
     'HttpServer',
     'Responder',
     'fetch',
     'fetch_json',
+    'internal_error',
     'open_request',
 ]
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import ssl
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -11,83 +10,15 @@
 import h11
 from loguru import logger
 
-from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.core.errors import RequestError
-from tamarackfield.web.request import (
-    MAX_BODY_BYTES,
-    MAX_HEAD_BYTES,
-    HttpRequest,
-    bad_request,
-    check_framing,
-)
-
-#: Seconds in which a whole request must arrive once its first byte came.
-REQUEST_TIMEOUT = 10.0
-#: Seconds that an idle connection is kept.
-IDLE_TIMEOUT = 75.0
-#: Seconds that one write may wait for the caller to read.
-WRITE_TIMEOUT = 30.0
-_READ_BYTES = 65_536
-_TIMED_OUT = ('request_timeout', HTTPStatus.REQUEST_TIMEOUT)
-_JSON_TYPE = ('Content-Type', 'application/json')
-
-
-class CallerGoneError(Exception):
-    """The caller closed the connection."""
-
-
-class Responder:
-    """Writes one answer to the caller.
-
-    Parameters
-    ----------
-    connection : h11.Connection
-        Protocol state of the connection.
-    writer : asyncio.StreamWriter
-        The connection.
-    """
-
-    def __init__(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
-        """Start with nothing sent."""
-        self.connection = connection
-        self.writer = writer
-        self.started = False
-        self.finished = False
-        self.close_after = False
-
-    async def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send status and headers."""
-        self.started = True
-        if self.close_after:
-            headers = [*headers, ('Connection', 'close')]
-        await self._write(h11.Response(status_code=status, headers=headers))
-
-    async def send_body(self, chunk: bytes) -> None:
-        """Send part of the body and wait until the caller has room for more."""
-        await self._write(h11.Data(data=chunk))
-
-    async def finish(self) -> None:
-        """Mark the answer as whole."""
-        await self._write(h11.EndOfMessage())
-        self.finished = True
-
-    async def send_json(self, status: int, document: Any, headers: tuple[tuple[str, str], ...] = ()) -> None:
-        """Send a whole answer in JSON."""
-        body = json.dumps(document).encode()
-        await self.send_head(status, [_JSON_TYPE, ('Content-Length', str(len(body))), *headers])
-        await self.send_body(body)
-        await self.finish()
-
-    async def _write(self, event: Any) -> None:
-        encoded = self.connection.send(event)
-        if encoded:
-            self.writer.write(encoded)
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT):
-                await self.writer.drain()
-        except (OSError, TimeoutError) as exc:
-            raise CallerGoneError(repr(exc)) from exc
+from tamarackfield.core.outcome import Outcome
+from tamarackfield.web.limits import DEFAULT_LIMITS, HttpLimits
+from tamarackfield.web.reading import READ_BYTES, BodyBudget, RequestReader
+from tamarackfield.web.request import HttpRequest, choose_request_id, server_busy
+from tamarackfield.web.responder import CallerGoneError, Responder
 
+#: Seconds that a caller is given to read a refusal before its connection is closed.
+LINGER_SECONDS = 1.0
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
@@ -101,12 +32,21 @@
         Coroutine function that answers one request; it is cancelled when the caller leaves.
     on_error : callable
         Coroutine function that answers a request that ended in a `RequestError`.
+    limits : HttpLimits
+        Sizes and times.
     """
 
-    def __init__(self, handler: Handler, on_error: Callable[[RequestError, Responder], Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        on_error: Callable[[RequestError, Responder], Awaitable[None]],
+        limits: HttpLimits = DEFAULT_LIMITS,
+    ) -> None:
         """Prepare a server that does not listen yet."""
         self.handler = handler
         self.on_error = on_error
+        self.limits = limits
+        self.budget = BodyBudget(limits.max_buffered_bytes)
         self.server: asyncio.Server | None = None
         self.busy: set[asyncio.Task[None]] = set()
         self.idle: set[asyncio.Task[None]] = set()
@@ -115,7 +55,7 @@
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
         """Start to listen; ``port`` 0 takes a free one, which is then in ``self.port``."""
-        self.server = await asyncio.start_server(self._serve, host, port, limit=_READ_BYTES, ssl=context)
+        self.server = await asyncio.start_server(self.accept, host, port, limit=READ_BYTES, ssl=context)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def shutdown(self) -> None:
@@ -128,12 +68,14 @@
         while self.busy:
             await asyncio.wait(self.busy)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until it ends."""
         task = asyncio.current_task()
-        exchange = _Connection(self, reader, writer)
+        connection = _Connection(self, reader, writer)
+        opened = len(self.idle) + len(self.busy)
         self.idle.add(task)
         try:
-            await exchange.serve()
+            await connection.begin(opened)
         except asyncio.CancelledError:
             logger.debug('connection_cancelled')
         except (OSError, CallerGoneError, h11.ProtocolError) as exc:
@@ -160,31 +102,59 @@
         self.server = server
         self.reader = reader
         self.writer = writer
-        self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.requests = RequestReader(reader, writer, server.limits, server.budget)
+        self.protocol = self.requests.protocol
+
+    async def begin(self, opened: int) -> None:
+        """Serve the connection, or turn it away if too many others are open."""
+        limit = self.server.limits.max_connections
+        if opened < limit:
+            await self.serve()
+        elif opened < 2 * limit:
+            await self.turn_away()
 
     async def serve(self) -> None:
         """Answer requests until the connection ends."""
-        while not self.server.draining:
-            responder = Responder(self.protocol, self.writer)
+        while not self.server.draining and await self.requests.wait_first_byte():
+            self.server.mark_busy(busy=True)
             try:
-                request = await self._read_request()
-                if request is None:
-                    return
-                responder.close_after = self.server.draining
-                await self._handle(request, responder)
-            except RequestError as exc:
-                await self._refuse(exc, responder)
-                return
+                may_go_on = await self._answer_one()
             finally:
+                self.requests.release()
                 self.server.mark_busy(busy=False)
-            if responder.close_after or self.protocol.our_state is not h11.DONE:
-                return
-            if self.protocol.their_state is not h11.DONE:
+            if not may_go_on:
                 return
             self.protocol.start_next_cycle()
 
+    async def turn_away(self) -> None:
+        """Refuse a connection for which there is no room."""
+        responder = self._make_responder()
+        await self._refuse(server_busy('too many connections are open', 'too_many_connections'), responder)
+
+    async def _answer_one(self) -> bool:
+        """Answer one request; return whether another may follow on this connection."""
+        responder = self._make_responder()
+        try:
+            request = await self.requests.read()
+            if request is None:
+                return False
+            await self._handle(request, responder)
+        except RequestError as exc:
+            await self._refuse(exc, responder)
+            return False
+        states = {self.protocol.our_state, self.protocol.their_state}
+        return not responder.close_after and states == {h11.DONE}
+
+    def _make_responder(self) -> Responder:
+        responder = Responder(self.protocol, self.writer, self.server.limits.write_seconds)
+        responder.request_id = choose_request_id('')
+        return responder
+
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
-        work = asyncio.ensure_future(self.server.handler(request, responder))
+        responder.request_id = request.request_id
+        responder.head_only = request.method == 'HEAD'
+        responder.close_after = self.server.draining
+        work = asyncio.ensure_future(self._guard(request, responder))
         watch = asyncio.ensure_future(self.reader.read(1))
         await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
         try:
@@ -196,6 +166,17 @@
             await _stop(work)
         self._keep_early_byte(watch)
 
+    async def _guard(self, request: HttpRequest, responder: Responder) -> None:
+        """Run the handler; an unexpected exception becomes a `RequestError`."""
+        try:
+            await self.server.handler(request, responder)
+        except (RequestError, CallerGoneError, OSError):
+            raise
+        except Exception as exc:
+            bound = logger.bind(request_id=request.request_id, path=request.path, step='handle', error=repr(exc))
+            bound.opt(exception=exc).error('handler_failed')
+            raise internal_error(Outcome.UNKNOWN) from exc
+
     async def _pipelined_or_gone(self, watch: asyncio.Future[bytes], work: asyncio.Future[None]) -> None:
         if watch.exception() is None and watch.result():
             return
@@ -220,89 +201,35 @@
         with contextlib.suppress(OSError, TimeoutError):
             if self.writer.can_write_eof():
                 self.writer.write_eof()
-            async with asyncio.timeout(1):
+            async with asyncio.timeout(LINGER_SECONDS):
                 await self._discard()
 
     async def _discard(self) -> None:
         left = b'unread'
         while left:
-            left = await self.reader.read(_READ_BYTES)
-
-    async def _read_request(self) -> HttpRequest | None:
-        head = await self._read_head()
-        if head is None:
-            return None
-        self.server.mark_busy(busy=True)
-        received_at = SYSTEM_CLOCK.monotonic()
-        body = await self._read_body()
-        path, _, query = head.target.decode('ascii').partition('?')
-        headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
-        return HttpRequest(head.method.decode('ascii'), path, query, headers, body, received_at)
-
-    async def _read_head(self) -> h11.Request | None:
-        expires_at = SYSTEM_CLOCK.monotonic() + IDLE_TIMEOUT
-        while True:
-            before = self.protocol.trailing_data[0]
-            event = self._next_event()
-            if isinstance(event, h11.Request):
-                consumed = len(before) - len(self.protocol.trailing_data[0])
-                check_framing(before[:consumed])
-                return event
-            if not isinstance(event, type(h11.NEED_DATA)):
-                return None
-            if before and not self.server.busy.intersection({asyncio.current_task()}):
-                self.server.mark_busy(busy=True)
-                expires_at = SYSTEM_CLOCK.monotonic() + REQUEST_TIMEOUT
-            try:
-                await self._receive(expires_at)
-            except TimeoutError:
-                if before:
-                    raise bad_request('the request head did not arrive in time', *_TIMED_OUT) from None
-                return None
-
-    async def _read_body(self) -> bytes:
-        expires_at = SYSTEM_CLOCK.monotonic() + REQUEST_TIMEOUT
-        body = bytearray()
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if isinstance(event, h11.ConnectionClosed):
-                raise CallerGoneError('caller left inside a request')
-            if isinstance(event, h11.Data):
-                body += event.data
-                _check_size(body)
-            else:
-                await self._receive_body(expires_at)
-
-    async def _receive_body(self, expires_at: float) -> None:
-        try:
-            await self._receive(expires_at)
-        except TimeoutError:
-            raise bad_request('the body did not arrive in time', *_TIMED_OUT) from None
-
-    async def _receive(self, expires_at: float) -> None:
-        if self.protocol.they_are_waiting_for_100_continue:
-            self.writer.write(self.protocol.send(h11.InformationalResponse(status_code=100, headers=[])))
-        async with asyncio.timeout(expires_at - SYSTEM_CLOCK.monotonic()):
-            chunk = await self.reader.read(_READ_BYTES)
-        self.protocol.receive_data(chunk)
-
-    def _next_event(self) -> Any:
-        try:
-            return self.protocol.next_event()
-        except h11.RemoteProtocolError as exc:
-            status = exc.error_status_hint
-            raise bad_request(f'malformed HTTP: {exc}', 'malformed_http', status) from None
-
-
-def _check_size(body: bytearray) -> None:
-    if len(body) > MAX_BODY_BYTES:
-        raise bad_request(
-            f'the body is larger than {MAX_BODY_BYTES} bytes',
-            'body_too_large',
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        )
+            left = await self.reader.read(READ_BYTES)
+
+
+def internal_error(outcome: Outcome) -> RequestError:
+    """Build the error for a fault of this process.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What is known of the run.
+
+    Returns
+    -------
+    RequestError
+        With status 500.
+    """
+    return RequestError(
+        'this process failed while it handled the request',
+        step='handle',
+        outcome=outcome,
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        code='internal_error',
+    )
 
 
 async def _stop(work: asyncio.Future[Any]) -> None:
