--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -70,6 +70,8 @@
         encoded = self.connection.send(event)
         if encoded:
             self.writer.write(encoded)
+        if not self.writer.transport.get_write_buffer_size():
+            return
         try:
             async with asyncio.timeout(self.write_seconds):
                 await self.writer.drain()
--- a/tamarackfield/web/tests/test_server.py
+++ b/tamarackfield/web/tests/test_server.py
@@ -41,6 +41,11 @@
         """Start with nothing written."""
         self.written = bytearray()
         self.closed = False
+        self.transport = self
+
+    def get_write_buffer_size(self):
+        """Have written everything."""
+        return 0
 
     def write(self, chunk):
         """Keep what is written."""
