--- a/tamarackfield/entry/tests/test_bad_input.py
+++ b/tamarackfield/entry/tests/test_bad_input.py
@@ -134,7 +134,8 @@
 
 
 async def assert_unharmed(cluster):
-    """Check that the entry serves a good request and holds nothing of the bad ones."""
+    """Check that the entry holds nothing of the bad requests and serves a good one."""
+    await wait_until(lambda: nothing_held(cluster), 'the entry drops the bad requests')
     answer = await exchange_raw(cluster.ports['entry-1'], post(GOOD_BODY))
     assert answer.status == 200
     await wait_until(lambda: nothing_held(cluster), 'the entry drops what it held')
