--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -13,7 +13,7 @@
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.engine import EngineClient
-from tamarackfield.sidecar.peers import PeerServer
+from tamarackfield.sidecar.peers import DEFAULT_MAX_STREAMS, PeerServer
 from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
@@ -25,6 +25,12 @@
         'target': {'type': 'string', 'minLength': 1, 'description': 'name of the target in the bundle'},
         'target_address': {**PEER_SCHEMA, 'description': 'where the target listens'},
         'listen': {**ADDRESS_SCHEMA, 'description': 'where entries connect'},
+        'max_peer_streams': {
+            'type': 'integer',
+            'minimum': 1,
+            'default': DEFAULT_MAX_STREAMS,
+            'description': 'streams from entries that are open at once',
+        },
     },
 )
 
@@ -129,7 +135,7 @@
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
         target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds)
-        self.peers = PeerServer(target, self._hello)
+        self.peers = PeerServer(target, self._hello, self.settings['max_peer_streams'])
         self.application.spawn(worker.run(), 'worker')
         self.application.spawn(worker.poll(), 'poll')
 
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -26,6 +26,8 @@
 
 #: Seconds between two load reports to an entry.
 REPORT_INTERVAL = 0.1
+#: Streams that a sidecar accepts unless its settings say otherwise.
+DEFAULT_MAX_STREAMS = 4000
 _MS_PER_SECOND = 1000
 
 #: Running requests of one stream by their number.
@@ -41,10 +43,16 @@
         Where requests run.
     hello : callable
         Returns this process's hello.
+    max_streams : int
+        Streams that are open at once; further ones are closed.
     """
 
-    def __init__(self, target: TargetAddress, hello: Callable[[], Hello]) -> None:
+    def __init__(
+        self, target: TargetAddress, hello: Callable[[], Hello], max_streams: int = DEFAULT_MAX_STREAMS
+    ) -> None:
         """Prepare a server that does not listen yet."""
+        self.max_streams = max_streams
+        self.open_streams = 0
         self.target = target
         self.hello = hello
         self.streams: set[PeerStream] = set()
@@ -55,13 +63,20 @@
         """Serve one stream until it closes."""
         stream = PeerStream(reader, writer)
         mine: Runs = {}
+        self.open_streams += 1
         try:
+            self._check_room(stream)
             await self._serve(stream, mine)
         except TamarackfieldError as exc:
             logger.bind(peer=stream.peer, step=exc.step, error=exc.message).info('peer_stream_closed')
         finally:
+            self.open_streams -= 1
             self._forget(stream, mine)
 
+    def _check_room(self, stream: PeerStream) -> None:
+        if self.open_streams > self.max_streams:
+            raise StreamClosedError('too many streams are open', step='accept', peer=stream.peer)
+
     async def _serve(self, stream: PeerStream, mine: Runs) -> None:
         await stream.greet(self.hello())
         self.streams.add(stream)
--- a/tamarackfield/wire/security.py
+++ b/tamarackfield/wire/security.py
@@ -3,6 +3,8 @@
 import ssl
 from typing import Any
 
+from loguru import logger
+
 #: Value of ``peer_security.mode`` that switches authentication off, in words.
 PLAINTEXT = 'plaintext-without-authentication'
 #: Value of ``peer_security.mode`` for mutual TLS.
@@ -26,6 +28,26 @@
 }
 
 
+class LoggedHandshake(ssl.SSLObject):
+    """Server side of a handshake; one that fails is logged, which asyncio leaves out."""
+
+    def do_handshake(self) -> None:
+        """Go on with the handshake.
+
+        Raises
+        ------
+        ssl.SSLError
+            If more data is needed or the peer is refused.
+        """
+        try:
+            super().do_handshake()
+        except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
+            raise
+        except ssl.SSLError as exc:
+            logger.bind(step='handshake', error=exc.reason or repr(exc)).warning('peer_refused')
+            raise
+
+
 def server_context(security: dict[str, Any]) -> ssl.SSLContext | None:
     """Build the context with which peers are accepted.
 
@@ -42,6 +64,7 @@
     if security['mode'] == PLAINTEXT:
         return None
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.sslobject_class = LoggedHandshake
     return _with_files(context, security)
 
 
