--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -50,12 +50,14 @@
             If no answer was started.
         """
         tried: set[str] = set()
+        ran: RequestError | None = None
         while True:
             try:
                 await self._attempt(call, responder, tried)
             except RequestError as exc:
+                ran = _most_telling(ran, exc)
                 if not self._may_retry(call, responder, exc, tried):
-                    raise
+                    raise ran from exc
                 self.metrics.count('retries')
             else:
                 return
@@ -114,6 +116,13 @@
             ) from None
 
 
+def _most_telling(earlier: RequestError | None, error: RequestError) -> RequestError:
+    """Return the error that tells what became of a call: ``not_run`` only if no attempt may have run."""
+    if earlier is None or earlier.outcome is Outcome.NOT_RUN:
+        return error
+    return earlier if error.outcome is Outcome.NOT_RUN else error
+
+
 def _build_submit(call: Call, request_id: int, credit: int) -> Submit:
     return Submit(
         request_id=request_id,
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -13,6 +13,7 @@
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.engine import EngineClient
+from tamarackfield.sidecar.orders import poll
 from tamarackfield.sidecar.peers import PeerServer
 from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
@@ -128,10 +129,10 @@
         engine = EngineClient(address) if entry.kind == 'engine' else None
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
-        target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds)
+        target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds, self.incarnation)
         self.peers = PeerServer(target, self._hello)
         self.application.spawn(worker.run(), 'worker')
-        self.application.spawn(worker.poll(), 'poll')
+        self.application.spawn(poll(worker), 'poll')
 
     async def _serve(self) -> None:
         if self.peers is None:
@@ -156,7 +157,7 @@
             self.peers.drain('shutdown')
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
-                stream.close()
+                await stream.flush()
         if self.server is not None:
             self.server.close()
         await self.operations.server.shutdown()
--- a/tamarackfield/sidecar/echo.py
+++ b/tamarackfield/sidecar/echo.py
@@ -63,6 +63,11 @@
         self.peer = peer
         self.buffer = b''
         self.done = False
+        self.count = 0
+
+    def drop_partial(self) -> None:
+        """Forget the start of an event whose rest was cut off."""
+        self.buffer = b''
 
     def feed(self, chunk: bytes) -> Iterator[bytes]:
         """Yield each whole event, checked, as bytes ready to be passed on.
@@ -90,4 +95,5 @@
                 self.done = True
             else:
                 check_echo(content, self.adapter, self.peer)
+                self.count += 1
             yield event + _EVENT_END
--- a/tamarackfield/sidecar/engine.py
+++ b/tamarackfield/sidecar/engine.py
@@ -12,10 +12,30 @@
 #: Seconds allowed for a load or unload order.
 ORDER_TIMEOUT = 30.0
 _OK = 200
+_NOT_FOUND = 404
+#: Answers after which the engine knows the fencing number; it need not know the adapter.
+_CLAIMED = (_OK, _NOT_FOUND)
+
+
+#: Name that no adapter has; an order for it has no effect but to carry a fencing number.
+_NO_ADAPTER = 'none@fence'
 
 
 class EngineError(TamarackfieldError):
-    """The engine refused an order or gave no usable answer."""
+    """The engine refused an order or gave no usable answer.
+
+    Parameters
+    ----------
+    message, step, peer : str
+        As in `TamarackfieldError`.
+    answered : bool
+        Whether the engine itself answered; if not, an order may still take effect later.
+    """
+
+    def __init__(self, message: str, step: str, peer: str, *, answered: bool = False) -> None:
+        """Keep what is known of the exchange."""
+        super().__init__(message, step, peer)
+        self.answered = answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,13 +43,15 @@
     """What the engine says of itself.
 
     ``incarnation`` changes when it restarts; ``resident`` holds adapter references;
-    ``highest_fence`` is the greatest fencing number that it saw.
+    ``highest_fence`` is the greatest fencing number that it saw, ``fencing`` whether it refuses
+    lower ones. ``running`` counts the requests that it runs or queues.
     """
 
     incarnation: int
     resident: frozenset[str]
     running: int
     highest_fence: int
+    fencing: bool = False
 
 
 class EngineClient:
@@ -42,10 +64,9 @@
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
-        """Prepare; the fencing number is set before the first order."""
+        """Prepare; nothing is sent yet."""
         self.address = address
         self.peer = f'{address[0]}:{address[1]}'
-        self.fence = 0
 
     async def status(self) -> EngineStatus:
         """Read the engine's state.
@@ -62,13 +83,14 @@
             return EngineStatus(
                 int(document['incarnation']),
                 frozenset(document['resident']),
-                int(document['running']),
+                int(document['running']) + int(document.get('waiting', 0)),
                 int(document.get('highest_fence', 0)),
+                document.get('fencing') is True,
             )
         except (KeyError, TypeError, ValueError) as exc:
             raise EngineError(f'status is malformed: {exc!r}', step='status', peer=self.peer) from None
 
-    async def load(self, adapter: str) -> int:
+    async def load(self, adapter: str, fence: int) -> int:
         """Order a load and return the incarnation that confirmed it.
 
         Raises
@@ -76,9 +98,9 @@
         EngineError
             If the load failed or nobody knows whether it did.
         """
-        return await self._order('load_adapter', '/v1/load_lora_adapter', adapter)
+        return await self._order('load_adapter', '/v1/load_lora_adapter', adapter, fence)
 
-    async def unload(self, adapter: str) -> int:
+    async def unload(self, adapter: str, fence: int) -> int:
         """Order an unload and return the incarnation that confirmed it.
 
         Raises
@@ -86,13 +108,40 @@
         EngineError
             If the unload was refused or nobody knows whether it took effect.
         """
-        return await self._order('unload_adapter', '/v1/unload_lora_adapter', adapter)
+        return await self._order('unload_adapter', '/v1/unload_lora_adapter', adapter, fence)
+
+    async def claim(self, fence: int) -> None:
+        """Make a fencing number known by an order without effect.
+
+        Raises
+        ------
+        EngineError
+            If the engine refuses the number or does not answer.
+        """
+        order = {'lora_name': _NO_ADAPTER, 'fence': fence}
+        status, document = await self._call('claim', 'POST', '/v1/unload_lora_adapter', order, STATUS_TIMEOUT)
+        if status not in _CLAIMED:
+            raise EngineError(f'claim gave {status}: {document}', 'claim', self.peer, answered=True)
+
+    async def cancel(self, request_id: str) -> bool:
+        """Cancel a request and tell whether the engine knew it.
 
-    async def _order(self, step: str, path: str, adapter: str) -> int:
-        order = {'lora_name': adapter, 'fence': self.fence}
+        Raises
+        ------
+        EngineError
+            If the engine does not confirm.
+        """
+        body = {'request_id': request_id}
+        status, document = await self._call('cancel', 'POST', '/v1/cancel', body, STATUS_TIMEOUT)
+        if status != _OK or not isinstance(document, dict):
+            raise EngineError(f'cancel gave {status}', step='cancel', peer=self.peer)
+        return document.get('cancelled') is True
+
+    async def _order(self, step: str, path: str, adapter: str, fence: int) -> int:
+        order = {'lora_name': adapter, 'fence': fence}
         status, document = await self._call(step, 'POST', path, order, ORDER_TIMEOUT)
         if status != _OK:
-            raise EngineError(f'{adapter}: status {status}: {document}', step=step, peer=self.peer)
+            raise EngineError(f'{adapter}: status {status}: {document}', step, self.peer, answered=True)
         return int(document.get('incarnation', 0))
 
     async def _call(self, step: str, method: str, path: str, document: Any, seconds: float) -> tuple[int, Any]:
--- /dev/null
+++ b/tamarackfield/sidecar/events.py
@@ -0,0 +1,64 @@
+"""Messages to the task that owns a target's scheduler."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tamarackfield.sidecar.engine import EngineError, EngineStatus
+from tamarackfield.sidecar.scheduler import Job, Load, Unload
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """A job wants to run; its permit is resolved by the worker."""
+
+    job: Job
+    permit: asyncio.Future[None]
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A job is over."""
+
+    job_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDone:
+    """The engine confirmed an order, in the incarnation that the answer names."""
+
+    order: Load | Unload
+    issued_in: int
+    incarnation: int
+    load_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFailed:
+    """An order failed; unless the engine answered, nobody knows whether it takes effect."""
+
+    order: Load | Unload
+    issued_in: int
+    error: EngineError
+
+
+@dataclass(frozen=True, slots=True)
+class StatusRead:
+    """A fresh status of the engine."""
+
+    status: EngineStatus
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The engine took in a fencing number."""
+
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Doubted:
+    """An answer of the engine does not fit what is known of it."""
+
+
+Event = Arrived | Ended | OrderDone | OrderFailed | StatusRead | Claimed | Doubted
--- a/tamarackfield/sidecar/keyed.py
+++ b/tamarackfield/sidecar/keyed.py
@@ -15,7 +15,7 @@
     open_target,
     passed_headers,
 )
-from tamarackfield.sidecar.worker import Ended
+from tamarackfield.sidecar.events import Ended
 from tamarackfield.web import ClientError
 from tamarackfield.wire import Submit
 
--- /dev/null
+++ b/tamarackfield/sidecar/resume.py
@@ -0,0 +1,75 @@
+"""Takes up an engine's event stream again after its connection broke."""
+
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+
+from loguru import logger
+
+from tamarackfield.sidecar.echo import EventStream
+from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.target import TargetAddress, run_id
+from tamarackfield.web import ClientError, ClientResponse, open_request
+
+#: Times that one stream is taken up again.
+MAX_RESUMES = 3
+
+
+async def resumed_chunks(
+    target: TargetAddress,
+    job: Job,
+    response: ClientResponse,
+    events: EventStream,
+) -> AsyncIterator[bytes]:
+    """Yield the bytes of an event stream, across broken connections to the same run.
+
+    Only the run that the engine knows under the request's own number is taken up, from the event
+    after the last whole one; another run is never joined to it.
+
+    Parameters
+    ----------
+    target : TargetAddress
+        Whose engine streams.
+    job : Job
+        The request.
+    response : ClientResponse
+        Its answer, with the head read.
+    events : EventStream
+        Counts the whole events; an incomplete one is dropped when the connection breaks.
+
+    Yields
+    ------
+    bytes
+        In any cut.
+
+    Raises
+    ------
+    ClientError
+        If the stream cannot be taken up.
+    """
+    incarnation = target.worker.incarnation
+    source = response.chunks()
+    for resumes_left in reversed(range(MAX_RESUMES + 1)):
+        try:
+            async for chunk in source:
+                yield chunk
+        except ClientError as exc:
+            _check_resumable(exc, resumes_left, same_engine=target.worker.incarnation == incarnation)
+            source = _resume(target, job, events, exc)
+        if events.done:
+            break
+
+
+def _check_resumable(broken: ClientError, resumes_left: int, *, same_engine: bool) -> None:
+    if not resumes_left or not same_engine:
+        raise broken
+
+
+async def _resume(target: TargetAddress, job: Job, events: EventStream, broken: ClientError) -> AsyncIterator[bytes]:
+    events.drop_partial()
+    logger.bind(peer=target.name, request=run_id(target, job), after=events.count).info('stream_resumed')
+    path = f'/v1/resume/{run_id(target, job)}?after={events.count}'
+    async with open_request(target.address, 'GET', path) as response:
+        if response.status != HTTPStatus.OK:
+            raise ClientError(f'not resumable: {response.status}', 'resume', target.name, sent=True) from broken
+        async for chunk in response.chunks():
+            yield chunk
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -1,23 +1,25 @@
 """One request's run at the target: permit, dispatch, answer."""
 
 import asyncio
+import contextlib
 from http import HTTPStatus
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.sidecar.cancel import release
 from tamarackfield.sidecar.echo import EventStream, check_echo
+from tamarackfield.sidecar.events import Doubted, Ended
 from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
+from tamarackfield.sidecar.resume import resumed_chunks
 from tamarackfield.sidecar.scheduler import Job
 from tamarackfield.sidecar.target import (
     TargetAddress,
-    check_deadline,
     error_from_client,
     new_job,
     open_target,
     passed_headers,
 )
-from tamarackfield.sidecar.worker import Ended
 from tamarackfield.web import ClientError, ClientResponse
 from tamarackfield.wire import Submit
 
@@ -49,69 +51,114 @@
 
 async def _run_once(target: TargetAddress, submit: Submit, reply: Reply) -> None:
     job = new_job(submit)
+    dispatch = _Dispatch(target, submit, reply, job)
     try:
         await target.worker.admit(job)
-        await _dispatch(target, submit, reply, job)
+        target.worker.check_dispatch(job)
+        await dispatch.run()
     finally:
-        target.worker.post(Ended(job.job_id))
+        dispatch.release()
 
 
-async def _dispatch(target: TargetAddress, submit: Submit, reply: Reply, job: Job) -> None:
-    check_deadline(job, target.name)
-    try:
-        async with asyncio.timeout_at(job.deadline), open_target(target, submit) as response:
-            await _relay(target, submit, reply, response)
-    except ClientError as exc:
-        raise error_from_client(exc, target.name) from exc
-    except TimeoutError:
-        raise RequestError(
-            'the deadline passed while the request ran',
-            step='await_answer',
-            peer=target.name,
-            outcome=Outcome.UNKNOWN,
-            status=HTTPStatus.GATEWAY_TIMEOUT,
-            code='deadline_passed',
-        ) from None
-    now = SYSTEM_CLOCK.monotonic()
-    worker = target.worker
-    worker.service_seconds += (now - job.started_at - worker.service_seconds) * _SMOOTHING
-    stalled = max(0, (job.resident_at or job.started_at) - job.stalled_at) if job.stalled_at else 0
-    worker.metrics.timing('load_stall', stalled * _MS_PER_SECOND)
-    reply.end(stalled, job.started_at - job.arrived_at)
-
-
-async def _relay(target: TargetAddress, submit: Submit, reply: Reply, response: ClientResponse) -> None:
-    headers = passed_headers(response)
-    if submit.adapter and response.status == HTTPStatus.NOT_FOUND:
-        raise RequestError(
-            'the engine does not hold the adapter any more',
-            step='dispatch',
-            peer=target.name,
-            code='adapter_not_loaded',
-            retry_after=1,
-        )
-    if submit.adapter and submit.stream and response.status < HTTPStatus.MULTIPLE_CHOICES:
-        reply.head(response.status, headers)
-        await _relay_events(target, submit, reply, response)
-        return
-    body = await response.read()
-    if submit.adapter and response.status < HTTPStatus.MULTIPLE_CHOICES:
-        check_echo(body, f'{submit.adapter}@{submit.version}', target.name)
-    reply.head(response.status, headers)
-    await reply.chunk(body)
-
-
-async def _relay_events(target: TargetAddress, submit: Submit, reply: Reply, response: ClientResponse) -> None:
-    events = EventStream(f'{submit.adapter}@{submit.version}', target.name)
-    async for chunk in response.chunks():
-        for event in events.feed(chunk):
-            await reply.chunk(event)
-    if not events.done:
-        raise RequestError(
-            'the engine ended its stream without an end marker',
-            step='relay_events',
-            peer=target.name,
-            outcome=Outcome.UNKNOWN,
-            status=HTTPStatus.BAD_GATEWAY,
-            code='truncated_answer',
+class _Dispatch:
+    """One request under way at the target, and what is known of its end there.
+
+    ``sent`` tells whether a byte may have gone to the target, ``ended`` whether the target can
+    no longer run it.
+    """
+
+    def __init__(self, target: TargetAddress, submit: Submit, reply: Reply, job: Job) -> None:
+        self.target = target
+        self.submit = submit
+        self.reply = reply
+        self.job = job
+        self.incarnation = target.worker.incarnation
+        self.sent = False
+        self.head_seen = False
+        self.ended = False
+
+    def release(self) -> None:
+        """Drop the pin and the batch slot, or have them dropped once the engine has cancelled the run."""
+        worker = self.target.worker
+        if worker.engine is None or self.ended or not self.sent:
+            worker.post(Ended(self.job.job_id))
+            return
+        worker.application.spawn(
+            release(self.target, self.job, self.incarnation, head_seen=self.head_seen),
+            f'release-{self.job.job_id}',
         )
+
+    async def run(self) -> None:
+        """Send the request and relay its answer."""
+        self.incarnation = self.target.worker.incarnation
+        self.sent = True
+        try:
+            async with asyncio.timeout_at(self.job.deadline):
+                await self._exchange()
+        except ClientError as exc:
+            self.sent = exc.sent
+            raise error_from_client(exc, self.target.name) from exc
+        except TimeoutError:
+            raise RequestError(
+                'the deadline passed while the request ran',
+                step='await_answer',
+                peer=self.target.name,
+                outcome=Outcome.UNKNOWN,
+                status=HTTPStatus.GATEWAY_TIMEOUT,
+                code='deadline_passed',
+            ) from None
+        self._measure()
+
+    async def _exchange(self) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            response = await stack.enter_async_context(open_target(self.target, self.submit, self.job))
+            self.head_seen = True
+            await self._relay(response)
+        self.ended = True
+
+    async def _relay(self, response: ClientResponse) -> None:
+        submit = self.submit
+        if submit.adapter and response.status == HTTPStatus.NOT_FOUND:
+            self.ended = True
+            self.target.worker.post(Doubted())
+            raise RequestError(
+                'the engine does not hold the adapter any more',
+                step='dispatch',
+                peer=self.target.name,
+                code='adapter_not_loaded',
+                retry_after=1,
+            )
+        headers = passed_headers(response)
+        if submit.adapter and submit.stream and response.status < HTTPStatus.MULTIPLE_CHOICES:
+            self.reply.head(response.status, headers)
+            await self._relay_events(response)
+            return
+        body = await response.read()
+        if submit.adapter and response.status < HTTPStatus.MULTIPLE_CHOICES:
+            check_echo(body, f'{submit.adapter}@{submit.version}', self.target.name)
+        self.reply.head(response.status, headers)
+        await self.reply.chunk(body)
+
+    async def _relay_events(self, response: ClientResponse) -> None:
+        events = EventStream(f'{self.submit.adapter}@{self.submit.version}', self.target.name)
+        async for chunk in resumed_chunks(self.target, self.job, response, events):
+            for event in events.feed(chunk):
+                await self.reply.chunk(event)
+        if not events.done:
+            raise RequestError(
+                'the engine ended its stream without an end marker',
+                step='relay_events',
+                peer=self.target.name,
+                outcome=Outcome.UNKNOWN,
+                status=HTTPStatus.BAD_GATEWAY,
+                code='truncated_answer',
+            )
+
+    def _measure(self) -> None:
+        worker = self.target.worker
+        job = self.job
+        service_seconds = SYSTEM_CLOCK.monotonic() - job.started_at
+        worker.service_seconds += (service_seconds - worker.service_seconds) * _SMOOTHING
+        stalled = max(0, (job.resident_at or job.started_at) - job.stalled_at) if job.stalled_at else 0
+        worker.metrics.timing('load_stall', stalled * _MS_PER_SECOND)
+        self.reply.end(stalled, job.started_at - job.arrived_at)
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -27,16 +27,24 @@
     LOADING = 'loading'
     RESIDENT = 'resident'
     UNLOADING = 'unloading'
+    #: An order ended without an answer; only a later status of the engine tells what it did.
+    UNCERTAIN = 'uncertain'
 
 
 @dataclass(slots=True)
 class Slot:
-    """One adapter in the engine's slots; ``pins`` counts the running requests that use it."""
+    """One adapter in the engine's slots; ``pins`` counts the running requests that use it.
+
+    While the state is uncertain, only a status asked at ``settles_at`` or later counts, and one
+    that shows the adapter as resident only from ``trusted_at`` on; both are monotonic seconds.
+    """
 
     state: SlotState
     last_used: float
     pins: int = 0
     frequency: float = 0.0
+    settles_at: float = 0.0
+    trusted_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -156,7 +164,7 @@
         if slot is not None and slot.state is SlotState.LOADING:
             slot.state = SlotState.RESIDENT
             slot.last_used = now
-            self._end_stalls(adapter, now)
+            self.end_stalls(adapter, now)
         self.load_again_at.pop(adapter, None)
         self.failures.pop(adapter, None)
 
@@ -181,11 +189,24 @@
             slot.state = SlotState.RESIDENT
 
     def reset(self, resident: Iterable[str], now: float) -> None:
-        """Take over what the engine says it holds, after a restart of it or a pause of this process."""
-        pins = Counter(job.adapter for job in self.running.values())
-        self.table = {adapter: Slot(SlotState.RESIDENT, now, pins[adapter]) for adapter in resident}
+        """Take over what the engine says it holds, after a restart of it or a pause of this process.
 
-    def _end_stalls(self, adapter: str, now: float) -> None:
+        An adapter whose order is under way or uncertain is left as it is: that order may yet
+        take effect.
+        """
+        pins = Counter(job.adapter for job in self.running.values())
+        unsettled = {name: slot for name, slot in self.table.items() if slot.state is not SlotState.RESIDENT}
+        found = {adapter: Slot(SlotState.RESIDENT, now, pins[adapter]) for adapter in resident}
+        self.table = found | unsettled
+
+    def refuse_all(self, code: str, retry_after: int) -> list[Refuse]:
+        """Refuse every waiting job, since this process may not dispatch any more."""
+        refused = [Refuse(job_id, code, retry_after) for job_id in self.waiting]
+        self.waiting.clear()
+        return refused
+
+    def end_stalls(self, adapter: str, now: float) -> None:
+        """Note that the waiting jobs of an adapter need not wait for a load any more."""
         for job in self.waiting.values():
             if job.adapter == adapter:
                 job.resident_at = now
@@ -197,7 +218,7 @@
 
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
-        actions: list[Action] = self._expired(now)
+        actions: list[Action] = self.expire(now)
         ordered = self._ordered()
         actions.extend(self._dispatches(ordered, now))
         actions.extend(self._loads(ordered, now))
@@ -208,7 +229,8 @@
         running = Counter(job.caller for job in self.running.values())
         return [self.waiting[item.job_id] for item in self.queue_order(items, running)]
 
-    def _expired(self, now: float) -> list[Action]:
+    def expire(self, now: float) -> list[Action]:
+        """Refuse the waiting jobs whose deadline has passed."""
         late = [job for job in self.waiting.values() if job.deadline <= now]
         for job in late:
             self.waiting.pop(job.job_id)
@@ -244,7 +266,7 @@
             if self.load_again_at.get(adapter, 0) > now:
                 continue
             if len(self.table) < self.slots:
-                self.table[adapter] = Slot(SlotState.LOADING, now, self._users(adapter))
+                self.table[adapter] = Slot(SlotState.LOADING, now, self.users(adapter))
                 actions.append(Load(adapter))
             elif not self._count(SlotState.UNLOADING):
                 actions.extend(self._evict(needed, now))
@@ -262,7 +284,7 @@
         self.table[victim].state = SlotState.UNLOADING
         return [Unload(victim)]
 
-    def _users(self, adapter: str) -> int:
+    def users(self, adapter: str) -> int:
         """Count the running jobs of an adapter, those from before a restart of the engine among them."""
         return sum(job.adapter == adapter for job in self.running.values())
 
--- /dev/null
+++ b/tamarackfield/sidecar/settling.py
@@ -0,0 +1,54 @@
+"""What a read-back of the engine's state tells about adapters whose orders got no answer."""
+
+from tamarackfield.sidecar.scheduler import LOAD_RETRY_SECONDS, Scheduler, Slot, SlotState
+
+
+def lose_order(scheduler: Scheduler, adapter: str, settles_at: float, trusted_at: float) -> None:
+    """Note that an order ended and nobody knows whether it took, or will take, effect.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        State of the target.
+    adapter : str
+        Adapter reference; it is not used until `reconcile` settles it.
+    settles_at, trusted_at : float
+        As in `Slot`.
+    """
+    slot = scheduler.table.get(adapter)
+    if slot is None or slot.state is SlotState.RESIDENT:
+        return
+    slot.state = SlotState.UNCERTAIN
+    slot.settles_at = settles_at
+    slot.trusted_at = trusted_at
+
+
+def reconcile(scheduler: Scheduler, resident: frozenset[str], asked_at: float, now: float) -> None:
+    """Settle uncertain adapters and follow what the engine holds.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        State of the target.
+    resident : frozenset of str
+        Adapters in a status asked after the last order ended.
+    asked_at, now : float
+        When it was asked, and the present, in monotonic seconds.
+    """
+    for adapter in resident.difference(scheduler.table):
+        scheduler.table[adapter] = Slot(SlotState.RESIDENT, now, scheduler.users(adapter))
+    for name, slot in list(scheduler.table.items()):
+        if slot.state is SlotState.UNCERTAIN and asked_at >= slot.settles_at:
+            _settle(scheduler, name, now, held=name in resident)
+        elif slot.state is SlotState.RESIDENT and name not in resident:
+            scheduler.table.pop(name)
+
+
+def _settle(scheduler: Scheduler, adapter: str, now: float, *, held: bool) -> None:
+    slot = scheduler.table[adapter]
+    if not held:
+        scheduler.table.pop(adapter)
+        scheduler.load_again_at[adapter] = now + LOAD_RETRY_SECONDS
+    elif now >= slot.trusted_at:
+        slot.state = SlotState.RESIDENT
+        scheduler.end_stalls(adapter, now)
--- a/tamarackfield/sidecar/target.py
+++ b/tamarackfield/sidecar/target.py
@@ -27,14 +27,34 @@
     worker: TargetWorker
     ledger: Ledger
     horizon_seconds: int
+    #: Of this sidecar's process; makes the numbers that requests get at the target unique.
+    incarnation: int = 0
+
+
+def run_id(target: TargetAddress, job: Job) -> str:
+    """Return the number under which a request is known at the target; it is never used again."""
+    return f'{target.incarnation}-{job.job_id}'
 
 
 def open_target(
     target: TargetAddress,
     submit: Submit,
+    job: Job | None = None,
 ) -> contextlib.AbstractAsyncContextManager[ClientResponse]:
-    """Send a request to the target; the context manager hands out its answer."""
+    """Send a request to the target; the context manager hands out its answer.
+
+    Parameters
+    ----------
+    target : TargetAddress
+        Where it goes.
+    submit : Submit
+        What the entry asked.
+    job : Job, optional
+        Gives an engine the request's number and priority.
+    """
     headers = [(name, text) for name, text in submit.headers]
+    if job is not None:
+        headers += [('X-Request-Id', run_id(target, job)), ('X-Priority', str(job.priority))]
     return open_request(target.address, submit.method, submit.path, submit.body, headers)
 
 
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -1,7 +1,7 @@
 """Task that owns a target's scheduler, carries out its actions and hears back."""
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Callable
 from http import HTTPStatus
 
 from loguru import logger
@@ -9,58 +9,17 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application
 from tamarackfield.core.errors import RequestError
 from tamarackfield.observe import AuditTrail, Metrics
-from tamarackfield.sidecar.engine import EngineClient, EngineError, EngineStatus
+from tamarackfield.sidecar.engine import EngineClient, EngineStatus
+from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, Event, OrderDone, OrderFailed, StatusRead
+from tamarackfield.sidecar.orders import give_order
+from tamarackfield.sidecar.ownership import Ownership
 from tamarackfield.sidecar.scheduler import Action, Dispatch, Job, Load, Refuse, Scheduler, Unload
+from tamarackfield.sidecar.settling import lose_order, reconcile
 
-#: Seconds between two reads of the engine's status.
-STATUS_INTERVAL = 0.25
 #: Seconds between two looks at deadlines when nothing else happens.
 TICK_INTERVAL = 0.05
-#: Monotonic gap in seconds after which this process counts as having been paused.
-PAUSE_GAP = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class Arrived:
-    """A job wants to run; its permit is resolved by the worker."""
-
-    job: Job
-    permit: asyncio.Future[None]
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """A job is over."""
-
-    job_id: int
-
-
-@dataclass(frozen=True, slots=True)
-class OrderDone:
-    """The engine confirmed an order."""
-
-    order: Load | Unload
-    incarnation: int
-    load_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class OrderFailed:
-    """An order failed, or nobody knows whether it took effect."""
-
-    order: Load | Unload
-    error: str
-
-
-@dataclass(frozen=True, slots=True)
-class StatusRead:
-    """A fresh status of the engine."""
-
-    status: EngineStatus
-    asked_at: float
-
-
-Event = Arrived | Ended | OrderDone | OrderFailed | StatusRead
+#: Seconds after which an order without an answer counts as lost, for engines that ignore fencing numbers.
+ORDER_HORIZON = 10.0
 
 
 class TargetWorker:
@@ -100,7 +59,9 @@
         self.load_seconds = 0.25
         self.service_seconds = 0.5
         self.last_order_at = 0.0
-        self.last_turn_at = 0.0
+        self.ownership = Ownership()
+        self.on_superseded: Callable[[], None] = application.request_stop
+        self.attention = asyncio.Event()
         self.ready = asyncio.Event()
         self.name = 'target'
 
@@ -120,31 +81,49 @@
         self.post(Arrived(job, permit))
         await permit
 
+    def may_act(self) -> bool:
+        """Tell whether orders and dispatches are allowed at this moment.
+
+        They are not after a pause of this process until the engine was read again, nor when the
+        last status is too old to rule out that another sidecar took over.
+        """
+        if self.engine is None:
+            return True
+        return self.ready.is_set() and self.ownership.may_act(SYSTEM_CLOCK.monotonic())
+
+    def check_dispatch(self, job: Job) -> None:
+        """Check a permitted job again, immediately before its first byte goes to the target.
+
+        Raises
+        ------
+        RequestError
+            If the deadline passed or the permit is void; the job did not run.
+        """
+        if SYSTEM_CLOCK.monotonic() >= job.deadline:
+            raise self._refusal('the deadline passed before the request was dispatched', 'deadline_passed', 1)
+        if not self.may_act():
+            raise self._refusal('the state of the target must be read again', 'target_unsettled', 1)
+
     async def run(self) -> None:
         """Handle events for ever."""
         if self.engine is None:
             self.ready.set()
-        self.last_turn_at = SYSTEM_CLOCK.monotonic()
         while True:
             event = await self._next_event()
             now = SYSTEM_CLOCK.monotonic()
-            if now - self.last_turn_at > PAUSE_GAP:
+            if self.ownership.paused(now):
                 self._after_pause(now)
-            self.last_turn_at = now
+            self.ownership.last_turn_at = now
             if event is not None:
                 self._apply(event, now)
-            if self.ready.is_set():
-                self._act(self.scheduler.decide(now))
-
-    async def poll(self) -> None:
-        """Read the engine's status at a fixed pace."""
-        while self.engine is not None:
-            asked_at = SYSTEM_CLOCK.monotonic()
-            try:
-                self.post(StatusRead(await self.engine.status(), asked_at))
-            except EngineError as exc:
-                logger.bind(step=exc.step, peer=exc.peer, error=exc.message).warning('engine_unreachable')
-            await asyncio.sleep(STATUS_INTERVAL)
+            self._act(self._decide(now))
+
+    def _decide(self, now: float) -> list[Action]:
+        if self.may_act():
+            return self.scheduler.decide(now)
+        if self.ownership.superseded:
+            return self.scheduler.refuse_all('superseded', 1)
+        return self.scheduler.expire(now)
 
     async def _next_event(self) -> Event | None:
         try:
@@ -153,7 +132,7 @@
             return None
 
     def _after_pause(self, now: float) -> None:
-        logger.bind(gap=round(now - self.last_turn_at, 3)).warning('process_was_paused')
+        logger.bind(gap=round(now - self.ownership.last_turn_at, 3)).warning('process_was_paused')
         if self.engine is not None:
             self.ready.clear()
             self.last_order_at = now
@@ -172,10 +151,17 @@
                 self._order_failed(event, now)
             case StatusRead(status, asked_at):
                 self._take_status(status, asked_at, now)
+            case Claimed(fence):
+                self.ownership.confirm(fence)
+                self.last_order_at = now
+                self.attention.set()
+            case Doubted():
+                self.ready.clear()
 
     def _order_done(self, event: OrderDone, now: float) -> None:
         self.last_order_at = now
-        if event.incarnation != self.incarnation:
+        if not self.incarnation == event.issued_in == event.incarnation:
+            lose_order(self.scheduler, event.order.adapter, now, now)
             self.ready.clear()
             return
         if isinstance(event.order, Load):
@@ -190,26 +176,76 @@
 
     def _order_failed(self, event: OrderFailed, now: float) -> None:
         self.last_order_at = now
+        adapter = event.order.adapter
         if isinstance(event.order, Load):
-            self.scheduler.load_failed(event.order.adapter, now)
             self.metrics.count('adapter_load_failures')
+        if event.issued_in == self.incarnation:
+            self._note_failure(event, now)
+        else:
+            lose_order(self.scheduler, adapter, now, now)
+        self.audit.record(
+            'order_failed',
+            adapter=adapter,
+            step=event.error.step,
+            answered=event.error.answered,
+            error=event.error.message,
+        )
+
+    def _note_failure(self, event: OrderFailed, now: float) -> None:
+        adapter = event.order.adapter
+        if isinstance(event.order, Load) and event.error.answered:
+            self.scheduler.load_failed(adapter, now)
+        elif event.error.answered:
+            self.scheduler.unload_failed(adapter)
         else:
-            self.scheduler.unload_failed(event.order.adapter)
-        self.audit.record('order_failed', adapter=event.order.adapter, error=event.error)
+            self._order_lost(adapter, now)
+
+    def _order_lost(self, adapter: str, now: float) -> None:
+        """Bar an adapter until its unanswered order can take no more effect.
+
+        A raised fencing number rules a late effect out; an engine that ignores it is given time.
+        """
+        self.ownership.raise_fence()
+        self.attention.set()
+        trusted_at = now if self.ownership.fencing else now + ORDER_HORIZON
+        lose_order(self.scheduler, adapter, now, trusted_at)
 
     def _take_status(self, status: EngineStatus, asked_at: float, now: float) -> None:
-        if asked_at < self.last_order_at:
+        if self.ownership.superseded:
             return
-        restarted = status.incarnation != self.incarnation
-        if restarted:
-            self.metrics.count('engine_restarts')
-            self.audit.record('engine_incarnation', incarnation=status.incarnation, before=self.incarnation)
-        if restarted or not self.ready.is_set():
-            self.incarnation = status.incarnation
+        self.ownership.renew(status, asked_at)
+        if self.ownership.superseded:
+            self._stop_for_good(status.highest_fence)
+        elif asked_at >= self.last_order_at:
+            self._follow(status, asked_at, now)
+
+    def _follow(self, status: EngineStatus, asked_at: float, now: float) -> None:
+        if status.incarnation != self.incarnation:
+            self._take_incarnation(status, now)
+        elif self.ownership.claim_wanted:
+            self.attention.set()
+        elif self.ready.is_set():
+            reconcile(self.scheduler, status.resident, asked_at, now)
+        elif self.ownership.is_sole(status, asked_at):
             self.scheduler.reset(status.resident, now)
-            self.engine.fence = max(self.engine.fence, status.highest_fence + 1, SYSTEM_CLOCK.unix_ms())
+            reconcile(self.scheduler, status.resident, asked_at, now)
             self.ready.set()
 
+    def _take_incarnation(self, status: EngineStatus, now: float) -> None:
+        self.metrics.count('engine_restarts')
+        self.audit.record('engine_incarnation', incarnation=status.incarnation, before=self.incarnation)
+        self.incarnation = status.incarnation
+        self.ready.clear()
+        self.scheduler.reset(status.resident, now)
+        self.ownership.take_over(status, now)
+        self.attention.set()
+
+    def _stop_for_good(self, fence: int) -> None:
+        """Stop since another sidecar gives this engine orders."""
+        self.ready.clear()
+        self.audit.record('superseded', fence=fence, own=self.ownership.fence)
+        self.on_superseded()
+
     def _act(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
@@ -218,7 +254,7 @@
                 case Refuse():
                     self._refuse(action)
                 case Load() | Unload():
-                    self.application.spawn(self._order(action), f'order-{action.adapter}')
+                    self.application.spawn(give_order(self, action), f'order-{action.adapter}')
 
     def _permit(self, job_id: int) -> None:
         permit = self.permits.pop(job_id, None)
@@ -231,24 +267,15 @@
         permit = self.permits.pop(action.job_id, None)
         if permit is not None and not permit.done():
             permit.set_exception(
-                RequestError(
-                    'the request could not start before its deadline',
-                    step='admission',
-                    peer=self.name,
-                    status=HTTPStatus.SERVICE_UNAVAILABLE,
-                    code=action.code,
-                    retry_after=action.retry_after,
-                ),
+                self._refusal('the request could not be started', action.code, action.retry_after),
             )
 
-    async def _order(self, action: Load | Unload) -> None:
-        started_at = SYSTEM_CLOCK.monotonic()
-        try:
-            if isinstance(action, Load):
-                incarnation = await self.engine.load(action.adapter)
-            else:
-                incarnation = await self.engine.unload(action.adapter)
-        except EngineError as exc:
-            self.post(OrderFailed(action, exc.message))
-        else:
-            self.post(OrderDone(action, incarnation, SYSTEM_CLOCK.monotonic() - started_at))
+    def _refusal(self, message: str, code: str, retry_after: int) -> RequestError:
+        return RequestError(
+            message,
+            step='admission',
+            peer=self.name,
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            code=code,
+            retry_after=retry_after,
+        )
--- a/tamarackfield/testing/batching.py
+++ b/tamarackfield/testing/batching.py
@@ -22,6 +22,8 @@
     tokens: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     ended: bool = False
+    chat: bool = True
+    readers: int = 0
 
 
 class PrefixCache:
--- a/tamarackfield/testing/engine.py
+++ b/tamarackfield/testing/engine.py
@@ -1,9 +1,11 @@
 """Engine stand-in: OpenAI-compatible completions, load orders, status, resume and cancel."""
 
 import asyncio
+import functools
 import json
 import os
 import urllib.parse
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from tamarackfield.core import Application, new_incarnation
@@ -34,6 +36,8 @@
 _OK = 200
 _CONFLICT = 409
 
+Order = Callable[[dict[str, Any]], Coroutine[Any, Any, None]]
+
 
 class Engine:
     """State of one engine process; a restart of the process starts empty.
@@ -53,8 +57,11 @@
         self.loading: set[str] = set()
         self.sequences: dict[str, Sequence] = {}
         self.highest_fence = 0
+        self.orders = 0
         self.loads = 0
         self.unloads = 0
+        self.resumes = 0
+        self.cancelled = 0
         self.broken_pins = 0
         self.ran: dict[str, int] = {}
         self.faults: dict[str, Any] = {
@@ -83,9 +90,13 @@
             'filled': batcher.filled,
             'batch': self.settings['batch'],
             'busy_ms': batcher.busy_ms,
+            'orders': self.orders,
             'loads': self.loads,
             'unloads': self.unloads,
             'broken_pins': self.broken_pins,
+            'resumes': self.resumes,
+            'cancelled': self.cancelled,
+            'running': len(batcher.running) + len(batcher.waiting),
             'ran': self.ran,
         }
 
@@ -98,8 +109,8 @@
         routes = {
             ('GET', '/v1/status'): self._status,
             ('GET', '/v1/cache_events'): self._cache_events,
-            ('POST', '/v1/load_lora_adapter'): self._load,
-            ('POST', '/v1/unload_lora_adapter'): self._unload,
+            ('POST', '/v1/load_lora_adapter'): functools.partial(self._order, self._load),
+            ('POST', '/v1/unload_lora_adapter'): functools.partial(self._order, self._unload),
             ('POST', '/v1/cancel'): self._cancel,
             ('POST', '/v1/chat/completions'): self._complete,
             ('POST', '/v1/completions'): self._complete,
@@ -139,9 +150,15 @@
             raise refusal(f'fence {fence} is old', step='engine', code='old_fence', status=_CONFLICT)
         self.highest_fence = max(self.highest_fence, fence)
 
-    async def _load(self, request: HttpRequest, responder: Responder) -> None:
-        order = json.loads(request.body)
+    async def _order(self, carry_out: Order, request: HttpRequest, responder: Responder) -> None:
+        """Carry out an order to its end, whether or not its sender stays to hear of it."""
+        work = self.standin.application.spawn(carry_out(json.loads(request.body)), 'order')
+        await asyncio.shield(work)
+        await responder.send_json(_OK, {'incarnation': self.incarnation})
+
+    async def _load(self, order: dict[str, Any]) -> None:
         self._check_fence(order)
+        self.orders += 1
         adapter = order['lora_name']
         if len(self.resident | self.loading | {adapter}) > self.settings['slots']:
             raise refusal('all slots are in use', step='engine', code='slots_full', status=_CONFLICT)
@@ -152,7 +169,6 @@
             self.loading.discard(adapter)
         self.resident.add(adapter)
         self.loads += 1
-        await responder.send_json(_OK, {'incarnation': self.incarnation})
 
     async def _fetch_weights(self, adapter: str) -> None:
         await asyncio.sleep(self.faults['load_delay'])
@@ -169,20 +185,21 @@
         if status != _OK:
             raise refusal(f'weight store gave {status}', step='engine', code='load_failed', status=500)
 
-    async def _unload(self, request: HttpRequest, responder: Responder) -> None:
-        order = json.loads(request.body)
-        await asyncio.sleep(self.faults['unload_delay'])
+    async def _unload(self, order: dict[str, Any]) -> None:
+        if order['lora_name'] in self.resident:
+            self.orders += 1
+            await asyncio.sleep(self.faults['unload_delay'])
         self._check_fence(order)
         adapter = order['lora_name']
         if adapter in self.resident:
             self.resident.discard(adapter)
             self.unloads += 1
             self.broken_pins += self.batcher.uses(adapter)
-        await responder.send_json(_OK, {'incarnation': self.incarnation})
 
     async def _cancel(self, request: HttpRequest, responder: Responder) -> None:
         sequence = self.sequences.get(json.loads(request.body).get('request_id', ''))
         if sequence is not None:
+            self.cancelled += 1
             self.batcher.abort(sequence)
         await responder.send_json(_OK, {'cancelled': sequence is not None})
 
@@ -197,30 +214,34 @@
         request_id = request.headers.get('x-request-id', f'{adapter}-{id(request)}')
         priority = int(request.headers.get('x-priority', '0'))
         limit = document.get('max_tokens') or document.get('max_completion_tokens') or _DEFAULT_TOKENS
-        sequence = Sequence(request_id, adapter, prompt, int(limit), priority)
+        sequence = Sequence(request_id, adapter, prompt, int(limit), priority, chat='chat' in request.path)
         self.sequences[request_id] = sequence
         self.ran[request_id] = self.ran.get(request_id, 0) + 1
         self.batcher.add(sequence)
         try:
-            await self._answer(sequence, request, responder, stream=document.get('stream') is True)
+            await self._answer(sequence, responder, stream=document.get('stream') is True)
         except BaseException:
             self.standin.application.spawn(self._abandon(sequence), 'abandon')
             raise
         self.sequences.pop(request_id, None)
 
     async def _abandon(self, sequence: Sequence) -> None:
+        left = sequence.readers
         await asyncio.sleep(self.settings['keep_seconds'])
+        if sequence.readers != left:
+            return
         self.batcher.abort(sequence)
         self.sequences.pop(sequence.request_id, None)
 
-    async def _answer(self, sequence: Sequence, request: HttpRequest, responder: Responder, *, stream: bool) -> None:
-        chat = 'chat' in request.path
+    async def _answer(self, sequence: Sequence, responder: Responder, *, stream: bool) -> None:
+        chat = sequence.chat
         if stream:
-            await self._stream(sequence, responder, 0, chat=chat)
+            await self._stream(sequence, responder, 0)
             return
         while not sequence.ended:
             sequence.changed.clear()
             await sequence.changed.wait()
+        self._check_whole(sequence, responder)
         text = ''.join(sequence.tokens)
         choice = {'index': 0, 'finish_reason': 'length'}
         choice |= {'message': {'role': 'assistant', 'content': text}} if chat else {'text': text}
@@ -231,12 +252,27 @@
         if sequence is None:
             raise refusal('nothing to resume', step='engine', code='not_found', status=404)
         query = urllib.parse.parse_qs(request.query)
-        await self._stream(sequence, responder, int(query['after'][0]), chat=True)
+        sequence.readers += 1
+        self.resumes += 1
+        try:
+            await self._stream(sequence, responder, int(query['after'][0]))
+        except BaseException:
+            self.standin.application.spawn(self._abandon(sequence), 'abandon')
+            raise
+        self.sequences.pop(sequence.request_id, None)
+
+    def _check_whole(self, sequence: Sequence, responder: Responder) -> None:
+        """Cut the connection of a sequence that was cancelled."""
+        if len(sequence.tokens) < sequence.max_tokens:
+            responder.writer.transport.abort()
+            raise ConnectionResetError('cancelled')
 
-    async def _stream(self, sequence: Sequence, responder: Responder, sent: int, *, chat: bool) -> None:
+    async def _stream(self, sequence: Sequence, responder: Responder, sent: int) -> None:
+        chat = sequence.chat
         await responder.send_head(_OK, [('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked')])
         while sent < len(sequence.tokens) or not sequence.ended:
             if sent == self.faults['cut_stream_after']:
+                self.faults['cut_stream_after'] = -1
                 responder.writer.transport.abort()
                 raise ConnectionResetError('cut by fault')
             if sent == len(sequence.tokens):
@@ -250,6 +286,7 @@
             choice |= {'delta': {'content': token}} if chat else {'text': token}
             document = self._document(sequence, choice, chat=chat, stream=True)
             await responder.send_body(f'data: {json.dumps(document)}\n\n'.encode())
+        self._check_whole(sequence, responder)
         await responder.send_body(b'data: [DONE]\n\n')
         await responder.finish()
 
--- /dev/null
+++ b/tamarackfield/testing/tests/test_adapter_promises.py
@@ -0,0 +1,197 @@
+"""Promises 1 and 2: the adapter and version named, and no eviction beneath a request."""
+
+import asyncio
+import functools
+
+import pytest
+
+from tamarackfield.testing.calls import complete, expected_text, is_truthful
+from tamarackfield.testing.cluster import Cluster, TargetSpec, address, make_bundle
+from tamarackfield.testing.processes import wait_until
+
+FIRST = 'draft@v1'
+SECOND = 'draft@v2'
+THIRD = 'summary@v1'
+ADAPTERS = (FIRST, SECOND, THIRD)
+BOTH_KINDS = pytest.mark.parametrize('fencing', [True, False], ids=['fencing', 'ignoring'])
+
+
+def make_cluster(directory, **options):
+    """Describe one entry and one engine behind a fault proxy."""
+    target = TargetSpec('engine-1', engine_proxied=True, options={'slots': 1, 'fencing': True, **options})
+    return Cluster(directory, [target], entries=1, bundle=make_bundle(('clinic',), ADAPTERS))
+
+
+async def engine_shows(cluster, name, least):
+    """Wait until a count of the engine's witness is reached."""
+
+    async def reached():
+        return (await cluster.control('engine-1'))[name] >= least
+
+    await wait_until(reached, f'engine shows {name} >= {least}')
+
+
+async def nothing_queued(cluster):
+    """Tell whether the sidecar's queue is empty."""
+    return not (await cluster.status('engine-1-sidecar'))['queued']
+
+
+async def bundle_in_force(cluster, name, number):
+    """Wait until a process follows a bundle."""
+
+    async def follows():
+        return (await cluster.status(name))['bundle'] == number
+
+    await wait_until(follows, f'{name} follows bundle {number}')
+
+
+async def cut_orders(cluster):
+    """Break every connection between the sidecar and its engine once."""
+    await cluster.control('engine-1-engine-proxy', mode='cut')
+    await cluster.control('engine-1-engine-proxy')
+    await cluster.control('engine-1-engine-proxy', mode='pass')
+
+
+@BOTH_KINDS
+async def test_unload_without_answer_takes_no_effect_beneath_a_request(tmp_path, fencing):
+    async with make_cluster(tmp_path, fencing=fencing) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        assert (await call(FIRST)).whole
+        await cluster.control('engine-1', unload_delay=1.5)
+        other = asyncio.create_task(call(SECOND, seconds=15))
+        await engine_shows(cluster, 'orders', 2)
+        other.cancel()
+        await wait_until(functools.partial(nothing_queued, cluster), 'the other request left the queue')
+        await cut_orders(cluster)
+        answer = await call(FIRST, 250, stream=True)
+        assert answer.text == expected_text(FIRST, 250)
+        assert (await cluster.control('engine-1'))['broken_pins'] == 0
+
+
+@BOTH_KINDS
+async def test_pause_while_an_unload_is_under_way_breaks_no_pin(tmp_path, fencing):
+    async with make_cluster(tmp_path, fencing=fencing) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        assert (await call(FIRST)).whole
+        await cluster.control('engine-1', unload_delay=3)
+        other = asyncio.create_task(call(SECOND, seconds=15))
+        await engine_shows(cluster, 'orders', 2)
+        cluster.processes['engine-1-sidecar'].freeze()
+        await asyncio.sleep(1.2)
+        cluster.processes['engine-1-sidecar'].thaw()
+        answer = await call(FIRST, 250, stream=True)
+        assert answer.text == expected_text(FIRST, 250)
+        assert is_truthful(await other, SECOND, 3)
+        assert (await cluster.control('engine-1'))['broken_pins'] == 0
+
+
+@BOTH_KINDS
+async def test_second_sidecar_leaves_pins_of_a_frozen_one_alone(tmp_path, fencing):
+    cluster = make_cluster(tmp_path, fencing=fencing)
+    spec = TargetSpec('engine-1')
+    cluster.add_sidecar('second', spec, address(cluster.ports['engine-1']), cluster.port('second-peer'))
+    second = cluster.processes.pop('second')
+    async with cluster:
+        cluster.processes['second'] = second
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        first = asyncio.create_task(call(FIRST, 400, stream=True))
+        await engine_shows(cluster, 'steps', 10)
+        old = cluster.processes['engine-1-sidecar']
+        old.freeze()
+        await second.start()
+        cluster.document['targets']['engine-1']['address'] = address(cluster.ports['second-peer'])
+        await cluster.publish()
+        await bundle_in_force(cluster, 'entry-1', 2)
+        await cluster.wait_links()
+        assert (await call(SECOND)).text == expected_text(SECOND, 3)
+        old.thaw()
+        assert await asyncio.wait_for(old.process.wait(), 20) == 0
+        assert is_truthful(await first, FIRST, 400)
+        assert (await call(FIRST)).text == expected_text(FIRST, 3)
+        assert (await cluster.control('engine-1'))['broken_pins'] == 0
+    assert 'event=superseded' in old.log() or 'action=superseded' in old.log()
+
+
+async def test_adapter_of_a_caller_that_left_is_not_evicted_before_the_engine_cancelled(tmp_path):
+    async with make_cluster(tmp_path, keep_seconds=4) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        leaving = asyncio.create_task(call(FIRST, 2000, stream=True, seconds=60))
+        await engine_shows(cluster, 'steps', 10)
+        leaving.cancel()
+        assert (await call(SECOND)).text == expected_text(SECOND, 3)
+        witness = await cluster.control('engine-1')
+        assert witness['broken_pins'] == 0
+        assert (witness['running'], witness['cancelled']) == (0, 1)
+
+
+async def test_slot_pressure_at_full_pins_evicts_nothing_in_use(tmp_path):
+    async with make_cluster(tmp_path, slots=2) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        pinned = [asyncio.create_task(call(model, 150, stream=True)) for model in (FIRST, SECOND)]
+        await engine_shows(cluster, 'loads', 2)
+        waiting = await call(THIRD)
+        assert waiting.text == expected_text(THIRD, 3)
+        for model, task in zip((FIRST, SECOND), pinned, strict=True):
+            assert (await task).text == expected_text(model, 150)
+        assert (await cluster.control('engine-1'))['broken_pins'] == 0
+
+
+async def test_engine_that_restarts_empty_mid_queue_serves_only_what_was_named(tmp_path):
+    async with make_cluster(tmp_path, slots=2, batch=2) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        calls = [(model, asyncio.create_task(call(model, 40, stream=True))) for model in ADAPTERS * 3]
+        await engine_shows(cluster, 'steps', 10)
+        await cluster.restart('engine-1')
+        for model, task in calls:
+            assert is_truthful(await task, model, 40)
+        assert (await call(THIRD)).text == expected_text(THIRD, 3)
+
+
+async def test_sidecar_that_wakes_after_its_engine_restarted_reads_it_again(tmp_path):
+    async with make_cluster(tmp_path) as cluster:
+        call = functools.partial(complete, cluster.ports['entry-1'])
+        assert (await call(FIRST)).whole
+        cluster.processes['engine-1-sidecar'].freeze()
+        late = asyncio.create_task(call(FIRST))
+        await cluster.restart('engine-1')
+        cluster.processes['engine-1-sidecar'].thaw()
+        assert is_truthful(await late, FIRST, 3)
+        await cluster.wait_links()
+        assert (await call(FIRST)).text == expected_text(FIRST, 3)
+        assert (await cluster.control('engine-1'))['loads'] >= 1
+
+
+async def test_lost_load_order_is_settled_by_reading_the_engine(tmp_path):
+    async with make_cluster(tmp_path) as cluster:
+        await cluster.control('engine-1', load_delay=0.7)
+        call = asyncio.create_task(complete(cluster.ports['entry-1'], FIRST))
+        await engine_shows(cluster, 'orders', 1)
+        await cut_orders(cluster)
+        assert (await call).text == expected_text(FIRST, 3)
+        assert (await cluster.control('engine-1'))['broken_pins'] == 0
+
+
+async def test_failed_loads_are_tried_again(tmp_path):
+    async with make_cluster(tmp_path) as cluster:
+        await cluster.control('engine-1', fail_loads=2)
+        assert (await complete(cluster.ports['entry-1'], FIRST)).text == expected_text(FIRST, 3)
+
+
+@pytest.mark.parametrize('stream', [True, False])
+async def test_answer_of_another_adapter_never_reaches_the_caller(tmp_path, stream):
+    async with make_cluster(tmp_path) as cluster:
+        await cluster.control('engine-1', wrong_adapter=SECOND)
+        answer = await complete(cluster.ports['entry-1'], FIRST, stream=stream)
+        assert (answer.text, answer.whole, answer.outcome) == ('', False, 'failed')
+        assert answer.error['code'] == 'echo_mismatch'
+
+
+async def test_version_removed_by_a_bundle_while_queued_is_not_replaced(tmp_path):
+    async with make_cluster(tmp_path) as cluster:
+        await cluster.control('engine-1', load_delay=0.7)
+        queued = asyncio.create_task(complete(cluster.ports['entry-1'], FIRST))
+        await engine_shows(cluster, 'orders', 1)
+        draft = cluster.document['adapters']['draft']
+        draft['versions'].pop('v1')
+        await cluster.publish()
+        assert is_truthful(await queued, FIRST, 3)
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -1,6 +1,7 @@
 """One stream to a peer: framing, hello, heartbeats and bounded buffering."""
 
 import asyncio
+import contextlib
 import ssl
 from collections import deque
 
@@ -143,6 +144,12 @@
             self.closed = True
             self.writer.close()
 
+    async def flush(self) -> None:
+        """Close the stream and wait until the peer has taken what was sent, or does not read."""
+        self.close()
+        with contextlib.suppress(OSError, TimeoutError):
+            await asyncio.wait_for(self.writer.wait_closed(), SILENCE_TIMEOUT)
+
     def abort(self) -> None:
         """Close the stream at once and drop what waits to be sent."""
         self.closed = True
