Check and change a bundle by shards: deltas verified by the new manifest's signature

Cause: a change of one adapter cost a whole document's validation, and memory held every adapter decoded. Each shard's schema check is kept under its hash; adapters are decoded on demand; a delta carries the changed entries and the new signature, and its receiver recomputes the manifest that was signed. Two signed bundles with one number raise BundleConflictError.

--- a/tamarackfield/bundle/__init__.py
+++ b/tamarackfield/bundle/__init__.py
@@ -1,6 +1,7 @@
 """The operators' bundle: model, validation, signing, shards and acceptance."""
 
-from tamarackfield.bundle.acceptance import Acceptance, BundleRefusedError
+from tamarackfield.bundle.acceptance import Acceptance, BundleConflictError, BundleRefusedError
+from tamarackfield.bundle.delta import Release, apply_delta, make_delta
 from tamarackfield.bundle.model import (
     AdapterEntry,
     Bundle,
@@ -19,18 +20,22 @@
     'Acceptance',
     'AdapterEntry',
     'Bundle',
+    'BundleConflictError',
     'BundleRefusedError',
     'CallerEntry',
     'Envelope',
     'Publication',
+    'Release',
     'ServiceEntry',
     'SignatureError',
     'TargetEntry',
+    'apply_delta',
     'build_bundle',
     'find_bundle_problems',
     'generate_key',
     'hash_key',
     'join_shards',
+    'make_delta',
     'open_envelope',
     'publish',
     'seal',
--- a/tamarackfield/bundle/acceptance.py
+++ b/tamarackfield/bundle/acceptance.py
@@ -1,9 +1,10 @@
 """Which bundle is in force in this process: it only ever goes forward."""
 
-from tamarackfield.bundle.model import Bundle, build_bundle
-from tamarackfield.bundle.shards import join_shards
+from tamarackfield.bundle.content import ContentChecker
+from tamarackfield.bundle.delta import Release
+from tamarackfield.bundle.model import Bundle
+from tamarackfield.bundle.shards import manifest_digests
 from tamarackfield.bundle.signing import Envelope, open_envelope
-from tamarackfield.bundle.validation import find_bundle_problems
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.settings import format_problems
 
@@ -12,6 +13,10 @@
     """A bundle was not accepted; the one in force stays."""
 
 
+class BundleConflictError(BundleRefusedError):
+    """Two bundles, both with a good signature, have one number."""
+
+
 class Acceptance:
     """Holds the bundle in force and the keys that may sign the next one.
 
@@ -25,6 +30,8 @@
         """Start without a bundle."""
         self.trusted_keys = trusted_keys
         self.bundle: Bundle | None = None
+        self.release: Release | None = None
+        self.checker = ContentChecker()
 
     @property
     def number(self) -> int:
@@ -50,6 +57,8 @@
             If the signature is not good.
         BundleRefusedError
             If its number is not greater than the one in force.
+        BundleConflictError
+            If it has the number in force and other content.
         """
         envelope = open_envelope(encoded, self.trusted_keys)
         number = envelope.manifest.get('number')
@@ -60,7 +69,7 @@
         if number < self.bundle.number:
             raise BundleRefusedError(f'bundle {number} is older than {self.number} in force', step='examine')
         if envelope.digest != self.bundle.digest:
-            raise BundleRefusedError(f'two bundles have the number {number}', step='examine')
+            raise BundleConflictError(f'two bundles have the number {number}', step='examine')
         return None
 
     def accept(self, envelope: Envelope, shards: dict[str, bytes]) -> Bundle:
@@ -88,12 +97,12 @@
         number = envelope.manifest['number']
         if number <= self.number:
             raise BundleRefusedError(f'bundle {number} is not newer than {self.number}', step='accept')
-        document = join_shards(envelope.manifest, shards)
-        problems = find_bundle_problems(document)
-        if problems:
+        bundle, problems = self.checker.check(envelope, shards)
+        if bundle is None:
             raise BundleRefusedError(format_problems(problems), step='validate')
-        self.bundle = build_bundle(document, envelope.digest)
-        signing_keys = document.get('signing_keys')
+        self.bundle = bundle
+        self.release = Release(envelope, {digest: shards[digest] for digest in manifest_digests(envelope.manifest)})
+        signing_keys = envelope.manifest.get('signing_keys')
         if signing_keys:
             self.trusted_keys = frozenset(signing_keys)
-        return self.bundle
+        return bundle
--- a/tamarackfield/bundle/model.py
+++ b/tamarackfield/bundle/model.py
@@ -1,6 +1,7 @@
 """The bundle in force, as the programs ask it."""
 
 import hashlib
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -76,7 +77,7 @@
     number: int
     digest: str
     callers: dict[str, CallerEntry]
-    adapters: dict[str, AdapterEntry]
+    adapters: Mapping[str, AdapterEntry]
     targets: dict[str, TargetEntry]
     services: dict[str, ServiceEntry]
     weights: dict[str, float]
@@ -139,7 +140,7 @@
         number=document['number'],
         digest=digest,
         callers=callers,
-        adapters={name: _adapter(name, entry) for name, entry in document['adapters'].items()},
+        adapters={name: build_adapter(name, entry) for name, entry in document['adapters'].items()},
         targets={name: _target(name, entry) for name, entry in document['targets'].items()},
         services={name: _service(name, entry) for name, entry in document['services'].items()},
         weights=document['weights'],
@@ -150,7 +151,8 @@
     )
 
 
-def _adapter(name: str, entry: dict[str, Any]) -> AdapterEntry:
+def build_adapter(name: str, entry: dict[str, Any]) -> AdapterEntry:
+    """Build one adapter from its valid entry."""
     models = {version: content['model'] for version, content in entry['versions'].items()}
     return AdapterEntry(name, models, tuple(entry.get('regions', ())), entry['grants'])
 
--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -7,7 +7,10 @@
 #: Least urgent priority; 0 is the most urgent.
 LOWEST_PRIORITY = 9
 
-_NAME = {'type': 'string', 'pattern': '^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$'}
+#: Form of every name in a bundle.
+NAME_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$'
+
+_NAME = {'type': 'string', 'pattern': NAME_PATTERN}
 _NAMES = {'type': 'array', 'items': _NAME, 'uniqueItems': True}
 _GRANTS = {
     'type': 'object',
--- a/tamarackfield/bundle/shards.py
+++ b/tamarackfield/bundle/shards.py
@@ -9,9 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-import xxhash
-
 from tamarackfield.bundle.signing import seal
+from tamarackfield.bundle.table import bucket_of
 from tamarackfield.core.errors import TamarackfieldError
 
 #: Name of the manifest in the configuration service.
@@ -53,11 +52,6 @@
     return f'bundle/shards/{digest}'
 
 
-def bucket_of(name: str, buckets: int) -> int:
-    """Return the bucket of an entry among a power of two."""
-    return xxhash.xxh64_intdigest(name.encode()) & (buckets - 1)
-
-
 def publish(document: dict[str, Any], private_key: str) -> Publication:
     """Split a valid bundle into shards and sign their manifest.
 
@@ -76,12 +70,9 @@
     shards: dict[str, bytes] = {}
     listing: dict[str, list[dict[str, Any]]] = {}
     for section, buckets in _sections(document).items():
-        encoded = [_encode(bucket) for bucket in buckets]
-        digests = [hashlib.sha256(content).hexdigest() for content in encoded]
-        shards.update(zip(digests, encoded, strict=True))
-        listing[section] = [
-            {'sha256': digest, 'size': len(content)} for digest, content in zip(digests, encoded, strict=True)
-        ]
+        encoded = [encode_shard(bucket) for bucket in buckets]
+        listing[section] = [shard_listing(content) for content in encoded]
+        shards.update({shard['sha256']: content for shard, content in zip(listing[section], encoded, strict=True)})
     manifest = {
         'number': document['number'],
         'signing_keys': document.get('signing_keys', []),
@@ -90,6 +81,11 @@
     return Publication(seal(manifest, private_key), shards)
 
 
+def shard_listing(content: bytes) -> dict[str, Any]:
+    """Return how a manifest lists a shard."""
+    return {'sha256': hashlib.sha256(content).hexdigest(), 'size': len(content)}
+
+
 def manifest_digests(manifest: dict[str, Any]) -> list[str]:
     """Return the SHA-256 of every shard of a manifest.
 
@@ -128,7 +124,7 @@
     for section, listing in manifest['shards'].items():
         merged: dict[str, Any] = {}
         for shard in listing:
-            merged.update(_checked(shard['sha256'], shards))
+            merged.update(decode_shard(check_shard(shard['sha256'], shards)))
         if section == GENERAL_SECTION:
             document.update(merged)
         else:
@@ -137,13 +133,37 @@
     return document
 
 
-def _checked(digest: str, shards: dict[str, bytes]) -> dict[str, Any]:
+def check_shard(digest: str, shards: dict[str, bytes]) -> bytes:
+    """Return the content of a shard whose hash was checked.
+
+    Raises
+    ------
+    ShardError
+        If it is missing or does not match its hash.
+    """
     content = shards.get(digest)
     if content is None:
         raise ShardError(f'shard {digest} is missing', step='join_shards')
     if hashlib.sha256(content).hexdigest() != digest:
         raise ShardError(f'shard {digest} is corrupted', step='join_shards')
-    return json.loads(content)
+    return content
+
+
+def decode_shard(content: bytes) -> dict[str, Any]:
+    """Decode a shard.
+
+    Raises
+    ------
+    ShardError
+        If it is not a JSON object.
+    """
+    try:
+        document = json.loads(content)
+    except ValueError as exc:
+        raise ShardError(f'shard is not JSON: {exc}', step='join_shards') from None
+    if not isinstance(document, dict):
+        raise ShardError('shard is not a JSON object', step='join_shards')
+    return document
 
 
 def _sections(document: dict[str, Any]) -> dict[str, list[dict[str, Any]]]:
@@ -151,7 +171,7 @@
     sections = {GENERAL_SECTION: [general]}
     for section in SPLIT_SECTIONS:
         entries = document.get(section, {})
-        size = sum(len(_encode(entry)) + len(name) for name, entry in entries.items())
+        size = sum(len(encode_shard(entry)) + len(name) for name, entry in entries.items())
         buckets = 1 << (size // SHARD_BYTES).bit_length()
         sections[section] = _split(entries, buckets)
     return sections
@@ -164,5 +184,6 @@
     return split
 
 
-def _encode(content: Any) -> bytes:
+def encode_shard(content: Any) -> bytes:
+    """Return the one encoding of a shard, so that equal content has equal hashes."""
     return json.dumps(content, sort_keys=True, separators=(',', ':')).encode()
--- a/tamarackfield/bundle/signing.py
+++ b/tamarackfield/bundle/signing.py
@@ -33,11 +33,17 @@
         SHA-256 of the signed bytes, in hex.
     public_key : str
         The key that signed it, base64.
+    signature : str
+        Base64.
+    encoded : bytes
+        The envelope as it was received.
     """
 
     manifest: dict[str, Any]
     digest: str
     public_key: str
+    signature: str = ''
+    encoded: bytes = b''
 
 
 def generate_key() -> tuple[str, str]:
@@ -69,13 +75,20 @@
         The envelope in JSON: payload, signature and public key.
     """
     signer = ed25519.Ed25519PrivateKey.from_private_bytes(base64.b64decode(private_key, validate=True))
-    payload = json.dumps(manifest, sort_keys=True, separators=(',', ':'))
-    envelope = {
-        'payload': payload,
-        'signature': _to_text(signer.sign(payload.encode())),
-        'public_key': _to_text(signer.public_key().public_bytes_raw()),
-    }
-    return json.dumps(envelope).encode()
+    payload = encode_payload(manifest)
+    return encode_envelope(
+        payload, _to_text(signer.sign(payload.encode())), _to_text(signer.public_key().public_bytes_raw())
+    )
+
+
+def encode_payload(manifest: dict[str, Any]) -> str:
+    """Return the one text of a manifest that is signed."""
+    return json.dumps(manifest, sort_keys=True, separators=(',', ':'))
+
+
+def encode_envelope(payload: str, signature: str, public_key: str) -> bytes:
+    """Return an envelope in JSON."""
+    return json.dumps({'payload': payload, 'signature': signature, 'public_key': public_key}).encode()
 
 
 def open_envelope(encoded: bytes, trusted_keys: frozenset[str]) -> Envelope:
@@ -105,7 +118,7 @@
     manifest = json.loads(payload)
     if not isinstance(manifest, dict):
         raise SignatureError('manifest is not an object', step='verify')
-    return Envelope(manifest, hashlib.sha256(payload).hexdigest(), public_key)
+    return Envelope(manifest, hashlib.sha256(payload).hexdigest(), public_key, _to_text(signature), encoded)
 
 
 def _read_envelope(encoded: bytes) -> tuple[bytes, bytes, str]:
--- /dev/null
+++ b/tamarackfield/bundle/table.py
@@ -0,0 +1,74 @@
+"""Adapters of a bundle, kept as the bytes of their shards and decoded on demand.
+
+Most adapters are idle, so a process that decoded all of them would hold many times the memory
+that it needs.
+"""
+
+import functools
+import json
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import xxhash
+
+#: Entries that stay decoded.
+DECODED_ENTRIES = 2048
+
+Decode = Callable[[str, dict[str, Any]], Any]
+
+
+def bucket_of(name: str, buckets: int) -> int:
+    """Return the bucket of an entry among a power of two."""
+    return xxhash.xxh64_intdigest(name.encode()) & (buckets - 1)
+
+
+class ShardTable(Mapping[str, Any]):
+    """Read-only mapping over one section of a bundle.
+
+    Parameters
+    ----------
+    shards : tuple of bytes
+        Content of the section's shards in the order of their buckets.
+    size : int
+        Number of entries in all shards.
+    decode : callable
+        Builds an entry from its name and its decoded JSON.
+
+    Examples
+    --------
+    >>> table = ShardTable((b'{"a":{"x":1}}',), 1, lambda name, entry: entry['x'])
+    >>> table['a'], 'b' in table, len(table)
+    (1, False, 1)
+    """
+
+    def __init__(self, shards: tuple[bytes, ...], size: int, decode: Decode) -> None:
+        """Keep the bytes; nothing is decoded yet."""
+        self.shards = shards
+        self.size = size
+        self.decode = decode
+        self.entry = functools.lru_cache(DECODED_ENTRIES)(self._find)
+
+    def __getitem__(self, name: str) -> Any:
+        """Return one entry.
+
+        Raises
+        ------
+        KeyError
+            If there is none of this name.
+        """
+        return self.entry(name)
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over all names, one shard at a time."""
+        for content in self.shards:
+            yield from json.loads(content)
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return self.size
+
+    def _find(self, name: str) -> Any:
+        content = self.shards[bucket_of(name, len(self.shards))]
+        if json.dumps(name).encode() not in content:
+            raise KeyError(name)
+        return self.decode(name, json.loads(content)[name])
--- a/tamarackfield/bundle/validation.py
+++ b/tamarackfield/bundle/validation.py
@@ -28,8 +28,8 @@
     problems = find_problems(document, BUNDLE_SCHEMA)
     if not problems:
         problems.extend(_grant_problems(document))
-        problems.extend(_target_problems(document))
-        problems.extend(_key_problems(document))
+        problems.extend(target_problems(document))
+        problems.extend(key_problems(document))
         problems.extend(_model_problems(document))
     return sorted(problems)
 
@@ -42,7 +42,8 @@
                     yield Problem(f'$.{section}.{name}.grants.{caller}', f'{caller!r} is not a caller')
 
 
-def _target_problems(document: dict[str, Any]) -> Iterator[Problem]:
+def target_problems(document: dict[str, Any]) -> Iterator[Problem]:
+    """Yield what is wrong between targets, and between targets and services."""
     addresses: dict[str, str] = {}
     for name, target in document['targets'].items():
         path = f'$.targets.{name}'
@@ -57,7 +58,8 @@
             yield Problem(f'{path}.address', f'is the address of {other!r} too')
 
 
-def _key_problems(document: dict[str, Any]) -> Iterator[Problem]:
+def key_problems(document: dict[str, Any]) -> Iterator[Problem]:
+    """Yield the keys that two callers share."""
     owners: dict[str, str] = {}
     for name, caller in document['callers'].items():
         for key in caller['key_sha256']:
