Spread bundles between peers; few watchers in each zone; start asks the service and peers

Cause: each process watched the configuration service itself and believed it alone, so a service that was down kept a restarted process unready, and a stale one took the restarted half of a fleet back.

Ruled out: the entry-sidecar streams, since a sidecar has none before its first bundle.

--- a/tamarackfield/bundle/acceptance.py
+++ b/tamarackfield/bundle/acceptance.py
@@ -1,13 +1,19 @@
 """Which bundle is in force in this process: it only ever goes forward."""
 
+import dataclasses
+from collections.abc import Sequence
+
 from tamarackfield.bundle.content import ContentChecker
 from tamarackfield.bundle.delta import Release
 from tamarackfield.bundle.model import Bundle
 from tamarackfield.bundle.shards import manifest_digests
-from tamarackfield.bundle.signing import Envelope, open_envelope
+from tamarackfield.bundle.signing import Envelope, SignatureError, open_envelope
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.settings import format_problems
 
+#: Changes of the signing keys that are kept for peers that missed them.
+MAX_ROTATIONS = 16
+
 
 class BundleRefusedError(TamarackfieldError):
     """A bundle was not accepted; the one in force stays."""
@@ -32,19 +38,22 @@
         self.bundle: Bundle | None = None
         self.release: Release | None = None
         self.checker = ContentChecker()
+        self.rotations: list[bytes] = []
 
     @property
     def number(self) -> int:
         """Number of the bundle in force; 0 before the first."""
         return 0 if self.bundle is None else self.bundle.number
 
-    def examine(self, encoded: bytes) -> Envelope | None:
+    def examine(self, encoded: bytes, rotations: Sequence[bytes] = ()) -> Envelope | None:
         """Check an envelope before its shards are fetched.
 
         Parameters
         ----------
         encoded : bytes
             Signed manifest, from anyone.
+        rotations : sequence of bytes
+            Envelopes of earlier bundles that changed the signing keys, oldest first, from anyone.
 
         Returns
         -------
@@ -60,7 +69,8 @@
         BundleConflictError
             If it has the number in force and other content.
         """
-        envelope = open_envelope(encoded, self.trusted_keys)
+        trusted_keys, chain = self._keys_after(rotations)
+        envelope = dataclasses.replace(open_envelope(encoded, trusted_keys), rotations=chain)
         number = envelope.manifest.get('number')
         if not isinstance(number, int):
             raise BundleRefusedError('manifest has no number', step='examine')
@@ -102,7 +112,28 @@
             raise BundleRefusedError(format_problems(problems), step='validate')
         self.bundle = bundle
         self.release = Release(envelope, {digest: shards[digest] for digest in manifest_digests(envelope.manifest)})
-        signing_keys = envelope.manifest.get('signing_keys')
-        if signing_keys:
-            self.trusted_keys = frozenset(signing_keys)
+        self._rotate(envelope)
         return bundle
+
+    def _rotate(self, envelope: Envelope) -> None:
+        self.rotations.extend(envelope.rotations)
+        signing_keys = frozenset(envelope.manifest.get('signing_keys') or envelope.trusted_keys)
+        if signing_keys != envelope.trusted_keys:
+            self.rotations.append(envelope.encoded)
+        self.trusted_keys = signing_keys
+        self.rotations = self.rotations[-MAX_ROTATIONS:]
+
+    def _keys_after(self, rotations: Sequence[bytes]) -> tuple[frozenset[str], tuple[bytes, ...]]:
+        """Return the keys to which signed rotations lead from those trusted now, and those rotations."""
+        trusted_keys = self.trusted_keys
+        chain: list[bytes] = []
+        for encoded in rotations[-MAX_ROTATIONS:]:
+            try:
+                manifest = open_envelope(encoded, trusted_keys).manifest
+            except SignatureError:
+                continue
+            number = manifest.get('number')
+            if isinstance(number, int) and number > self.number and manifest.get('signing_keys'):
+                trusted_keys = frozenset(manifest['signing_keys'])
+                chain.append(encoded)
+        return trusted_keys, tuple(chain)
--- a/tamarackfield/bundle/signing.py
+++ b/tamarackfield/bundle/signing.py
@@ -37,6 +37,10 @@
         Base64.
     encoded : bytes
         The envelope as it was received.
+    trusted_keys : frozenset of str
+        The keys under which it was checked.
+    rotations : tuple of bytes
+        Envelopes of the earlier bundles that led to these keys.
     """
 
     manifest: dict[str, Any]
@@ -44,6 +48,8 @@
     public_key: str
     signature: str = ''
     encoded: bytes = b''
+    trusted_keys: frozenset[str] = frozenset()
+    rotations: tuple[bytes, ...] = ()
 
 
 def generate_key() -> tuple[str, str]:
@@ -118,7 +124,8 @@
     manifest = json.loads(payload)
     if not isinstance(manifest, dict):
         raise SignatureError('manifest is not an object', step='verify')
-    return Envelope(manifest, hashlib.sha256(payload).hexdigest(), public_key, _to_text(signature), encoded)
+    digest = hashlib.sha256(payload).hexdigest()
+    return Envelope(manifest, digest, public_key, _to_text(signature), encoded, trusted_keys)
 
 
 def _read_envelope(encoded: bytes) -> tuple[bytes, bytes, str]:
--- a/tamarackfield/bundle/tests/test_acceptance.py
+++ b/tamarackfield/bundle/tests/test_acceptance.py
@@ -67,3 +67,23 @@
     with pytest.raises(SignatureError):
         take(acceptance, make_publication(2))
     assert take(acceptance, make_publication(2, new_private)).number == 2
+
+
+def test_process_that_missed_rotations_follows_their_signed_chain():
+    keys = [(PRIVATE_KEY, PUBLIC_KEY), generate_key(), generate_key()]
+    leader = Acceptance(frozenset((PUBLIC_KEY,)))
+    late = Acceptance(frozenset((PUBLIC_KEY,)))
+    take(late, make_publication(1))
+    take(leader, make_publication(2, keys[0][0], signing_keys=[keys[1][1]]))
+    take(leader, make_publication(3, keys[1][0], signing_keys=[keys[2][1]]))
+    newest = make_publication(4, keys[2][0], signing_keys=[keys[2][1]])
+    take(leader, newest)
+    with pytest.raises(SignatureError, match='not trusted'):
+        late.examine(newest.envelope)
+    forged = make_publication(5, generate_key()[0], signing_keys=[generate_key()[1]]).envelope
+    with pytest.raises(SignatureError, match='not trusted'):
+        late.examine(newest.envelope, [forged, leader.rotations[1]])
+    assert late.accept(late.examine(newest.envelope, leader.rotations), newest.shards).number == 4
+    assert late.rotations == leader.rotations
+    with pytest.raises(SignatureError, match='not trusted'):
+        late.examine(make_publication(5, keys[1][0]).envelope, leader.rotations)
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -6,7 +6,7 @@
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA
-from tamarackfield.discovery import BundleFollower, ConfigurationClient
+from tamarackfield.discovery import BundleFollower
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
@@ -37,11 +37,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics(settings['instance'], settings['statsd']['host'], settings['statsd']['port'])
         self.audit = AuditTrail()
-        self.follower = BundleFollower(
-            ConfigurationClient(settings['configuration_service']),
-            frozenset(settings['trusted_keys']),
-            self.audit.record,
-        )
+        self.follower = BundleFollower(settings, self.application, self._hello, self.audit.record, self.metrics.count)
         self.context = client_context(settings['peer_security'])
         self.fleet = Fleet(self.application, self._make_link)
         relay = Relay(self.fleet, settings['zone'], self.metrics)
@@ -69,8 +65,7 @@
             'incarnation': self.incarnation,
             'ready': self.is_ready(),
             'draining': self.draining,
-            'bundle': self.follower.acceptance.number,
-            'bundle_source': self.follower.source,
+            **self.follower.status(),
             'port': self.server.port,
             'busy': len(self.server.busy),
             'targets': {
@@ -85,7 +80,7 @@
         await self.operations.server.listen(operations['host'], operations['port'])
         await self.server.listen(self.settings['listen']['host'], self.settings['listen']['port'])
         self.follower.on_bundle(self._apply)
-        self.application.spawn(self.follower.run(), 'bundle')
+        await self.follower.start()
 
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
--- a/tamarackfield/observe/metrics.py
+++ b/tamarackfield/observe/metrics.py
@@ -47,6 +47,8 @@
     Metric('peer_streams', 'gauge', 'streams', 'Streams to peers that are open.'),
     Metric('bundle_number', 'gauge', 'number', 'Number of the bundle in force.'),
     Metric('bundles_refused', 'counter', 'bundles', 'Bundles that were not accepted.'),
+    Metric('bundle_conflicts', 'counter', 'bundles', 'Signed bundles with the number in force and other content.'),
+    Metric('bundle_watching', 'gauge', 'processes', '1 while this process watches the configuration service.'),
 )
 
 #: All declared metrics by name.
--- a/tamarackfield/observe/settings.py
+++ b/tamarackfield/observe/settings.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from tamarackfield.core.settings import PEER_SCHEMA
+from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA
 from tamarackfield.observe.operations import OPERATIONS_SCHEMA
 from tamarackfield.wire.security import PEER_SECURITY_SCHEMA
 
@@ -25,6 +25,14 @@
         'minItems': 1,
         'description': 'public keys that may sign the first bundle',
     },
+    'peer_listen': {**ADDRESS_SCHEMA, 'description': 'where other processes connect to exchange bundles'},
+    'peer_advertise': {**PEER_SCHEMA, 'description': 'where others reach it, if not under peer_listen'},
+    'peers': {
+        'type': 'array',
+        'items': PEER_SCHEMA,
+        'default': [],
+        'description': 'addresses under which some other processes exchange bundles; more are learned from them',
+    },
     'peer_security': PEER_SECURITY_SCHEMA,
     'operations': OPERATIONS_SCHEMA,
     'statsd': {
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -6,7 +6,7 @@
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
-from tamarackfield.discovery import BundleFollower, ConfigurationClient
+from tamarackfield.discovery import BundleFollower
 from tamarackfield.ledger import Ledger
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
@@ -45,11 +45,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics(settings['instance'], settings['statsd']['host'], settings['statsd']['port'])
         self.audit = AuditTrail()
-        self.follower = BundleFollower(
-            ConfigurationClient(settings['configuration_service']),
-            frozenset(settings['trusted_keys']),
-            self.audit.record,
-        )
+        self.follower = BundleFollower(settings, self.application, self._hello, self.audit.record, self.metrics.count)
         self.peers: PeerServer | None = None
         self.server: asyncio.Server | None = None
         self.operations = Operations(
@@ -74,8 +70,7 @@
             'target': self.settings['target'],
             'incarnation': self.incarnation,
             'ready': self.is_ready(),
-            'bundle': self.follower.acceptance.number,
-            'bundle_source': self.follower.source,
+            **self.follower.status(),
         }
         if self.peers is not None:
             report = self.peers.report()
@@ -96,7 +91,7 @@
         listen = self.settings['operations']['listen']
         await self.operations.server.listen(listen['host'], listen['port'])
         self.follower.on_bundle(self._apply)
-        self.application.spawn(self.follower.run(), 'bundle')
+        await self.follower.start()
 
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
--- a/tamarackfield/testing/cluster.py
+++ b/tamarackfield/testing/cluster.py
@@ -86,6 +86,7 @@
         self.private_key = private_key
         self.public_key = public_key
         self.document: dict[str, Any] = {'number': 0, **bundle, 'targets': {}}
+        self.peers: list[str] = []
         self._add_standin('configuration', 'configuration', {})
         if weights is not None:
             self._add_standin('weights', 'weights', weights)
@@ -188,7 +189,7 @@
             health=(port, '/control'),
         )
 
-    def _add_proxy(self, name: str, upstream: str) -> str:
+    def add_proxy(self, name: str, upstream: str) -> str:
         """Add a fault proxy before a port and return the address to use in place of it."""
         port = self.port(f'{name}-port')
         options = {'proxy': {'host': HOST, 'port': port}, 'upstream': upstream}
@@ -204,11 +205,11 @@
         self._add_standin(spec.name, spec.kind, options)
         target_address = address(self.ports[spec.name])
         if spec.engine_proxied:
-            target_address = self._add_proxy(f'{spec.name}-engine-proxy', target_address)
+            target_address = self.add_proxy(f'{spec.name}-engine-proxy', target_address)
         peer_address = address(self.port(f'{spec.name}-peer'))
         self.add_sidecar(f'{spec.name}-sidecar', spec, target_address, self.port(f'{spec.name}-peer'))
         if spec.proxied:
-            peer_address = self._add_proxy(f'{spec.name}-proxy', peer_address)
+            peer_address = self.add_proxy(f'{spec.name}-proxy', peer_address)
         entry = {'kind': spec.kind, 'address': peer_address, 'zone': spec.zone, 'region': spec.region}
         if spec.kind == 'engine':
             entry |= {'model': MODEL, 'speed': spec.speed}
@@ -241,6 +242,7 @@
         self.processes[name] = ManagedProcess(name, module, settings, self.directory, health=health)
 
     def _common(self, name: str, zone: str, region: str) -> dict[str, Any]:
+        self.peers.append(address(self.port(f'{name}-bundle')))
         return {
             'instance': name,
             'zone': zone,
@@ -248,6 +250,8 @@
             'configuration_service': [address(self.ports['configuration'])],
             'trusted_keys': [self.public_key],
             'peer_security': {'mode': PLAINTEXT},
+            'peer_listen': {'host': HOST, 'port': self.port(f'{name}-bundle')},
+            'peers': self.peers,
             'operations': {
                 'listen': {'host': HOST, 'port': self.port(f'{name}-operations')},
                 'token_sha256': hash_key(OPERATOR_TOKEN),
--- a/tamarackfield/wire/codec.py
+++ b/tamarackfield/wire/codec.py
@@ -9,11 +9,13 @@
 
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.wire.messages import MESSAGE_TYPES, Message
+from tamarackfield.wire.spreading import SPREADING_TYPES
 
 #: Largest frame that is accepted, in bytes; a larger one ends the stream.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Integers in messages are not negative and fit into this many bits.
 _INTEGER_BITS = 63
+_TYPES_BY_KIND = {**MESSAGE_TYPES, **SPREADING_TYPES}
 
 Check = Callable[[object], bool]
 
@@ -59,7 +61,7 @@
     """
     if not isinstance(frame, list) or not frame or not _is_integer(frame[0]):
         raise FrameError('frame is not an array that starts with a kind', step='decode')
-    message_type = MESSAGE_TYPES.get(frame[0])
+    message_type = _TYPES_BY_KIND.get(frame[0])
     if message_type is None:
         raise FrameError(f'unknown message kind {frame[0]}', step='decode')
     checks = _checks(message_type)
