--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -8,7 +8,7 @@
 from tamarackfield.sidecar.echo import EventStream, check_echo
 from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.scheduler import Job, stall_seconds
 from tamarackfield.sidecar.target import (
     TargetAddress,
     check_deadline,
@@ -75,7 +75,7 @@
     now = SYSTEM_CLOCK.monotonic()
     worker = target.worker
     worker.service_seconds += (now - job.started_at - worker.service_seconds) * _SMOOTHING
-    stalled = max(0, (job.resident_at or job.started_at) - job.stalled_at) if job.stalled_at else 0
+    stalled = stall_seconds(job, now)
     worker.metrics.timing('load_stall', stalled * _MS_PER_SECOND)
     reply.end(stalled, job.started_at - job.arrived_at)
 
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -74,6 +74,19 @@
     resident_at: float = 0.0
 
 
+def stall_seconds(job: Job, now: float) -> float:
+    """Return how long a job has waited, or did wait, because its adapter was not loaded.
+
+    Examples
+    --------
+    >>> stall_seconds(Job(1, 'a@1', 'clinic', 5, 2.0, 9.0, stalled_at=2.0), 5.0)
+    3.0
+    """
+    if not job.stalled_at:
+        return 0.0
+    return max(0.0, (job.resident_at or job.started_at or now) - job.stalled_at)
+
+
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """Send this job to the target now."""
@@ -97,11 +110,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """End this job with outcome ``not_run``."""
+    """End this job with outcome ``not_run``; ``stalled`` is how long it waited for its adapter, in seconds."""
 
     job_id: int
     code: str
     retry_after: int
+    stalled: float = 0.0
 
 
 Action = Dispatch | Load | Unload | Refuse
@@ -212,7 +226,7 @@
         late = [job for job in self.waiting.values() if job.deadline <= now]
         for job in late:
             self.waiting.pop(job.job_id)
-        return [Refuse(job.job_id, 'deadline_passed', 1) for job in late]
+        return [Refuse(job.job_id, 'deadline_passed', 1, stall_seconds(job, now)) for job in late]
 
     def _dispatches(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, Application
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.errors import RequestError
 from tamarackfield.observe import AuditTrail, Metrics
 from tamarackfield.sidecar.engine import EngineClient, EngineError, EngineStatus
@@ -228,6 +229,8 @@
             permit.set_result(None)
 
     def _refuse(self, action: Refuse) -> None:
+        if action.code == 'deadline_passed':
+            self.metrics.timing('load_stall', action.stalled * MS_PER_SECOND)
         permit = self.permits.pop(action.job_id, None)
         if permit is not None and not permit.done():
             permit.set_exception(
