Route to the least expected cost: holders and the first of the adapter's ring order

The router looks at holders, at loads under way and at 2 to 16 targets of a consistent-hash ring; a full sort of a rendezvous hash was ruled out because it costs all targets per choice. Entries keep an index of holders.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -27,6 +27,7 @@
 POLICIES: dict[str, dict[str, str]] = {
     'round-robin': {'routing': 'round-robin', 'eviction': 'lru', 'queue': 'fifo'},
     'least-outstanding': {'routing': 'least-outstanding', 'eviction': 'lru', 'queue': 'fifo'},
+    'affine': {'routing': 'affine', 'eviction': 'lru', 'queue': 'fifo'},
     'resident-first': {'routing': 'resident-first', 'eviction': 'lru', 'queue': 'fifo'},
 }
 LOADS = ('steady', 'crowd', 'burst', 'restart', 'failing-loads', 'slow-store', 'slow-target')
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -2,17 +2,80 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
 
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import Application, RequestError
 from tamarackfield.entry.links import Link
-from tamarackfield.policy import ROUTERS, Router, RoutingRequest
-from tamarackfield.policy.routing import DEFAULT_ROUTER
+from tamarackfield.policy import ROUTERS, Ring, Router, RoutingRequest, TargetView, Weights
+from tamarackfield.policy.routers import DEFAULT_ROUTER
 
 MakeLink = Callable[[TargetEntry], Link]
 
 
+class HolderIndex:
+    """Which targets hold or load an adapter, by their last reports."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.holders: defaultdict[str, set[str]] = defaultdict(set)
+        self.held: dict[str, frozenset[str]] = {}
+
+    def update(self, target: str, adapters: frozenset[str]) -> None:
+        """Replace what a target holds; costs as much as changed."""
+        before = self.held.get(target, frozenset())
+        for adapter in before - adapters:
+            self.holders[adapter].discard(target)
+            if not self.holders[adapter]:
+                self.holders.pop(adapter)
+        for adapter in adapters - before:
+            self.holders[adapter].add(target)
+        self.held[target] = adapters
+
+    def of(self, adapter: str) -> frozenset[str]:
+        """Return the names of an adapter's holders."""
+        return frozenset(self.holders.get(adapter, ()))
+
+
+class UsableTargets:
+    """The targets of one request that may be used now, looked up as a router asks for them.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Links, ring and index of holders.
+    allowed : dict
+        Targets that may serve the request, by name.
+    tried : set of str
+        Targets that already failed it.
+    """
+
+    def __init__(self, fleet: 'Fleet', allowed: dict[str, TargetEntry], tried: set[str]) -> None:
+        """Keep what the lookups need."""
+        self.fleet = fleet
+        self.allowed = allowed
+        self.tried = tried
+
+    def all(self) -> list[TargetView]:
+        """Return every target."""
+        return list(self._views(self.allowed))
+
+    def holders(self, adapter: str) -> list[TargetView]:
+        """Return the targets that hold or load an adapter."""
+        return list(self._views(sorted(self.fleet.index.of(adapter))))
+
+    def ring_order(self, adapter: str) -> Iterator[TargetView]:
+        """Yield the targets in the ring order of an adapter."""
+        return self._views(self.fleet.ring.order(adapter))
+
+    def _views(self, names: Iterable[str]) -> Iterator[TargetView]:
+        for name in names:
+            link = self.fleet.links.get(name)
+            if link is not None and link.usable and name in self.allowed and name not in self.tried:
+                yield link.view()
+
+
 class Fleet:
     """Keeps a link to each target and chooses among them.
 
@@ -30,8 +93,10 @@
         self.make_link = make_link
         self.links: dict[str, Link] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.router: Router = ROUTERS[DEFAULT_ROUTER]()
-        self.router_name = DEFAULT_ROUTER
+        self.router: Router = ROUTERS[DEFAULT_ROUTER](Weights())
+        self.routing: tuple[str, Weights] = (DEFAULT_ROUTER, Weights())
+        self.ring = Ring({})
+        self.index = HolderIndex()
         self.rng = random.Random()
 
     def apply(self, bundle: Bundle) -> None:
@@ -40,14 +105,18 @@
         for name in stale:
             self.links.pop(name)
             self.tasks.pop(name).cancel()
+            self.index.update(name, frozenset())
         for name, target in bundle.targets.items():
             if name not in self.links:
                 self.links[name] = self.make_link(target)
+                self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
-        router_name = bundle.policy.get('routing', DEFAULT_ROUTER)
-        if router_name != self.router_name:
-            self.router = ROUTERS[router_name]()
-            self.router_name = router_name
+        self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
+        weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
+        routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
+        if routing != self.routing:
+            self.router = ROUTERS[routing[0]](weights)
+            self.routing = routing
 
     def choose(self, request: RoutingRequest, targets: Iterable[TargetEntry], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
@@ -71,14 +140,12 @@
         RequestError
             With outcome ``not_run`` if there is none.
         """
-        links = [self.links[target.name] for target in targets if target.name in self.links]
-        usable = [link for link in links if link.usable and link.target.name not in tried]
-        if not usable:
+        usable = UsableTargets(self, {target.name: target for target in targets}, tried)
+        if next(usable.ring_order(request.adapter), None) is None:
             raise RequestError(
                 'no target that may serve this request is reachable',
                 step='route',
                 code='no_target',
                 retry_after=1,
             )
-        chosen = self.router(request, [link.view() for link in usable], self.rng)
-        return self.links[chosen.name]
+        return self.links[self.router(request, usable, self.rng).name]
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -95,6 +95,10 @@
         self.report: LoadReport | None = None
         self.reported_at = 0.0
         self.draining = ''
+        self.unreported = 0
+        self.held: frozenset[str] = frozenset()
+        self.residents: frozenset[str] = frozenset()
+        self.on_residents: Callable[[str, frozenset[str]], None] = _ignore_residents
 
     @property
     def usable(self) -> bool:
@@ -110,12 +114,14 @@
             self.target.batch,
             self.target.slots,
             outstanding=len(self.exchanges),
+            unreported=self.unreported,
+            residents=self.residents,
         )
         if self.report is not None:
             view.running = self.report.running
             view.queued = self.report.queued
-            view.residents = frozenset(self.report.residents)
-            view.loading = frozenset(self.report.loading)
+            view.pinned = self.report.pinned
+            view.loading = self.held - self.residents
             view.reported_at = self.reported_at
             view.load_seconds = self.report.load_ms / _MS_PER_SECOND
             view.service_seconds = self.report.service_ms / _MS_PER_SECOND
@@ -163,6 +169,7 @@
                 retry_after=1,
             ) from exc
         self.exchanges[exchange.request_id] = exchange
+        self.unreported += 1
         return exchange
 
     async def run(self) -> None:
@@ -199,6 +206,7 @@
     def _disconnect(self, stream: PeerStream) -> None:
         self.stream = None
         self.report = None
+        self._hold(frozenset(), frozenset())
         stream.abort()
         self._break_exchanges()
 
@@ -207,12 +215,19 @@
             case LoadReport():
                 self.report = message
                 self.reported_at = SYSTEM_CLOCK.monotonic()
+                self.unreported = 0
+                self._hold(frozenset(message.residents), frozenset(message.loading))
             case Draining(reason):
                 self.draining = reason
                 logger.bind(peer=self.target.name, reason=reason).info('target_draining')
             case Head() | Chunk() | End() | Fail():
                 self._deliver(message)
 
+    def _hold(self, residents: frozenset[str], loading: frozenset[str]) -> None:
+        self.residents = residents
+        self.held = residents | loading
+        self.on_residents(self.target.name, self.held)
+
     def _deliver(self, message: Head | Chunk | End | Fail) -> None:
         exchange = self.exchanges.get(message.request_id)
         if exchange is None:
@@ -238,3 +253,7 @@
                     1,
                 ),
             )
+
+
+def _ignore_residents(target: str, adapters: frozenset[str]) -> None:
+    """Stand in until the fleet listens."""
--- a/tamarackfield/policy/routing.py
+++ b/tamarackfield/policy/routing.py
@@ -1,8 +1,9 @@
 """Choice of a target for one request."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,10 +42,12 @@
         Requests that it runs at once.
     outstanding : int
         Requests of this entry that have not ended.
-    running, queued : int
+    unreported : int
+        Requests of this entry sent since the last report.
+    running, queued, pinned : int
         From its last report.
     residents, loading : frozenset of str
-        Adapter references from its last report.
+        Adapter references from its last report; those that wait for a load count as loading.
     reported_at : float
         Monotonic seconds of the last report.
     load_seconds : float
@@ -59,8 +62,10 @@
     batch: int = 1
     slots: int = 1
     outstanding: int = 0
+    unreported: int = 0
     running: int = 0
     queued: int = 0
+    pinned: int = 0
     residents: frozenset[str] = frozenset()
     loading: frozenset[str] = frozenset()
     reported_at: float = 0.0
@@ -68,16 +73,30 @@
     service_seconds: float = 0.5
 
 
-Router = Callable[[RoutingRequest, Sequence[TargetView], random.Random], TargetView]
+class FleetView(Protocol):
+    """The usable targets of one request; a router asks only for what it needs."""
+
+    def all(self) -> Sequence[TargetView]:
+        """Return every target, at a cost that grows with their number."""
+
+    def holders(self, adapter: str) -> Sequence[TargetView]:
+        """Return the targets that hold or load an adapter."""
+
+    def ring_order(self, adapter: str) -> Iterable[TargetView]:
+        """Yield the targets in the ring order of an adapter."""
+
+
+Router = Callable[[RoutingRequest, FleetView, random.Random], TargetView]
 
 
 def make_round_robin() -> Router:
     """Return a router that takes the targets in turn, whatever their state."""
     turn = 0
 
-    def route(request: RoutingRequest, targets: Sequence[TargetView], rng: random.Random) -> TargetView:
+    def route(request: RoutingRequest, fleet: FleetView, rng: random.Random) -> TargetView:
         nonlocal turn  # noqa: WPS420 the turn is the closure's only state
         turn += 1
+        targets = fleet.all()
         return targets[turn % len(targets)]
 
     return route
@@ -86,8 +105,8 @@
 def make_least_outstanding() -> Router:
     """Return a router that takes the target with the fewest requests of this entry for its speed."""
 
-    def route(request: RoutingRequest, targets: Sequence[TargetView], rng: random.Random) -> TargetView:
-        return min(targets, key=lambda target: (target.outstanding / target.speed, rng.random()))
+    def route(request: RoutingRequest, fleet: FleetView, rng: random.Random) -> TargetView:
+        return least_outstanding(fleet.all(), rng)
 
     return route
 
@@ -95,18 +114,14 @@
 def make_resident_first() -> Router:
     """Return a router that prefers targets that hold the adapter, then the least busy one."""
 
-    def route(request: RoutingRequest, targets: Sequence[TargetView], rng: random.Random) -> TargetView:
+    def route(request: RoutingRequest, fleet: FleetView, rng: random.Random) -> TargetView:
+        targets = fleet.all()
         holders = [target for target in targets if request.adapter in target.residents]
-        return least_outstanding(request, holders or targets, rng)
+        return least_outstanding(holders or targets, rng)
 
-    least_outstanding = make_least_outstanding()
     return route
 
 
-#: Factories of routers by the name used in a bundle's ``policy.routing``.
-ROUTERS: dict[str, Callable[[], Router]] = {
-    'round-robin': make_round_robin,
-    'least-outstanding': make_least_outstanding,
-    'resident-first': make_resident_first,
-}
-DEFAULT_ROUTER = 'resident-first'
+def least_outstanding(targets: Sequence[TargetView], rng: random.Random) -> TargetView:
+    """Return the target with the fewest requests of this entry for its speed, ties at random."""
+    return min(targets, key=lambda target: (target.outstanding / target.speed, rng.random()))
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -98,6 +98,7 @@
         scheduler = worker.scheduler
         residents = [name for name, slot in scheduler.table.items() if slot.state is SlotState.RESIDENT]
         loading = [name for name, slot in scheduler.table.items() if slot.state is SlotState.LOADING]
+        loading.extend(scheduler.wanted())
         return LoadReport(
             unix_ms=SYSTEM_CLOCK.unix_ms(),
             incarnation=worker.incarnation,
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -17,6 +17,8 @@
 MAX_CONCURRENT_LOADS = 2
 #: Seconds after which a failed load is tried again.
 LOAD_RETRY_SECONDS = 0.5
+#: Wanted adapters that a load report names.
+MAX_WANTED = 16
 #: Decay of an adapter's use count at each use.
 FREQUENCY_DECAY = 0.9
 
@@ -209,6 +211,12 @@
         slot = self.table.get(adapter)
         return slot is not None and slot.state is SlotState.RESIDENT
 
+    def wanted(self) -> list[str]:
+        """Return adapters that requests wait for and that are in no slot, the first `MAX_WANTED` by arrival."""
+        missing = dict.fromkeys(job.adapter for job in self.waiting.values() if job.adapter not in self.table)
+        missing.pop('', None)
+        return list(missing)[:MAX_WANTED]
+
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
         actions: list[Action] = self._expired(now)
