Send adapters when they change and load reports at a bounded pace

Cause: bin/slopes gave 372 bytes/s a stream from a sidecar (2 adapters held), so 24 entries fill the 9 KB/s that a node may spend for control, and each of 32 adapters held adds about 30 bytes to every one of ten reports a second. Ruled out: heartbeats (40 bytes/s a stream). Change: LoadReport holds counts only (at most 50 bytes); the adapters go in Holdings, sent when they change; all streams together get at most 6,000 bytes/s of load reports, and an unchanged report is left out for up to a second.

--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -23,6 +23,7 @@
     Fail,
     Head,
     Hello,
+    Holdings,
     LoadReport,
     Message,
     PeerStream,
@@ -223,7 +224,8 @@
                 self.report = message
                 self.reported_at = SYSTEM_CLOCK.monotonic()
                 self.unreported = 0
-                self._hold(frozenset(message.residents), frozenset(message.loading))
+            case Holdings(residents, loading):
+                self._hold(frozenset(residents), frozenset(loading))
             case Draining(reason):
                 self.draining = reason
                 logger.bind(peer=self.target.name, reason=reason).info('target_draining')
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -81,7 +81,9 @@
         }
         if self.peers is not None:
             report = self.peers.report()
-            document |= {name: getattr(report, name) for name in ('batch', 'running', 'queued', 'residents', 'loading')}
+            holdings = self.peers.holdings()
+            document |= {name: getattr(report, name) for name in ('batch', 'running', 'queued')}
+            document |= {'residents': holdings.residents, 'loading': holdings.loading}
             document['draining'] = self.peers.draining
             document['streams'] = len(self.peers.streams)
         return document
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -6,16 +6,17 @@
 
 from loguru import logger
 
-from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
+from tamarackfield.core import RequestError, TamarackfieldError
 from tamarackfield.sidecar.reply import Reply
+from tamarackfield.sidecar.reports import make_holdings, make_report, report_changes
 from tamarackfield.sidecar.runs import run_request
-from tamarackfield.sidecar.scheduler import SlotState
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
     Cancel,
     Credit,
     Draining,
     Hello,
+    Holdings,
     LoadReport,
     Message,
     PeerStream,
@@ -24,12 +25,8 @@
 )
 from tamarackfield.wire.stream import PeerBusyError
 
-#: Seconds between two load reports to an entry.
-REPORT_INTERVAL = 0.1
 #: Streams that a sidecar accepts unless its settings say otherwise.
 DEFAULT_MAX_STREAMS = 4000
-_MS_PER_SECOND = 1000
-
 #: Running requests of one stream by their number.
 Runs = dict[int, tuple[asyncio.Task[None], Reply]]
 
@@ -82,7 +79,7 @@
         self.streams.add(stream)
         if self.draining:
             stream.send(Draining(self.draining))
-        beats = [asyncio.create_task(stream.beat()), asyncio.create_task(self._report(stream))]
+        beats = [asyncio.create_task(stream.beat()), asyncio.create_task(report_changes(self, stream))]
         try:
             while True:
                 self._take(await stream.receive(), stream, mine)
@@ -109,34 +106,12 @@
             await asyncio.wait(self.runs)
 
     def report(self) -> LoadReport:
-        """Return the state of the target as of now."""
-        worker = self.target.worker
-        scheduler = worker.scheduler
-        residents = [name for name, slot in scheduler.table.items() if slot.state is SlotState.RESIDENT]
-        loading = [name for name, slot in scheduler.table.items() if slot.state is SlotState.LOADING]
-        loading.extend(scheduler.wanted())
-        return LoadReport(
-            unix_ms=SYSTEM_CLOCK.unix_ms(),
-            incarnation=worker.incarnation,
-            ready=worker.ready.is_set() and not self.draining,
-            batch=scheduler.batch,
-            running=len(scheduler.running),
-            queued=len(scheduler.waiting),
-            slots=scheduler.slots,
-            pinned=sum(slot.pins > 0 for slot in scheduler.table.values()),
-            residents=residents,
-            loading=loading,
-            load_ms=round(worker.load_seconds * _MS_PER_SECOND),
-            service_ms=round(worker.service_seconds * _MS_PER_SECOND),
-        )
-
-    async def _report(self, stream: PeerStream) -> None:
-        while not stream.closed:
-            try:
-                stream.send(self.report())
-            except (StreamClosedError, PeerBusyError):
-                return
-            await asyncio.sleep(REPORT_INTERVAL)
+        """Return how busy the target is as of now."""
+        return make_report(self.target.worker, self.draining)
+
+    def holdings(self) -> Holdings:
+        """Return the adapters that the target holds, loads or has requests waiting for."""
+        return make_holdings(self.target.worker)
 
     def _take(self, message: Message, stream: PeerStream, mine: Runs) -> None:
         match message:
--- a/tamarackfield/testing/configuration.py
+++ b/tamarackfield/testing/configuration.py
@@ -56,14 +56,13 @@
             await responder.send_json(200, {'revision': self.revision})
             return
         self.calls += 1
-        if self.faults['down']:
-            responder.writer.transport.abort()
-            raise ConnectionResetError('down by fault')
+        self._refuse_if_down(responder)
         name = request.path.removeprefix(_VALUES_PREFIX)
         query = urllib.parse.parse_qs(request.query)
         after = query.get('after')
         if after is not None:
             await self._wait(name, int(after[0]), float(query['wait'][0]))
+            self._refuse_if_down(responder)
         content, revision = self._read(name)
         self.answered_bytes += len(content)
         headers = [('Content-Type', 'application/octet-stream'), ('X-Revision', str(revision))]
@@ -71,6 +70,11 @@
         await responder.send_body(content)
         await responder.finish()
 
+    def _refuse_if_down(self, responder: Responder) -> None:
+        if self.faults['down']:
+            responder.writer.transport.abort()
+            raise ConnectionResetError('down by fault')
+
     async def _wait(self, name: str, revision: int, seconds: float) -> None:
         expires_at = SYSTEM_CLOCK.monotonic() + seconds
         while self._read(name)[1] == revision:
--- a/tamarackfield/wire/messages.py
+++ b/tamarackfield/wire/messages.py
@@ -135,8 +135,8 @@
 class LoadReport(Message):
     """State of a target as its sidecar sees it.
 
-    ``residents`` and ``loading`` list adapter references; ``running`` and ``batch`` count
-    requests; ``load_ms`` is the smoothed time of a load; ``service_ms`` that of a request.
+    ``running``, ``queued`` and ``batch`` count requests, ``slots`` and ``pinned`` adapters;
+    ``load_ms`` is the smoothed time of a load, ``service_ms`` that of a request.
     """
 
     kind = 11
@@ -148,12 +148,22 @@
     queued: int
     slots: int
     pinned: int
-    residents: list[str]
-    loading: list[str]
     load_ms: int
     service_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Holdings(Message):
+    """Adapters of a target, sent when they change; before the first load report of a stream.
+
+    ``loading`` lists those that are being loaded or that waiting requests need.
+    """
+
+    kind = 12
+    residents: list[str]
+    loading: list[str]
+
+
 #: Message types by kind.
 MESSAGE_TYPES = {
     message_type.kind: message_type
@@ -169,5 +179,6 @@
         Fail,
         Draining,
         LoadReport,
+        Holdings,
     )
 }
