--- a/tamarackfield/sidecar/reports.py
+++ b/tamarackfield/sidecar/reports.py
@@ -21,7 +21,7 @@
 #: Longest time between two load reports to an entry when nothing changes, in seconds.
 QUIET_INTERVAL = 1.0
 #: Bytes of load reports that one sidecar sends a second, over all its streams.
-REPORT_BYTES_PER_SECOND = 6000
+REPORT_BYTES_PER_SECOND = 2000
 #: Size of one load report on the wire, in bytes, used to set the pace.
 REPORT_BYTES = 50
 _MS_PER_SECOND = 1000
@@ -65,7 +65,7 @@
     --------
     >>> report_interval(3)
     0.1
-    >>> report_interval(120)
+    >>> report_interval(40)
     1.0
     """
     return max(REPORT_INTERVAL, streams * REPORT_BYTES / REPORT_BYTES_PER_SECOND)
