Run non-idempotent keys at most once across retries, restarts and moved homes

Cause: a second try during the first run was answered 409; a restarted home had an empty ledger and ran a key again; an entry said not_run of a key whose home it could not reach; a bundle that moved a home let the new home run the key again.

Ruled out: refusing every retry; letting entries prove a restarted home's gap (nobody can list the entries that died); clocks (docs/design/at-most-once.md).

Change: the run of a key is a task of its own, tries attach to it; a home runs an unseen key only with proof that it never ran (coverage); entries issue keys that name their home's incarnation; the earlier home of a moved key hands it over once; ledger bounded by count and bytes.

--- a/tamarackfield/entry/calls.py
+++ b/tamarackfield/entry/calls.py
@@ -9,7 +9,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, AdapterRef, RequestError, deadline_from_unix_ms, parse_adapter_ref
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.ids import AdapterRefError
-from tamarackfield.policy import home_target
+from tamarackfield.entry.homes import home_of_key
 from tamarackfield.web import HttpRequest
 
 #: Seconds that a request may take if its caller names no deadline.
@@ -167,7 +167,7 @@
         key = ''
     else:
         _check_key(key)
-        home = home_target(f'{caller.name}|{key}', [target.name for target in targets])
+        home = home_of_key(caller.name, key, [target.name for target in targets])
         targets = tuple(target for target in targets if target.name == home)
     headers = [(header, request.headers[header]) for header in _PASSED_TO_SERVICES if header in request.headers]
     if key:
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -17,6 +17,8 @@
     read_completion,
     read_service_call,
 )
+from tamarackfield.entry.homes import qualify
+from tamarackfield.entry.issuing import KEYS_PATH, send_issued_key
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
 from tamarackfield.web import HttpRequest, Responder
@@ -54,6 +56,12 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
+        try:
+            await self._handle(request, responder)
+        except RequestError as exc:
+            raise qualify(exc, request) from exc
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if await answer_health(request, responder, self.is_ready):
             return
         self.metrics.count('requests')
@@ -63,6 +71,9 @@
         if request.path == '/v1/models' and request.method == 'GET':
             await self._models(request, responder, bundle)
             return
+        if request.path == KEYS_PATH and request.method == 'POST':
+            await send_issued_key(request, responder, bundle, self.relay.fleet)
+            return
         call = self._read(request, bundle)
         try:
             await self.relay.run(call, responder)
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -23,6 +23,7 @@
     Fail,
     Head,
     Hello,
+    KeyEpoch,
     LoadReport,
     Message,
     PeerStream,
@@ -95,6 +96,8 @@
         self.report: LoadReport | None = None
         self.reported_at = 0.0
         self.draining = ''
+        self.key_epoch: KeyEpoch | None = None
+        self.connected = asyncio.Event()
 
     @property
     def usable(self) -> bool:
@@ -193,11 +196,14 @@
         if hello.target != self.target.name:
             raise StreamClosedError(f'peer serves {hello.target!r}', step='hello', peer=self.target.name)
         self.stream = stream
+        self.connected.set()
         self.draining = ''
         logger.bind(peer=self.target.name, incarnation=hello.incarnation).info('link_up')
 
     def _disconnect(self, stream: PeerStream) -> None:
         self.stream = None
+        self.connected.clear()
+        self.key_epoch = None
         self.report = None
         stream.abort()
         self._break_exchanges()
@@ -207,6 +213,8 @@
             case LoadReport():
                 self.report = message
                 self.reported_at = SYSTEM_CLOCK.monotonic()
+            case KeyEpoch():
+                self.key_epoch = message
             case Draining(reason):
                 self.draining = reason
                 logger.bind(peer=self.target.name, reason=reason).info('target_draining')
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -9,7 +9,8 @@
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.entry.calls import Call
 from tamarackfield.entry.fleet import Fleet
-from tamarackfield.entry.links import Exchange
+from tamarackfield.entry.keys import run_keyed
+from tamarackfield.entry.links import Exchange, Link
 from tamarackfield.observe import Metrics
 from tamarackfield.policy import RoutingRequest
 from tamarackfield.web import Responder
@@ -49,6 +50,9 @@
         RequestError
             If no answer was started.
         """
+        if call.idempotency_key:
+            await run_keyed(self.fleet, call, responder, lambda link: self._send(link, call, responder))
+            return
         tried: set[str] = set()
         while True:
             try:
@@ -65,13 +69,16 @@
             return False
         if error.code in {'no_target', 'deadline_passed'}:
             return False
-        return error.outcome is Outcome.NOT_RUN or not call.idempotency_key
+        return True
 
     async def _attempt(self, call: Call, responder: Responder, tried: set[str]) -> None:
         now = SYSTEM_CLOCK.monotonic()
         request = RoutingRequest(str(call.adapter or ''), self.zone, now, call.deadline)
         link = self.fleet.choose(request, call.targets, tried)
         tried.add(link.target.name)
+        await self._send(link, call, responder)
+
+    async def _send(self, link: Link, call: Call, responder: Responder) -> None:
         exchange = link.submit(lambda request_id, credit: _build_submit(call, request_id, credit))
         try:
             await self._carry(call, exchange, responder)
--- a/tamarackfield/ledger/__init__.py
+++ b/tamarackfield/ledger/__init__.py
@@ -1,5 +1,21 @@
-"""At-most-once records of non-idempotent calls."""
+"""At-most-once records of non-idempotent calls, and what a home can prove of keys that it has no record of."""
 
-from tamarackfield.ledger.records import Answer, Ledger, Record, RecordState
+from tamarackfield.ledger.coverage import Coverage, Proof, Verdict
+from tamarackfield.ledger.issued import IssuedKey, IssuedKeyError, issue_key, parse_issued_key
+from tamarackfield.ledger.records import Answer, Ledger, LedgerFullError, Record, RecordState, fingerprint_of
 
-__all__ = ['Answer', 'Ledger', 'Record', 'RecordState']
+__all__ = [
+    'Answer',
+    'Coverage',
+    'IssuedKey',
+    'IssuedKeyError',
+    'Ledger',
+    'LedgerFullError',
+    'Proof',
+    'Record',
+    'RecordState',
+    'Verdict',
+    'fingerprint_of',
+    'issue_key',
+    'parse_issued_key',
+]
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -7,17 +7,18 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
 from tamarackfield.discovery import BundleFollower, ConfigurationClient
-from tamarackfield.ledger import Ledger
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
+from tamarackfield.sidecar.dispatch import make_run_call
 from tamarackfield.sidecar.engine import EngineClient
+from tamarackfield.sidecar.homes import Homes
 from tamarackfield.sidecar.peers import PeerServer
 from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
-from tamarackfield.wire import Hello, server_context
+from tamarackfield.wire import Hello, client_context, server_context
 
 SETTINGS_SCHEMA = program_schema(
     ('target', 'target_address', 'listen'),
@@ -50,6 +51,12 @@
             frozenset(settings['trusted_keys']),
             self.audit.record,
         )
+        self.homes = Homes(
+            settings['target'],
+            self.incarnation,
+            self._hello,
+            client_context(settings['peer_security']),
+        )
         self.peers: PeerServer | None = None
         self.server: asyncio.Server | None = None
         self.operations = Operations(
@@ -59,6 +66,7 @@
             settings['operations'].get('token_sha256', ''),
         )
         self.operations.commands['/drain'] = self.drain
+        self.operations.commands['/first-start'] = self.declare_first_start
         self.application.on_start(self.start)
         self.application.on_stop(self.stop)
 
@@ -91,6 +99,13 @@
         self.audit.record('drain', reason='operator')
         return {'draining': True}
 
+    async def declare_first_start(self) -> dict[str, Any]:
+        """Run keys without a record, by an operator's word that none ran before this process started."""
+        if self.homes.coverage is not None:
+            self.homes.coverage.declared_first = True
+        self.audit.record('first_start_declared', incarnation=self.incarnation)
+        return {'declared': self.homes.coverage is not None}
+
     async def start(self) -> None:
         """Listen for operators, wait for a bundle, then serve entries."""
         listen = self.settings['operations']['listen']
@@ -100,6 +115,7 @@
 
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
+        self.homes.follow(bundle)
         if self.peers is None:
             self._build(bundle)
             self.application.spawn(self._serve(), 'serve')
@@ -128,7 +144,7 @@
         engine = EngineClient(address) if entry.kind == 'engine' else None
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
-        target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds)
+        target = TargetAddress(name, address, worker, self.homes.make_calls(make_run_call(name, address, worker)))
         self.peers = PeerServer(target, self._hello)
         self.application.spawn(worker.run(), 'worker')
         self.application.spawn(worker.poll(), 'poll')
--- /dev/null
+++ b/tamarackfield/sidecar/dispatch.py
@@ -0,0 +1,69 @@
+"""One run of a non-idempotent call at the target."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+from tamarackfield.core import RequestError
+from tamarackfield.core.outcome import Outcome
+from tamarackfield.ledger import Answer
+from tamarackfield.sidecar.keyed import RunCall
+from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.target import check_deadline, error_from_client, new_job, passed_headers
+from tamarackfield.sidecar.worker import Ended, TargetWorker
+from tamarackfield.web import ClientError, open_request
+from tamarackfield.wire import Submit
+
+
+def make_run_call(name: str, address: tuple[str, int], worker: TargetWorker) -> RunCall:
+    """Return the function that runs a call at a target.
+
+    Parameters
+    ----------
+    name : str
+        Of the target.
+    address : tuple of str and int
+        IP number and port of the target.
+    worker : TargetWorker
+        Admits jobs.
+
+    Returns
+    -------
+    callable
+        Raises `RequestError`, with outcome ``not_run`` only if no byte left for the target.
+    """
+
+    async def run_call(submit: Submit, expires_at: float, on_dispatch: Callable[[], None]) -> Answer:
+        job = new_job(submit)
+        try:
+            await worker.admit(job)
+            return await _exchange(job, submit, expires_at, on_dispatch)
+        except ClientError as exc:
+            raise error_from_client(exc, name) from exc
+        except TimeoutError:
+            raise _unanswered(name) from None
+        finally:
+            worker.post(Ended(job.job_id))
+
+    async def _exchange(job: Job, submit: Submit, expires_at: float, on_dispatch: Callable[[], None]) -> Answer:
+        check_deadline(job, name)
+        on_dispatch()
+        headers = [(header, text) for header, text in submit.headers]
+        async with (
+            asyncio.timeout_at(expires_at),
+            open_request(address, submit.method, submit.path, submit.body, headers) as response,
+        ):
+            return Answer(response.status, passed_headers(response), await response.read())
+
+    return run_call
+
+
+def _unanswered(name: str) -> RequestError:
+    return RequestError(
+        'the target did not answer within the horizon',
+        step='await_answer',
+        peer=name,
+        outcome=Outcome.UNKNOWN,
+        status=HTTPStatus.GATEWAY_TIMEOUT,
+        code='target_silent',
+    )
--- a/tamarackfield/sidecar/keyed.py
+++ b/tamarackfield/sidecar/keyed.py
@@ -1,71 +1,220 @@
-"""Calls that may run at most once: the record is made before dispatch and kept to the horizon."""
+"""Calls that may run at most once: the record is made before dispatch and kept to the horizon.
+
+The run of a key is a task of its own, which outlives the request that started it. Every request
+with the key attaches to that task or is answered from the record.
+"""
 
 import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from tamarackfield.core import SYSTEM_CLOCK, RequestError
+from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
+from tamarackfield.core.errors import refusal
 from tamarackfield.core.outcome import Outcome
-from tamarackfield.ledger import Answer, RecordState
-from tamarackfield.sidecar.reply import Reply
-from tamarackfield.sidecar.target import (
-    TargetAddress,
-    check_deadline,
-    error_from_client,
-    new_job,
-    open_target,
-    passed_headers,
+from tamarackfield.ledger import (
+    Answer,
+    Coverage,
+    IssuedKeyError,
+    Ledger,
+    LedgerFullError,
+    Proof,
+    Record,
+    RecordState,
+    Verdict,
+    fingerprint_of,
 )
-from tamarackfield.sidecar.worker import Ended
-from tamarackfield.web import ClientError
-from tamarackfield.wire import Submit
+from tamarackfield.sidecar.reply import Reply
+from tamarackfield.wire import KeyEpoch, Submit
+
+#: Asks an earlier home for a caller's key; true if the key never ran there and never will.
+AskHome = Callable[[str, str], Awaitable[bool]]
+#: Runs a call at the target until a monotonic time, and calls back right before its first byte leaves.
+RunCall = Callable[[Submit, float, Callable[[], None]], Awaitable[Answer]]
 
+_REASONS = {
+    Proof.EARLIER_INCARNATION: 'the key may have run before its home restarted',
+    Proof.EARLIER_HOME: 'the key may have run at its earlier home, which did not answer',
+    Proof.NOT_HOME: 'the key has another home by the bundle in force there',
+    Proof.EXPIRED: 'the key was issued too long ago',
+}
 
-async def run_keyed(target: TargetAddress, submit: Submit, reply: Reply) -> None:
-    """Run a call that may run at most once, or answer from its record.
 
-    Raises
-    ------
-    RequestError
-        If there is no answer to give.
+@dataclass(slots=True)
+class KeyedCalls:
+    """Records and running calls of one home.
+
+    Parameters
+    ----------
+    target : str
+        The home.
+    ledger : Ledger
+        Its records.
+    coverage : Coverage
+        What it can prove of keys without a record.
+    run_call : callable
+        Runs a call at the target.
+    ask_home : callable
+        Asks an earlier home.
+    running : dict
+        Task of each call that is under way, by caller and key.
     """
-    key = f'{submit.caller}|{submit.idempotency_key}'
-    now = SYSTEM_CLOCK.monotonic()
-    record = target.ledger.find(key, now)
-    if record is None:
-        target.ledger.admit(key, now + target.horizon_seconds, now)
+
+    target: str
+    ledger: Ledger
+    coverage: Coverage
+    run_call: RunCall
+    ask_home: AskHome
+    running: dict[str, asyncio.Task[Answer]] = field(default_factory=dict)
+
+    def epoch(self) -> KeyEpoch:
+        """Return what entries need to issue keys for this home."""
+        coverage = self.coverage
+        return KeyEpoch(coverage.incarnation, coverage.uptime_ms(SYSTEM_CLOCK.monotonic()))
+
+    def hand_over(self, scoped: str, holder: str) -> bool:
+        """Give a key to its new home if it never ran here; it never will from now on."""
+        now = SYSTEM_CLOCK.monotonic()
+        if not self.coverage.may_hand_over(scoped, now):
+            return False
+        return self.ledger.hand_over(scoped, holder, now + self.coverage.horizon_seconds, now)
+
+    def draining_outcome(self, submit: Submit) -> Outcome | None:
+        """Return what is known of a call that comes while draining; None if its record answers it."""
+        now = SYSTEM_CLOCK.monotonic()
+        if self.ledger.find(f'{submit.caller}|{submit.idempotency_key}', now) is not None:
+            return None
         try:
-            answer = await asyncio.shield(asyncio.ensure_future(_call_keyed(target, submit, key)))
-        finally:
-            target.ledger.withdraw(key)
-    else:
-        answer = record.answer
-        if record.state is not RecordState.ANSWERED or answer is None:
-            raise RequestError(
-                'a request with this key was dispatched and its answer is not known',
+            verdict = self.coverage.judge(submit.caller, submit.idempotency_key, now)
+        except IssuedKeyError:
+            return Outcome.NOT_RUN
+        return Outcome.NOT_RUN if verdict.proof is Proof.NEVER_RAN else Outcome.UNKNOWN
+
+    async def run(self, submit: Submit, reply: Reply) -> None:
+        """Run a call that may run at most once, or answer from its record.
+
+        Raises
+        ------
+        RequestError
+            If there is no answer to give.
+        """
+        answer = await self._answer(submit)
+        reply.head(answer.status, answer.headers)
+        await reply.chunk(answer.body)
+        reply.end()
+
+    async def _answer(self, submit: Submit) -> Answer:
+        scoped = f'{submit.caller}|{submit.idempotency_key}'
+        fingerprint = fingerprint_of(submit.method, submit.path, submit.body)
+        if self.ledger.find(scoped, SYSTEM_CLOCK.monotonic()) is None:
+            await self._prove_never_ran(submit)
+        record = self.ledger.find(scoped, SYSTEM_CLOCK.monotonic())
+        if record is None:
+            self._start(scoped, fingerprint, submit)
+        elif record.fingerprint != fingerprint and record.state is not RecordState.HANDED_OVER:
+            raise refusal(
+                'this request was not run: its key was first used for another request',
                 step='ledger',
-                peer=target.name,
-                outcome=Outcome.UNKNOWN,
-                status=HTTPStatus.CONFLICT,
-                code='key_in_use',
-                retry_after=1,
+                peer=self.target,
+                code='key_reused',
+                status=HTTPStatus.UNPROCESSABLE_ENTITY,
             )
-    reply.head(answer.status, answer.headers)
-    await reply.chunk(answer.body)
-    reply.end()
-
-
-async def _call_keyed(target: TargetAddress, submit: Submit, key: str) -> Answer:
-    job = new_job(submit)
-    try:
-        await target.worker.admit(job)
-        check_deadline(job, target.name)
-        target.ledger.dispatch(key)
-        async with open_target(target, submit) as response:
-            headers = passed_headers(response)
-            answer = Answer(response.status, headers, await response.read())
-    except ClientError as exc:
-        raise error_from_client(exc, target.name) from exc
-    finally:
-        target.worker.post(Ended(job.job_id))
-    target.ledger.answer(key, answer)
-    return answer
+        task = self.running.get(scoped)
+        if task is None:
+            return self._recorded(self.ledger.records[scoped])
+        return await self._attach(task, submit)
+
+    async def _prove_never_ran(self, submit: Submit) -> None:
+        """Raise with outcome ``unknown`` unless it is certain that an unseen key never ran."""
+        now = SYSTEM_CLOCK.monotonic()
+        caller, key = submit.caller, submit.idempotency_key
+        try:
+            verdict = self.coverage.judge(caller, key, now)
+        except IssuedKeyError as exc:
+            raise refusal(str(exc), step='ledger', peer=self.target, code='bad_key') from None
+        if verdict.proof is Proof.NEVER_RAN:
+            return
+        if verdict.proof is Proof.EARLIER_HOME and verdict.earlier_homes:
+            scoped = f'{caller}|{key}'
+            given = await asyncio.gather(*(self.ask_home(home, scoped) for home in verdict.earlier_homes))
+            if all(given) and self.coverage.judge(caller, key, SYSTEM_CLOCK.monotonic()) == verdict:
+                return
+        raise self._unproved(verdict, now)
+
+    def _unproved(self, verdict: Verdict, now: float) -> RequestError:
+        return RequestError(
+            f'nobody can tell whether this key ran: {_REASONS[verdict.proof]}',
+            step='ledger',
+            peer=self.target,
+            outcome=Outcome.UNKNOWN,
+            status=HTTPStatus.SERVICE_UNAVAILABLE if verdict.settled_at else HTTPStatus.CONFLICT,
+            code=f'key_{verdict.proof.value}',
+            retry_after=max(1, math.ceil(verdict.settled_at - now)),
+        )
+
+    def _start(self, scoped: str, fingerprint: bytes, submit: Submit) -> None:
+        now = SYSTEM_CLOCK.monotonic()
+        expires_at = now + self.coverage.horizon_seconds
+        try:
+            self.ledger.admit(scoped, fingerprint, expires_at, now)
+        except LedgerFullError as exc:
+            raise RequestError(
+                'the home remembers as many keys as it can',
+                step='ledger',
+                peer=self.target,
+                code='ledger_full',
+                retry_after=max(1, math.ceil(exc.retry_at - now)),
+            ) from None
+        task = asyncio.create_task(self._run(scoped, expires_at, submit), name=f'keyed-{scoped}')
+        self.running[scoped] = task
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+    async def _run(self, scoped: str, expires_at: float, submit: Submit) -> Answer:
+        try:
+            answer = await self.run_call(submit, expires_at, lambda: self.ledger.dispatch(scoped))
+        except BaseException as exc:
+            self._fail(scoped, exc)
+            raise
+        finally:
+            self.running.pop(scoped, None)
+        self.ledger.answer(scoped, answer)
+        return answer
+
+    def _fail(self, scoped: str, failure: BaseException) -> None:
+        not_run = isinstance(failure, RequestError) and failure.outcome is Outcome.NOT_RUN
+        if not_run or self.ledger.records[scoped].state is RecordState.ADMITTED:
+            self.ledger.withdraw(scoped)
+        else:
+            self.ledger.lose(scoped)
+
+    async def _attach(self, task: asyncio.Task[Answer], submit: Submit) -> Answer:
+        deadline = deadline_from_unix_ms(submit.deadline_unix_ms)
+        done, _ = await asyncio.wait((task,), timeout=max(0, deadline - SYSTEM_CLOCK.monotonic()))
+        if done and not task.cancelled():
+            return task.result()
+        raise RequestError(
+            'the deadline passed while the call with this key was under way',
+            step='await_answer',
+            peer=self.target,
+            outcome=Outcome.UNKNOWN,
+            status=HTTPStatus.GATEWAY_TIMEOUT,
+            code='deadline_passed',
+            retry_after=1,
+        )
+
+    def _recorded(self, record: Record) -> Answer:
+        if record.answer is not None:
+            return record.answer
+        answered = record.state is RecordState.ANSWERED
+        raise RequestError(
+            'the call with this key was answered and its answer was too large to keep'
+            if answered
+            else 'the call with this key was dispatched and its answer is not known',
+            step='ledger',
+            peer=self.target,
+            outcome=Outcome.UNKNOWN,
+            status=HTTPStatus.CONFLICT,
+            code='answer_not_kept' if answered else 'answer_lost',
+            retry_after=max(1, math.ceil(record.expires_at - SYSTEM_CLOCK.monotonic())),
+        )
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -7,15 +7,18 @@
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
+from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.runs import run_request
 from tamarackfield.sidecar.scheduler import SlotState
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
+    AskKey,
     Cancel,
     Credit,
     Draining,
     Hello,
+    KeyGiven,
     LoadReport,
     Message,
     PeerStream,
@@ -26,6 +29,8 @@
 
 #: Seconds between two load reports to an entry.
 REPORT_INTERVAL = 0.1
+#: Seconds between two epochs for issuing keys.
+EPOCH_INTERVAL = 1.0
 _MS_PER_SECOND = 1000
 
 #: Running requests of one stream by their number.
@@ -67,7 +72,7 @@
         self.streams.add(stream)
         if self.draining:
             stream.send(Draining(self.draining))
-        beats = asyncio.gather(stream.beat(), self._report(stream))
+        beats = asyncio.gather(stream.beat(), self._report(stream), self._send_epochs(stream))
         try:
             while True:
                 self._take(await stream.receive(), stream, mine)
@@ -89,8 +94,8 @@
 
     async def wait_idle(self) -> None:
         """Wait until no request runs."""
-        while self.runs:
-            await asyncio.wait(self.runs)
+        while self.runs or self.target.keyed.running:
+            await asyncio.wait({*self.runs, *self.target.keyed.running.values()})
 
     def report(self) -> LoadReport:
         """Return the state of the target as of now."""
@@ -121,6 +126,12 @@
                 return
             await asyncio.sleep(REPORT_INTERVAL)
 
+    async def _send_epochs(self, stream: PeerStream) -> None:
+        while not stream.closed:
+            with contextlib.suppress(StreamClosedError, PeerBusyError):
+                stream.send(self.target.keyed.epoch())
+            await asyncio.sleep(EPOCH_INTERVAL)
+
     def _take(self, message: Message, stream: PeerStream, mine: Runs) -> None:
         match message:
             case Submit():
@@ -133,17 +144,26 @@
                 run = mine.get(request_id)
                 if run is not None:
                     run[0].cancel()
+            case AskKey(key, holder):
+                stream.send(KeyGiven(key, self.target.keyed.hand_over(key, holder)))
             case Hello():
                 logger.bind(peer=stream.peer).warning('second_hello')
 
+    def _draining_outcome(self, submit: Submit) -> Outcome | None:
+        if not self.draining:
+            return None
+        return self.target.keyed.draining_outcome(submit) if submit.idempotency_key else Outcome.NOT_RUN
+
     def _submit(self, submit: Submit, stream: PeerStream, mine: Runs) -> None:
         reply = Reply(stream, submit.request_id, submit.credit)
-        if self.draining:
+        outcome = self._draining_outcome(submit)
+        if outcome is not None:
             reply.fail(
                 RequestError(
                     f'the target takes no new work: {self.draining}',
                     step='admission',
                     peer=self.target.name,
+                    outcome=outcome,
                     code='draining',
                     retry_after=1,
                 ),
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -6,7 +6,6 @@
 from tamarackfield.core import SYSTEM_CLOCK, RequestError
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.echo import EventStream, check_echo
-from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.scheduler import Job
 from tamarackfield.sidecar.target import (
@@ -40,7 +39,7 @@
     """
     try:
         if submit.idempotency_key:
-            await run_keyed(target, submit, reply)
+            await target.keyed.run(submit, reply)
         else:
             await _run_once(target, submit, reply)
     except RequestError as exc:
--- a/tamarackfield/sidecar/target.py
+++ b/tamarackfield/sidecar/target.py
@@ -7,7 +7,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
 from tamarackfield.core.outcome import Outcome
-from tamarackfield.ledger import Ledger
+from tamarackfield.sidecar.keyed import KeyedCalls
 from tamarackfield.sidecar.scheduler import Job
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, ClientResponse, open_request
@@ -25,8 +25,7 @@
     name: str
     address: tuple[str, int]
     worker: TargetWorker
-    ledger: Ledger
-    horizon_seconds: int
+    keyed: KeyedCalls
 
 
 def open_target(
--- a/tamarackfield/testing/cluster.py
+++ b/tamarackfield/testing/cluster.py
@@ -9,12 +9,11 @@
 from typing import Any
 
 from tamarackfield.bundle import generate_key, hash_key, publish
+from tamarackfield.testing.operators import OPERATOR_TOKEN, declare_first_start
 from tamarackfield.testing.ports import reserve_port
 from tamarackfield.testing.processes import HOST, ManagedProcess, call_json, wait_until
 from tamarackfield.wire.security import PLAINTEXT
 
-#: Key with which operators may give commands to processes of a test cluster.
-OPERATOR_TOKEN = 'operator-token'
 MODEL = 'base'
 
 
@@ -115,6 +114,7 @@
         others = [name for name in self.processes if name != 'configuration']
         await asyncio.gather(*(self.processes[name].start() for name in others))
         await asyncio.gather(*(self.processes[name].wait_ready() for name in others))
+        await declare_first_start(self.ports, self.document['targets'])
         await self.wait_links()
 
     async def stop(self) -> None:
--- /dev/null
+++ b/tamarackfield/testing/tests/test_at_most_once.py
@@ -0,0 +1,279 @@
+"""Non-idempotent calls run at most once, with real processes; the service's own count per key is the witness."""
+
+import asyncio
+import functools
+import itertools
+import json
+from dataclasses import dataclass
+
+import pytest
+
+from tamarackfield.policy import home_target
+from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
+from tamarackfield.testing.processes import HOST, wait_until
+from tamarackfield.web import fetch
+
+HOMES = ('booking-1', 'booking-2')
+HORIZON_SECONDS = 120
+LONG_RUN_SECONDS = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller was told."""
+
+    status: int
+    document: dict
+
+    @property
+    def outcome(self):
+        return self.document.get('error', {}).get('outcome', 'answered')
+
+    @property
+    def code(self):
+        return self.document.get('error', {}).get('code', '')
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    """Run two entries and two homes behind fault proxies."""
+    targets = [TargetSpec(name, kind='service', proxied=True) for name in HOMES]
+    bundle = make_bundle(('clinic',), (), at_most_once_horizon_seconds=HORIZON_SECONDS)
+    async with Cluster(tmp_path, targets, entries=2, bundle=bundle) as running:
+        yield running
+
+
+def key_for(home, homes=HOMES, prefix='pit'):
+    """Return a key chosen by the caller whose home is the given target."""
+    keys = (f'{prefix}-{number}' for number in itertools.count())
+    return next(key for key in keys if home_target(f'clinic|{key}', homes) == home)
+
+
+async def call(cluster, method, path, *, entry=0, body=b'{}', headers=()):
+    """Make one call as the caller and return what it was told."""
+    all_headers = [('Authorization', 'Bearer key-clinic'), *headers]
+    port = cluster.ports[cluster.entry_names[entry]]
+    status, _, answer = await fetch((HOST, port), method, path, body, all_headers)
+    return Reply(status, json.loads(answer))
+
+
+async def book(cluster, key, *, entry=0, body=b'{}', headers=()):
+    """Make one booking with a key."""
+    keyed = [('Idempotency-Key', key), *headers]
+    return await call(cluster, 'POST', '/services/booking/bookings', entry=entry, body=body, headers=keyed)
+
+
+async def runs(cluster, key):
+    """Return how often a key ran over all targets."""
+    witnesses = [await cluster.control(home) for home in HOMES if home in cluster.processes]
+    return sum(witness['ran'].get(f'clinic|{key}', 0) for witness in witnesses)
+
+
+async def wait_runs(cluster, key):
+    """Wait until a key's run has begun."""
+    await wait_until(functools.partial(runs, cluster, key), f'{key} runs')
+
+
+async def restart_home(cluster, home):
+    """Kill a home's sidecar, start it again and wait until the entries may use it."""
+    await cluster.restart(f'{home}-sidecar')
+    await cluster.wait_links()
+
+
+async def test_same_key_through_two_entries_at_once_runs_once(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    replies = await asyncio.gather(*(book(cluster, key, entry=number % 2) for number in range(6)))
+    assert {reply.status for reply in replies} == {200}
+    assert len({json.dumps(reply.document) for reply in replies}) == 1
+    assert await runs(cluster, key) == 1
+
+
+async def test_retry_after_the_caller_went_away_gets_the_first_answer(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    first = asyncio.create_task(book(cluster, key))
+    await wait_runs(cluster, key)
+    first.cancel()
+    again = await book(cluster, key, entry=1)
+    assert (again.status, again.document['run']) == (200, 1)
+    assert await runs(cluster, key) == 1
+
+
+async def test_key_with_another_body_is_refused(cluster):
+    key = key_for(HOMES[0])
+    assert (await book(cluster, key, body=b'{"slot":1}')).status == 200
+    other = await book(cluster, key, entry=1, body=b'{"slot":2}')
+    assert (other.status, other.code) == (422, 'key_reused')
+    assert await runs(cluster, key) == 1
+
+
+async def test_broken_stream_is_reattached_by_key(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    first = asyncio.create_task(book(cluster, key))
+    await wait_runs(cluster, key)
+    await cluster.control(f'{home}-proxy', mode='cut')
+    await cluster.control(f'{home}-proxy', mode='pass')
+    reply = await first
+    assert (reply.status, reply.document['run']) == (200, 1)
+    assert await runs(cluster, key) == 1
+
+
+async def test_home_killed_before_dispatch(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(f'{home}-proxy', mode='freeze_up')
+    first = asyncio.create_task(book(cluster, key))
+    await wait_until(functools.partial(outstanding, cluster, home), 'the call waits at the entry')
+    await cluster.processes[f'{home}-sidecar'].kill()
+    await cluster.control(f'{home}-proxy', mode='pass')
+    await cluster.start_one(f'{home}-sidecar')
+    assert (await first).outcome == 'unknown'
+    again = await book(cluster, key, entry=1)
+    assert again.outcome == 'unknown'
+    assert await runs(cluster, key) == 0
+
+
+async def outstanding(cluster, home):
+    """Return the number of calls that an entry has under way at a home."""
+    status = await cluster.status('entry-1')
+    return status['targets'][home]['outstanding']
+
+
+async def test_home_killed_between_dispatch_and_answer(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    first = asyncio.create_task(book(cluster, key))
+    await wait_runs(cluster, key)
+    await restart_home(cluster, home)
+    assert (await first).outcome == 'unknown'
+    for entry in (0, 1):
+        again = await book(cluster, key, entry=entry)
+        assert again.outcome == 'unknown'
+        assert again.document['error']['retry_after'] > 0
+    assert await runs(cluster, key) == 1
+
+
+@pytest.mark.parametrize('entries_too', [False, True])
+async def test_home_killed_after_the_answer(cluster, entries_too):
+    key = key_for(HOMES[0])
+    assert (await book(cluster, key)).status == 200
+    if entries_too:
+        await asyncio.gather(*(cluster.restart(name) for name in cluster.entry_names))
+    await restart_home(cluster, HOMES[0])
+    again = await book(cluster, key, entry=1)
+    assert again.outcome == 'unknown'
+    assert await runs(cluster, key) == 1
+
+
+async def test_partition_between_entries_and_home(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    assert (await book(cluster, key)).status == 200
+    await cluster.control(f'{home}-proxy', mode='cut')
+    away = await book(cluster, key)
+    assert away.outcome == 'unknown'
+    assert away.document['error']['retry_after'] > 0
+    await cluster.control(f'{home}-proxy', mode='pass')
+    await cluster.wait_links()
+    again = await book(cluster, key, entry=1)
+    assert (again.status, again.document['run']) == (200, 1)
+    assert await runs(cluster, key) == 1
+
+
+async def test_home_moved_by_a_bundle_between_two_tries(cluster):
+    ran, fresh, later = (key_for(HOMES[0], prefix=prefix) for prefix in ('ran', 'fresh', 'later'))
+    assert (await book(cluster, ran)).status == 200
+    cluster.document['targets'].pop(HOMES[0])
+    await cluster.publish()
+    await cluster.wait_links()
+    await wait_until(functools.partial(has_bundle, cluster, f'{HOMES[0]}-sidecar', 2), 'the old home knows')
+    await wait_until(functools.partial(has_bundle, cluster, f'{HOMES[1]}-sidecar', 2), 'the new home knows')
+    assert (await book(cluster, ran)).outcome == 'unknown'
+    moved = await asyncio.gather(book(cluster, fresh), book(cluster, fresh, entry=1))
+    assert [reply.status for reply in moved] == [200, 200], 'the old home gives a key that it never saw'
+    await cluster.processes[f'{HOMES[0]}-sidecar'].kill()
+    assert (await book(cluster, later)).code == 'key_earlier_home'
+    assert [await runs(cluster, key) for key in (ran, fresh, later)] == [1, 1, 0]
+
+
+async def has_bundle(cluster, name, number):
+    """Tell whether a process has a bundle in force."""
+    status = await cluster.status(name)
+    return status['bundle'] == number
+
+
+async def issue(cluster, entry=0):
+    """Return a key issued by an entry."""
+    reply = await call(cluster, 'POST', '/v1/idempotency-keys', entry=entry, body=b'{"service":"booking"}')
+    assert reply.status == 201
+    return reply.document['key']
+
+
+async def test_issued_keys_run_right_after_every_process_was_restarted(cluster):
+    old, unused = await issue(cluster), await issue(cluster)
+    assert (await book(cluster, old, entry=1)).status == 200
+    sidecars = [f'{home}-sidecar' for home in HOMES]
+    await asyncio.gather(*(cluster.restart(name) for name in (*cluster.entry_names, *sidecars)))
+    await cluster.wait_links()
+    fresh = await wait_until(functools.partial(try_issue, cluster), 'a key is issued')
+    for _ in range(2):
+        assert (await book(cluster, fresh, entry=1)).status == 200
+    assert (await book(cluster, old)).code == 'key_earlier_incarnation'
+    assert (await book(cluster, unused)).outcome == 'unknown'
+    assert [await runs(cluster, key) for key in (old, unused, fresh)] == [1, 0, 1]
+
+
+async def try_issue(cluster):
+    """Return an issued key, or nothing while no home can be reached."""
+    reply = await call(cluster, 'POST', '/v1/idempotency-keys', body=b'{"service":"booking"}')
+    return reply.document.get('key')
+
+
+async def test_malformed_issued_key_is_refused(cluster):
+    reply = await book(cluster, 'home:booking-1:zz')
+    assert (reply.status, reply.outcome) == (400, 'not_run')
+
+
+async def test_graceful_stop_of_a_home_finishes_a_call_whose_caller_is_gone(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    first = asyncio.create_task(book(cluster, key))
+    await wait_runs(cluster, key)
+    first.cancel()
+    stopping = asyncio.create_task(cluster.processes[f'{home}-sidecar'].terminate())
+    again = await book(cluster, key, entry=1)
+    assert (again.status, again.document['run']) == (200, 1)
+    assert await stopping == 0
+
+
+async def test_retries_with_the_configuration_service_down(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.processes['configuration'].kill()
+    await cluster.control(home, delay=LONG_RUN_SECONDS)
+    replies = await asyncio.gather(book(cluster, key), book(cluster, key, entry=1))
+    assert [reply.status for reply in replies] == [200, 200]
+    await cluster.control(f'{home}-proxy', mode='cut')
+    await cluster.control(f'{home}-proxy', mode='pass')
+    await cluster.wait_links()
+    assert (await book(cluster, key, entry=1)).status == 200
+    assert await runs(cluster, key) == 1
+
+
+async def test_target_that_dies_in_a_run_leaves_it_unknown(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.control(home, die_after=True)
+    assert (await book(cluster, key)).outcome == 'unknown'
+    await cluster.restart(home)
+    again = await book(cluster, key, entry=1)
+    assert again.outcome == 'unknown'
+    assert await runs(cluster, key) == 0, 'the new run of the service must not see the key'
+
+
+async def test_target_that_cannot_be_reached_is_tried_again(cluster):
+    home, key = HOMES[0], key_for(HOMES[0])
+    await cluster.processes[home].kill()
+    refused = await book(cluster, key)
+    assert refused.outcome == 'not_run'
+    await cluster.start_one(home)
+    assert (await book(cluster, key, entry=1)).status == 200
+    assert await runs(cluster, key) == 1
--- a/tamarackfield/wire/__init__.py
+++ b/tamarackfield/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackfield.wire.codec import FrameDecoder, FrameError, encode
 from tamarackfield.wire.messages import (
+    AskKey,
     Cancel,
     Chunk,
     Credit,
@@ -11,6 +12,8 @@
     Head,
     Heartbeat,
     Hello,
+    KeyEpoch,
+    KeyGiven,
     LoadReport,
     Message,
     Submit,
@@ -19,6 +22,7 @@
 from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
 
 __all__ = [
+    'AskKey',
     'Cancel',
     'Chunk',
     'Credit',
@@ -30,6 +34,8 @@
     'Head',
     'Heartbeat',
     'Hello',
+    'KeyEpoch',
+    'KeyGiven',
     'LoadReport',
     'Message',
     'PeerStream',
--- a/tamarackfield/wire/messages.py
+++ b/tamarackfield/wire/messages.py
@@ -154,6 +154,36 @@
     service_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeyEpoch(Message):
+    """A sidecar's incarnation and its age in milliseconds, for issuing idempotency keys."""
+
+    kind = 20
+    incarnation: int
+    uptime_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskKey(Message):
+    """The new home of a key asks an earlier home for the right to run it.
+
+    ``key`` is the caller and the idempotency key; ``holder`` names the asking incarnation.
+    """
+
+    kind = 21
+    key: str
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyGiven(Message):
+    """Answer to `AskKey`: whether the key never ran at the sender and never will."""
+
+    kind = 22
+    key: str
+    given: bool
+
+
 #: Message types by kind.
 MESSAGE_TYPES = {
     message_type.kind: message_type
@@ -169,5 +199,8 @@
         Fail,
         Draining,
         LoadReport,
+        KeyEpoch,
+        AskKey,
+        KeyGiven,
     )
 }
