--- a/tamarackfield/bundle/acceptance.py
+++ b/tamarackfield/bundle/acceptance.py
@@ -1,12 +1,12 @@
 """Which bundle is in force in this process: it only ever goes forward."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections import ChainMap
+from collections.abc import Mapping, Sequence
 
 from tamarackfield.bundle.content import ContentChecker
 from tamarackfield.bundle.delta import Release
 from tamarackfield.bundle.model import Bundle
-from tamarackfield.bundle.shards import manifest_digests
 from tamarackfield.bundle.signing import Envelope, SignatureError, open_envelope
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.settings import format_problems
@@ -35,11 +35,19 @@
     def __init__(self, trusted_keys: frozenset[str]) -> None:
         """Start without a bundle."""
         self.trusted_keys = trusted_keys
-        self.bundle: Bundle | None = None
-        self.release: Release | None = None
         self.checker = ContentChecker()
         self.rotations: list[bytes] = []
 
+    @property
+    def bundle(self) -> Bundle | None:
+        """The bundle in force, None before the first."""
+        return self.checker.bundle
+
+    @property
+    def release(self) -> Release | None:
+        """Its envelope and shards, None before the first."""
+        return self.checker.release
+
     @property
     def number(self) -> int:
         """Number of the bundle in force; 0 before the first."""
@@ -74,7 +82,7 @@
         number = envelope.manifest.get('number')
         if not isinstance(number, int):
             raise BundleRefusedError('manifest has no number', step='examine')
-        if self.bundle is None or number > self.bundle.number:
+        if number > self.number or self.bundle is None:
             return envelope
         if number < self.bundle.number:
             raise BundleRefusedError(f'bundle {number} is older than {self.number} in force', step='examine')
@@ -82,7 +90,7 @@
             raise BundleConflictError(f'two bundles have the number {number}', step='examine')
         return None
 
-    def accept(self, envelope: Envelope, shards: dict[str, bytes]) -> Bundle:
+    def accept(self, envelope: Envelope, shards: Mapping[str, bytes]) -> Bundle:
         """Put a bundle in force, whole or not at all.
 
         Parameters
@@ -90,7 +98,7 @@
         envelope : Envelope
             As returned by `examine`.
         shards : dict
-            Content of each shard by SHA-256.
+            Content of the shards that are not in force already, by SHA-256.
 
         Returns
         -------
@@ -107,13 +115,11 @@
         number = envelope.manifest['number']
         if number <= self.number:
             raise BundleRefusedError(f'bundle {number} is not newer than {self.number}', step='accept')
-        bundle, problems = self.checker.check(envelope, shards)
-        if bundle is None:
+        problems = self.checker.check(envelope, ChainMap(shards, {} if self.release is None else self.release.shards))
+        if problems:
             raise BundleRefusedError(format_problems(problems), step='validate')
-        self.bundle = bundle
-        self.release = Release(envelope, {digest: shards[digest] for digest in manifest_digests(envelope.manifest)})
         self._rotate(envelope)
-        return bundle
+        return self.bundle
 
     def _rotate(self, envelope: Envelope) -> None:
         self.rotations.extend(envelope.rotations)
--- a/tamarackfield/bundle/delta.py
+++ b/tamarackfield/bundle/delta.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tamarackfield.bundle.packed import PackedShards
 from tamarackfield.bundle.shards import ShardError, decode_shard, encode_shard, shard_listing
 from tamarackfield.bundle.signing import Envelope, encode_envelope, encode_payload
 from tamarackfield.bundle.table import bucket_of
@@ -21,7 +22,7 @@
     """One number of the bundle: the envelope and the content of its shards by SHA-256."""
 
     envelope: Envelope
-    shards: dict[str, bytes]
+    shards: PackedShards
 
     @property
     def listing(self) -> dict[str, list[dict[str, Any]]]:
@@ -91,7 +92,7 @@
     Returns
     -------
     tuple of bytes and dict
-        An envelope whose signature is still to be checked, and the shards that fit it.
+        An envelope whose signature is still to be checked, and the shards that the old release lacks.
 
     Raises
     ------
@@ -101,14 +102,14 @@
     try:
         delta = json.loads(encoded)
         listing = {name: list(shards) for name, shards in old.listing.items()}
-        shards = dict(old.shards)
+        shards: dict[str, bytes] = {}
         for section, changes in delta['sections'].items():
             _change_section(old, section, changes, listing[section], shards)
         manifest = {'number': delta['number'], 'signing_keys': delta['signing_keys'], 'shards': listing}
         envelope = encode_envelope(encode_payload(manifest), delta['signature'], delta['public_key'])
     except _MALFORMED as exc:
         raise ShardError(f'delta is malformed: {exc!r}', step='apply_delta') from None
-    return envelope, {shard['sha256']: shards[shard['sha256']] for part in listing.values() for shard in part}
+    return envelope, shards
 
 
 def _change_section(
--- a/tamarackfield/bundle/shards.py
+++ b/tamarackfield/bundle/shards.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -100,7 +101,7 @@
         raise ShardError(f'manifest is malformed: {exc!r}', step='read_manifest') from None
 
 
-def join_shards(manifest: dict[str, Any], shards: dict[str, bytes]) -> dict[str, Any]:
+def join_shards(manifest: dict[str, Any], shards: Mapping[str, bytes]) -> dict[str, Any]:
     """Put a bundle together again.
 
     Parameters
@@ -133,7 +134,7 @@
     return document
 
 
-def check_shard(digest: str, shards: dict[str, bytes]) -> bytes:
+def check_shard(digest: str, shards: Mapping[str, bytes]) -> bytes:
     """Return the content of a shard whose hash was checked.
 
     Raises
--- a/tamarackfield/bundle/table.py
+++ b/tamarackfield/bundle/table.py
@@ -1,4 +1,4 @@
-"""Adapters of a bundle, kept as the bytes of their shards and decoded on demand.
+"""Adapters of a bundle, kept in the compressed shards and decoded on demand.
 
 Most adapters are idle, so a process that decoded all of them would hold many times the memory
 that it needs.
@@ -27,8 +27,10 @@
 
     Parameters
     ----------
-    shards : tuple of bytes
-        Content of the section's shards in the order of their buckets.
+    digests : tuple of str
+        SHA-256 of the section's shards in the order of their buckets.
+    shards : mapping
+        Content of the shards.
     size : int
         Number of entries in all shards.
     decode : callable
@@ -36,13 +38,14 @@
 
     Examples
     --------
-    >>> table = ShardTable((b'{"a":{"x":1}}',), 1, lambda name, entry: entry['x'])
+    >>> table = ShardTable(('d',), {'d': b'{"a":{"x":1}}'}, 1, lambda name, entry: entry['x'])
     >>> table['a'], 'b' in table, len(table)
     (1, False, 1)
     """
 
-    def __init__(self, shards: tuple[bytes, ...], size: int, decode: Decode) -> None:
-        """Keep the bytes; nothing is decoded yet."""
+    def __init__(self, digests: tuple[str, ...], shards: Mapping[str, bytes], size: int, decode: Decode) -> None:
+        """Keep the shards; nothing is decoded yet."""
+        self.digests = digests
         self.shards = shards
         self.size = size
         self.decode = decode
@@ -60,15 +63,15 @@
 
     def __iter__(self) -> Iterator[str]:
         """Iterate over all names, one shard at a time."""
-        for content in self.shards:
-            yield from json.loads(content)
+        for digest in self.digests:
+            yield from json.loads(self.shards[digest])
 
     def __len__(self) -> int:
         """Return the number of entries."""
         return self.size
 
     def _find(self, name: str) -> Any:
-        content = self.shards[bucket_of(name, len(self.shards))]
+        content = self.shards[self.digests[bucket_of(name, len(self.digests))]]
         if json.dumps(name).encode() not in content:
             raise KeyError(name)
         return self.decode(name, json.loads(content)[name])
--- a/tamarackfield/discovery/spreading.py
+++ b/tamarackfield/discovery/spreading.py
@@ -1,6 +1,5 @@
 """Spreads bundles between peers: pushed deltas, offers of the number in force, shards by hash."""
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -162,9 +161,7 @@
         fetch = self.fetch
         if fetch is None or fetch.neighbour is not neighbour or shard.digest.hex() not in fetch.missing:
             return
-        if hashlib.sha256(shard.content).digest() != shard.digest:
-            self.store.count('bundles_refused')
-            self.store.record('shard_refused', digest=shard.digest.hex(), source=neighbour.stream.peer)
+        if not self.store.receive(fetch.envelope, shard.digest.hex(), shard.content, neighbour.stream.peer):
             neighbour.stream.abort()
             return
         fetch.shards[shard.digest.hex()] = shard.content
--- a/tamarackfield/discovery/store.py
+++ b/tamarackfield/discovery/store.py
@@ -1,6 +1,6 @@
 """The bundle in force in this process, with the deltas that led to it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
@@ -58,7 +58,7 @@
         return b'' if release is None else bytes.fromhex(release.envelope.digest)
 
     @property
-    def shards(self) -> dict[str, bytes]:
+    def shards(self) -> Mapping[str, bytes]:
         """Shards in force by SHA-256 in hex."""
         release = self.acceptance.release
         return {} if release is None else release.shards
@@ -81,6 +81,16 @@
         """
         return [digest for digest in manifest_digests(envelope.manifest) if digest not in self.shards]
 
+    def receive(self, envelope: Envelope, digest: str, content: bytes, source: str) -> bool:
+        """Check a shard of a newer bundle and tell whether it is good."""
+        try:
+            self.acceptance.checker.receive(envelope, digest, content)
+        except TamarackfieldError as exc:
+            self.count('bundles_refused')
+            self.record('shard_refused', digest=digest, error=exc.message, source=source)
+            return False
+        return True
+
     def put(self, envelope: Envelope, shards: dict[str, bytes], source: str, delta: bytes | None = None) -> bool:
         """Put a bundle in force, whole or not at all, and tell whether it is.
 
@@ -99,7 +109,7 @@
         if envelope.manifest['number'] <= self.number:
             return before is not None and envelope.digest == before.envelope.digest
         try:
-            bundle = self.acceptance.accept(envelope, {**self.shards, **shards})
+            bundle = self.acceptance.accept(envelope, shards)
         except TamarackfieldError as exc:
             self._refuse(exc, source)
             return False
--- a/tamarackfield/discovery/watcher.py
+++ b/tamarackfield/discovery/watcher.py
@@ -77,11 +77,13 @@
             release = self.store.acceptance.release
             return release is not None and release.envelope.encoded == encoded
         shards = await self._read_shards(envelope)
-        return self.store.put(envelope, shards, SERVICE_SOURCE)
+        return shards is not None and self.store.put(envelope, shards, SERVICE_SOURCE)
 
-    async def _read_shards(self, envelope: Envelope) -> dict[str, bytes]:
+    async def _read_shards(self, envelope: Envelope) -> dict[str, bytes] | None:
         shards = {}
         for digest in self.store.missing(envelope):
             content, _ = await self.client.read(shard_path(digest))
+            if not self.store.receive(envelope, digest, content, SERVICE_SOURCE):
+                return None
             shards[digest] = content
         return shards
