--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -1,6 +1,7 @@
 """One stream to a peer: framing, hello, heartbeats and bounded buffering."""
 
 import asyncio
+import contextlib
 import ssl
 from collections import deque
 
@@ -46,6 +47,7 @@
         self.writer = writer
         self.decoder = FrameDecoder()
         self.received: deque[Message] = deque()
+        self.outgoing: list[bytes] = []
         self.hello: Hello | None = None
         self.closed = False
         self.silent = False
@@ -72,7 +74,15 @@
             raise PeerBusyError('peer does not read', step='send', peer=self.peer)
         frame = encode(message)
         self.bytes_sent += len(frame)
-        self.writer.write(frame)
+        if not self.outgoing:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self.outgoing.append(frame)
+
+    def flush(self) -> None:
+        """Write the messages queued in this turn of the event loop in one call."""
+        if self.outgoing and not self.writer.is_closing():
+            self.writer.write(b''.join(self.outgoing))
+        self.outgoing.clear()
 
     async def receive(self) -> Message:
         """Return the next message; heartbeats are taken in on the way.
@@ -146,11 +156,19 @@
         """Close the stream; whatever waits to be sent is sent first if the peer reads."""
         if not self.closed:
             self.closed = True
+            self.flush()
             self.writer.close()
 
+    async def flush(self) -> None:
+        """Close the stream and wait until the peer has taken what was sent, or does not read."""
+        self.close()
+        with contextlib.suppress(OSError, TimeoutError):
+            await asyncio.wait_for(self.writer.wait_closed(), SILENCE_TIMEOUT)
+
     def abort(self) -> None:
         """Close the stream at once and drop what waits to be sent."""
         self.closed = True
+        self.outgoing.clear()
         self.writer.transport.abort()
 
     async def _fill(self) -> None:
