--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -158,7 +158,7 @@
             self.peers.drain('shutdown')
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
-                await stream.flush()
+                await stream.finish()
         if self.server is not None:
             self.server.close()
         await self.operations.server.shutdown()
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -159,7 +159,7 @@
             self.flush()
             self.writer.close()
 
-    async def flush(self) -> None:
+    async def finish(self) -> None:
         """Close the stream and wait until the peer has taken what was sent, or does not read."""
         self.close()
         with contextlib.suppress(OSError, TimeoutError):
