--- a/tamarackfield/discovery/follower.py
+++ b/tamarackfield/discovery/follower.py
@@ -87,6 +87,7 @@
         self.spreader = Spreader(self.store, lambda: self.mesh.neighbours)
         self.election: WatchElection | None = None
         self.store.listeners.append(self._announce)
+        application.on_stop(self.mesh.stop)
 
     @property
     def bundle(self) -> Bundle | None:
--- a/tamarackfield/discovery/mesh.py
+++ b/tamarackfield/discovery/mesh.py
@@ -27,6 +27,8 @@
 #: Seconds between two looks at the outgoing streams, and between two samples to a peer.
 LINK_INTERVAL = 0.2
 SAMPLE_INTERVAL = 5.0
+#: Longest wait for the tasks of accepted streams at the end, in seconds.
+CLOSE_TIMEOUT = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -98,7 +100,8 @@
         self.handlers = handlers
         self.neighbours: set[Neighbour] = set()
         self.dialled: dict[str, str] = {}
-        self.incoming = 0
+        self.server: asyncio.Server | None = None
+        self.accepted: dict[PeerStream, asyncio.Task[None] | None] = {}
         self.closed_bytes = [0, 0]
 
     def traffic(self) -> tuple[int, int]:
@@ -109,7 +112,17 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Accept peers."""
-        await asyncio.start_server(self.accept, host, port, ssl=self.identity.server_context)
+        self.server = await asyncio.start_server(self.accept, host, port, ssl=self.identity.server_context)
+
+    async def stop(self) -> None:
+        """Accept no more peers and close the streams that were accepted."""
+        if self.server is not None:
+            self.server.close()
+        tasks = list(self.accepted.values())
+        for stream in self.accepted:
+            stream.abort()
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT)
 
     async def run(self) -> None:
         """Keep up the outgoing streams, for ever."""
@@ -133,13 +146,13 @@
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one incoming stream until it closes."""
         stream = PeerStream(reader, writer)
-        self.incoming += 1
+        self.accepted[stream] = asyncio.current_task()
         try:
             await self._serve(stream, '')
         except TamarackfieldError as exc:
             logger.bind(peer=stream.peer, step=exc.step, error=exc.message).debug('mesh_stream_closed')
         finally:
-            self.incoming -= 1
+            self.accepted.pop(stream)
             stream.close()
 
     async def _dial(self, address: str) -> None:
@@ -164,7 +177,7 @@
     async def _serve(self, stream: PeerStream, address: str) -> None:
         hello = await stream.greet(self.identity.hello())
         stream.send(PeerSample(self.book.own, self.book.sample()))
-        if self.incoming > MAX_INCOMING and not address:
+        if len(self.accepted) > MAX_INCOMING and not address:
             return
         neighbour = Neighbour(stream, address, hello.zone)
         if address:
