--- a/tamarackfield/discovery/__init__.py
+++ b/tamarackfield/discovery/__init__.py
@@ -2,5 +2,6 @@
 
 from tamarackfield.discovery.configuration import ConfigurationClient, ConfigurationError
 from tamarackfield.discovery.follower import BundleFollower
+from tamarackfield.discovery.instances import InstanceReader, Sighting
 
-__all__ = ['BundleFollower', 'ConfigurationClient', 'ConfigurationError']
+__all__ = ['BundleFollower', 'ConfigurationClient', 'ConfigurationError', 'InstanceReader', 'Sighting']
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -6,7 +6,7 @@
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA
-from tamarackfield.discovery import BundleFollower
+from tamarackfield.discovery import BundleFollower, InstanceReader
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
@@ -40,6 +40,12 @@
         self.follower = BundleFollower(settings, self.application, self._hello, self.audit.record, self.metrics.count)
         self.context = client_context(settings['peer_security'])
         self.fleet = Fleet(self.application, self._make_link)
+        self.instances = InstanceReader(
+            settings['instance_list'],
+            self.fleet.sightings,
+            self.fleet.write_off,
+            self.audit.record,
+        )
         relay = Relay(self.fleet, settings['zone'], self.metrics)
         self.interface = CallerInterface(lambda: self.follower.bundle, relay, self.is_ready, self.metrics)
         self.server = HttpServer(self.interface.handle, self.interface.on_error, HttpLimits(**settings['http']))
@@ -70,6 +76,8 @@
             'busy': len(self.server.busy),
             'connections': len(self.server.busy) + len(self.server.idle),
             'buffered_bytes': self.server.budget.held,
+            'written_off': sorted(self.fleet.written_off),
+            'listed_as_leaving': len(self.instances.state.marks),
             'targets': {
                 name: {'usable': link.usable, 'draining': link.draining, 'outstanding': len(link.exchanges)}
                 for name, link in self.fleet.links.items()
@@ -83,6 +91,8 @@
         await self.server.listen(self.settings['listen']['host'], self.settings['listen']['port'])
         self.follower.on_bundle(self._apply)
         await self.follower.start()
+        if self.settings['instance_list']:
+            self.application.spawn(self.instances.run(), 'instance-list')
 
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -7,6 +7,7 @@
 
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import Application, RequestError
+from tamarackfield.discovery import Sighting
 from tamarackfield.entry.links import Link
 from tamarackfield.policy import ROUTERS, Ring, Router, RoutingRequest, TargetView, Weights
 from tamarackfield.policy.routers import DEFAULT_ROUTER
@@ -72,7 +73,8 @@
     def _views(self, names: Iterable[str]) -> Iterator[TargetView]:
         for name in names:
             link = self.fleet.links.get(name)
-            if link is not None and link.usable and name in self.allowed and name not in self.tried:
+            usable = link is not None and link.usable and name not in self.fleet.written_off
+            if usable and name in self.allowed and name not in self.tried:
                 yield link.view()
 
 
@@ -98,6 +100,21 @@
         self.ring = Ring({})
         self.index = HolderIndex()
         self.rng = random.Random()
+        self.written_off: frozenset[str] = frozenset()
+
+    def sightings(self) -> dict[str, Sighting]:
+        """Return the address of each target and the incarnation of its sidecar."""
+        return {
+            name: Sighting(
+                f'{link.target.host}:{link.target.port}',
+                0 if link.stream is None or link.stream.hello is None else link.stream.hello.incarnation,
+            )
+            for name, link in self.links.items()
+        }
+
+    def write_off(self, names: frozenset[str]) -> None:
+        """Give these targets no new work, by the instance list."""
+        self.written_off = names
 
     def apply(self, bundle: Bundle) -> None:
         """Follow the targets and the policy of a bundle."""
--- a/tamarackfield/observe/settings.py
+++ b/tamarackfield/observe/settings.py
@@ -19,6 +19,12 @@
         'minItems': 1,
         'description': 'addresses of the configuration service, tried in order',
     },
+    'instance_list': {
+        'type': 'array',
+        'items': PEER_SCHEMA,
+        'default': [],
+        'description': "addresses of the platform's instance list, tried in order; none for no list",
+    },
     'trusted_keys': {
         'type': 'array',
         'items': {'type': 'string', 'minLength': 1},
--- a/tamarackfield/testing/cluster.py
+++ b/tamarackfield/testing/cluster.py
@@ -87,9 +87,9 @@
         self.public_key = public_key
         self.document: dict[str, Any] = {'number': 0, **bundle, 'targets': {}}
         self.peers: list[str] = []
-        self._add_standin('configuration', 'configuration', {})
+        self.add_standin('configuration', 'configuration', {})
         if weights is not None:
-            self._add_standin('weights', 'weights', weights)
+            self.add_standin('weights', 'weights', weights)
         for spec in targets:
             self._add_target(spec)
         self.entry_names = [f'entry-{index + 1}' for index in range(entries)]
@@ -177,7 +177,7 @@
             self.ports[name] = reserve_port()
         return self.ports[name]
 
-    def _add_standin(self, name: str, kind: str, options: dict[str, Any]) -> None:
+    def add_standin(self, name: str, kind: str, options: dict[str, Any]) -> None:
         port = self.port(name)
         settings = {'instance': name, 'listen': {'host': HOST, 'port': port}, **options}
         self.processes[name] = ManagedProcess(
@@ -193,7 +193,7 @@
         """Add a fault proxy before a port and return the address to use in place of it."""
         port = self.port(f'{name}-port')
         options = {'proxy': {'host': HOST, 'port': port}, 'upstream': upstream}
-        self._add_standin(name, 'proxy', options)
+        self.add_standin(name, 'proxy', options)
         return address(port)
 
     def _add_target(self, spec: TargetSpec) -> None:
@@ -202,7 +202,7 @@
             options.setdefault('weight_store', address(self.ports['weights']))
         if spec.kind == 'engine':
             options.setdefault('speed', spec.speed)
-        self._add_standin(spec.name, spec.kind, options)
+        self.add_standin(spec.name, spec.kind, options)
         target_address = address(self.ports[spec.name])
         if spec.engine_proxied:
             target_address = self.add_proxy(f'{spec.name}-engine-proxy', target_address)
