Name queue, eviction, admission and loading decisions in the bundle; make expected cost the default route

Unknown names in policy are refused by the bundle's schema. Fair queueing, least-frequently-used eviction, admission by deadline, a share of the load budget and a retry budget of a fifth of the traffic are selectable and not yet measured; their defaults stay as before, but for the retry budget, which is always on.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -23,12 +23,15 @@
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.processes import HOST
 
-#: Named sets of decision functions; anything else is read as ``routing=NAME,eviction=NAME``.
+_BASELINE = {'eviction': 'lru', 'queue': 'fifo', 'admission': 'all', 'loading': 'unpaced'}
+_FULL = {'routing': 'affine', 'eviction': 'lfu', 'queue': 'fair', 'admission': 'deadline', 'loading': 'share'}
+#: Named sets of decision functions; ``NAME,eviction=lfu`` changes one of a set.
 POLICIES: dict[str, dict[str, str]] = {
-    'round-robin': {'routing': 'round-robin', 'eviction': 'lru', 'queue': 'fifo'},
-    'least-outstanding': {'routing': 'least-outstanding', 'eviction': 'lru', 'queue': 'fifo'},
-    'affine': {'routing': 'affine', 'eviction': 'lru', 'queue': 'fifo'},
-    'resident-first': {'routing': 'resident-first', 'eviction': 'lru', 'queue': 'fifo'},
+    'round-robin': {**_BASELINE, 'routing': 'round-robin'},
+    'least-outstanding': {**_BASELINE, 'routing': 'least-outstanding'},
+    'resident-first': {**_BASELINE, 'routing': 'resident-first'},
+    'affine': {**_BASELINE, 'routing': 'affine'},
+    'full': _FULL,
 }
 LOADS = ('steady', 'crowd', 'burst', 'restart', 'failing-loads', 'slow-store', 'slow-target')
 _COUNTERS = ('steps', 'filled', 'loads', 'busy_ms')
@@ -48,15 +51,15 @@
 
 
 def parse_policy(text: str) -> dict[str, str]:
-    """Return the bundle's ``policy`` section for a name or a list of assignments.
+    """Return the bundle's ``policy`` section for a name and changes to it.
 
     Examples
     --------
-    >>> parse_policy('routing=round-robin,eviction=lru')
-    {'routing': 'round-robin', 'eviction': 'lru'}
+    >>> parse_policy('round-robin,eviction=lfu')['routing'], parse_policy('round-robin,eviction=lfu')['eviction']
+    ('round-robin', 'lfu')
     """
-    named = POLICIES.get(text)
-    return named or dict(assignment.split('=') for assignment in text.split(','))
+    name, *changes = text.split(',')
+    return {**POLICIES[name], **dict(change.split('=') for change in changes)}
 
 
 def build_cluster(directory: pathlib.Path, deployment: Deployment, policy: dict[str, str], statsd: int) -> Cluster:
@@ -219,7 +222,7 @@
     help='Measure a policy against a baseline on real processes; the first third of the trace is the warm-up.',
     params=[
         click.Option(['--deployment'], type=click.Choice(sorted(DEPLOYMENTS)), required=True),
-        click.Option(['--policy'], default='resident-first', help='Name, or routing=NAME,eviction=NAME.'),
+        click.Option(['--policy'], default='full', help='Name, or NAME,eviction=lfu.'),
         click.Option(['--baseline'], default='least-outstanding', help='As --policy.'),
         click.Option(['--seed'], type=int, default=1),
         click.Option(['--seconds'], type=float, default=30, help='Length of the trace.'),
--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -103,7 +103,14 @@
     'type': 'object',
     'default': {},
     'description': 'names of the decision functions, for measurement against baselines',
-    'additionalProperties': {'type': 'string'},
+    'additionalProperties': False,
+    'properties': {
+        'routing': {'enum': ['affine', 'least-outstanding', 'resident-first', 'round-robin']},
+        'eviction': {'enum': ['lfu', 'lru']},
+        'queue': {'enum': ['fair', 'fifo']},
+        'admission': {'enum': ['all', 'deadline']},
+        'loading': {'enum': ['share', 'unpaced']},
+    },
 }
 
 BUNDLE_SCHEMA = _closed(
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -11,7 +11,7 @@
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.links import Exchange
 from tamarackfield.observe import Metrics
-from tamarackfield.policy import RoutingRequest
+from tamarackfield.policy import RetryBudget, RoutingRequest
 from tamarackfield.web import Responder
 from tamarackfield.wire import Chunk, End, Fail, Head, Message, Submit
 
@@ -40,6 +40,7 @@
         self.fleet = fleet
         self.zone = zone
         self.metrics = metrics
+        self.retry_budget = RetryBudget()
 
     async def run(self, call: Call, responder: Responder) -> None:
         """Run a call and stream its answer.
@@ -50,6 +51,7 @@
             If no answer was started.
         """
         tried: set[str] = set()
+        self.retry_budget.earn()
         while True:
             try:
                 await self._attempt(call, responder, tried)
@@ -65,7 +67,8 @@
             return False
         if error.code in {'no_target', 'deadline_passed'}:
             return False
-        return error.outcome is Outcome.NOT_RUN or not call.idempotency_key
+        repeatable = error.outcome is Outcome.NOT_RUN or not call.idempotency_key
+        return repeatable and self.retry_budget.spend()
 
     async def _attempt(self, call: Call, responder: Responder, tried: set[str]) -> None:
         now = SYSTEM_CLOCK.monotonic()
--- a/tamarackfield/policy/routers.py
+++ b/tamarackfield/policy/routers.py
@@ -31,4 +31,4 @@
     'resident-first': lambda weights: make_resident_first(),
     'affine': make_affine,
 }
-DEFAULT_ROUTER = 'resident-first'
+DEFAULT_ROUTER = 'affine'
--- /dev/null
+++ b/tamarackfield/policy/tests/test_names.py
@@ -0,0 +1,26 @@
+"""The names that a bundle may use are those that have a decision function."""
+
+import pytest
+
+from tamarackfield.bundle import find_bundle_problems
+from tamarackfield.bundle.schema import POLICY_SCHEMA
+from tamarackfield.policy import ADMISSIONS, EVICTIONS, LOADINGS, QUEUE_ORDERS, ROUTERS
+
+REGISTRIES = {
+    'routing': ROUTERS,
+    'eviction': EVICTIONS,
+    'queue': QUEUE_ORDERS,
+    'admission': ADMISSIONS,
+    'loading': LOADINGS,
+}
+
+
+def test_schema_and_registries_name_the_same_functions():
+    named = {key: sorted(schema['enum']) for key, schema in POLICY_SCHEMA['properties'].items()}
+    assert named == {key: sorted(registry) for key, registry in REGISTRIES.items()}
+
+
+@pytest.mark.parametrize('policy', [{'routing': 'none-such'}, {'none-such': 'lru'}])
+def test_unknown_names_are_refused(policy):
+    document = {'number': 1, 'callers': {}, 'adapters': {}, 'targets': {}, 'policy': policy}
+    assert [problem.path for problem in find_bundle_problems(document)] != []
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -9,12 +9,9 @@
 from tamarackfield.discovery import BundleFollower, ConfigurationClient
 from tamarackfield.ledger import Ledger
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
-from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
-from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.engine import EngineClient
 from tamarackfield.sidecar.peers import PeerServer
-from tamarackfield.sidecar.scheduler import Scheduler
+from tamarackfield.sidecar.decisions import follow_bundle, make_scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Hello, server_context
@@ -109,8 +106,7 @@
             self.peers.drain('removed from the bundle')
             return
         scheduler = self.peers.target.worker.scheduler
-        scheduler.batch = entry.batch
-        scheduler.slots = entry.slots
+        follow_bundle(scheduler, bundle, entry)
 
     def _build(self, bundle: Bundle) -> None:
         name = self.settings['target']
@@ -119,12 +115,7 @@
             self.audit.record('target_unknown', target=name)
             return
         address = split_address(self.settings['target_address'])
-        scheduler = Scheduler(
-            entry.slots,
-            entry.batch,
-            EVICTIONS[bundle.policy.get('eviction', DEFAULT_EVICTION)],
-            QUEUE_ORDERS[bundle.policy.get('queue', DEFAULT_QUEUE_ORDER)],
-        )
+        scheduler = make_scheduler(bundle, entry)
         engine = EngineClient(address) if entry.kind == 'engine' else None
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -9,7 +9,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.runs import run_request
-from tamarackfield.sidecar.scheduler import SlotState
+from tamarackfield.sidecar.jobs import SlotState
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
     Cancel,
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -8,7 +8,7 @@
 from tamarackfield.sidecar.echo import EventStream, check_echo
 from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
-from tamarackfield.sidecar.scheduler import Job, stall_seconds
+from tamarackfield.sidecar.jobs import Job, stall_seconds
 from tamarackfield.sidecar.target import (
     TargetAddress,
     check_deadline,
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -5,122 +5,20 @@
 pinned: it is never chosen for unloading.
 """
 
-import enum
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from tamarackfield.policy.admission import Admission, Backlog, admit_all
+from tamarackfield.policy.loading import UNPACED_LOADS
 from tamarackfield.policy.queueing import QueueOrder, Waiting
-from tamarackfield.policy.slots import Eviction, SlotUse
+from tamarackfield.policy.slots import Eviction, SlotUse, decayed
+from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Slot, SlotState, Unload, stall_seconds
 
-#: Loads that a sidecar has under way at once.
-MAX_CONCURRENT_LOADS = 2
 #: Seconds after which a failed load is tried again.
 LOAD_RETRY_SECONDS = 0.5
 #: Wanted adapters that a load report names.
 MAX_WANTED = 16
-#: Decay of an adapter's use count at each use.
-FREQUENCY_DECAY = 0.9
-
-
-class SlotState(enum.Enum):
-    """State of one adapter in the engine's slots."""
-
-    LOADING = 'loading'
-    RESIDENT = 'resident'
-    UNLOADING = 'unloading'
-
-
-@dataclass(slots=True)
-class Slot:
-    """One adapter in the engine's slots; ``pins`` counts the running requests that use it."""
-
-    state: SlotState
-    last_used: float
-    pins: int = 0
-    frequency: float = 0.0
-
-
-@dataclass(slots=True)
-class Job:
-    """One request in the sidecar.
-
-    Parameters
-    ----------
-    job_id : int
-        Grows with arrival.
-    adapter : str
-        Adapter reference; empty for a plain service.
-    caller : str
-        Who sent it.
-    priority : int
-        0 is the most urgent.
-    arrived_at, deadline : float
-        Monotonic seconds.
-    started_at : float
-        Monotonic seconds of dispatch; 0 while it waits.
-    stalled_at : float
-        When the wait for its adapter began, monotonic seconds; 0 if it was resident on arrival.
-    resident_at : float
-        When its adapter was found resident; 0 before.
-    """
-
-    job_id: int
-    adapter: str
-    caller: str
-    priority: int
-    arrived_at: float
-    deadline: float
-    started_at: float = 0.0
-    stalled_at: float = 0.0
-    resident_at: float = 0.0
-
-
-def stall_seconds(job: Job, now: float) -> float:
-    """Return how long a job has waited, or did wait, because its adapter was not loaded.
-
-    Examples
-    --------
-    >>> stall_seconds(Job(1, 'a@1', 'clinic', 5, 2.0, 9.0, stalled_at=2.0), 5.0)
-    3.0
-    """
-    if not job.stalled_at:
-        return 0.0
-    return max(0.0, (job.resident_at or job.started_at or now) - job.stalled_at)
-
-
-@dataclass(frozen=True, slots=True)
-class Dispatch:
-    """Send this job to the target now."""
-
-    job_id: int
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Order the engine to load an adapter."""
-
-    adapter: str
-
-
-@dataclass(frozen=True, slots=True)
-class Unload:
-    """Order the engine to unload an adapter."""
-
-    adapter: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """End this job with outcome ``not_run``; ``stalled`` is how long it waited for its adapter, in seconds."""
-
-    job_id: int
-    code: str
-    retry_after: int
-    stalled: float = 0.0
-
-
-Action = Dispatch | Load | Unload | Refuse
 
 
 @dataclass(slots=True)
@@ -137,12 +35,24 @@
         Chooses among adapters that no request needs.
     queue_order : callable
         Orders the waiting jobs.
+    admission : callable
+        Decides which jobs are refused on arrival.
+    max_loads : int
+        Loads under way at once.
+    load_seconds, service_seconds : float
+        Smoothed time of a load and of a request, kept by the owner.
     """
 
     slots: int
     batch: int
     eviction: Eviction
     queue_order: QueueOrder
+    admission: Admission = admit_all
+    max_loads: int = UNPACED_LOADS
+    load_seconds: float = 0.25
+    service_seconds: float = 0.5
+    refused: list[Refuse] = field(default_factory=list)
+    callers: Counter[str] = field(default_factory=Counter)
     waiting: dict[int, Job] = field(default_factory=dict)
     running: dict[int, Job] = field(default_factory=dict)
     table: dict[str, Slot] = field(default_factory=dict)
@@ -150,14 +60,47 @@
     failures: Counter[str] = field(default_factory=Counter)
 
     def arrive(self, job: Job) -> None:
-        """Take in a job."""
+        """Take in a job, or refuse it at once if it cannot end in time."""
+        retry_after = self.admission(self.backlog(job), job.deadline - job.arrived_at)
+        if retry_after:
+            self.refused.append(Refuse(job.job_id, 'overloaded', retry_after))
+            return
         if job.adapter and not self.is_resident(job.adapter):
             job.stalled_at = job.arrived_at
         self.waiting[job.job_id] = job
+        self.callers[job.caller] += 1
+
+    def backlog(self, job: Job) -> Backlog:
+        """Return what stands before a job that arrives now.
+
+        Callers take turns, so no more than the caller's own queue, once for each caller that waits,
+        comes first.
+        """
+        turns = (self.callers[job.caller] + 1) * (len(self.callers) or 1)
+        loads_ahead = 0
+        if job.adapter and not self.is_resident(job.adapter):
+            loads_ahead = len({*self.wanted(), job.adapter})
+        return Backlog(
+            running=len(self.running),
+            batch=self.batch,
+            ahead=min(len(self.waiting), turns),
+            loads_ahead=loads_ahead,
+            concurrent_loads=self.max_loads,
+            service_seconds=self.service_seconds,
+            load_seconds=self.load_seconds,
+        )
+
+    def _take_out(self, job_id: int) -> Job | None:
+        job = self.waiting.pop(job_id, None)
+        if job is not None:
+            self.callers[job.caller] -= 1
+            if not self.callers[job.caller]:
+                self.callers.pop(job.caller)
+        return job
 
     def leave(self, job_id: int, now: float) -> None:
         """Forget a job that ended, whether it waited or ran, and drop its pin."""
-        self.waiting.pop(job_id, None)
+        self._take_out(job_id)
         job = self.running.pop(job_id, None)
         if job is None:
             return
@@ -219,7 +162,10 @@
 
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
-        actions: list[Action] = self._expired(now)
+        actions: list[Action] = [*self.refused, *self._expired(now)]
+        self.refused.clear()
+        if len(self.running) >= self.batch and self._count(SlotState.LOADING) >= self.max_loads:
+            return actions
         ordered = self._ordered()
         actions.extend(self._dispatches(ordered, now))
         actions.extend(self._loads(ordered, now))
@@ -233,7 +179,7 @@
     def _expired(self, now: float) -> list[Action]:
         late = [job for job in self.waiting.values() if job.deadline <= now]
         for job in late:
-            self.waiting.pop(job.job_id)
+            self._take_out(job.job_id)
         return [Refuse(job.job_id, 'deadline_passed', 1, stall_seconds(job, now)) for job in late]
 
     def _dispatches(self, ordered: list[Job], now: float) -> list[Action]:
@@ -248,20 +194,20 @@
 
     def _start(self, job: Job, now: float) -> None:
         job.started_at = now
-        self.waiting.pop(job.job_id)
+        self._take_out(job.job_id)
         self.running[job.job_id] = job
         slot = self.table.get(job.adapter)
         if slot is not None:
             slot.pins += 1
+            slot.frequency = decayed(slot.frequency, slot.last_used, now) + 1
             slot.last_used = now
-            slot.frequency = slot.frequency * FREQUENCY_DECAY + 1
 
     def _loads(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
         needed = {job.adapter for job in ordered if job.adapter}
         missing = dict.fromkeys(job.adapter for job in ordered if job.adapter and job.adapter not in self.table)
         for adapter in missing:
-            if self._count(SlotState.LOADING) >= MAX_CONCURRENT_LOADS:
+            if self._count(SlotState.LOADING) >= self.max_loads:
                 break
             if self.load_again_at.get(adapter, 0) > now:
                 continue
--- a/tamarackfield/sidecar/target.py
+++ b/tamarackfield/sidecar/target.py
@@ -8,7 +8,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.ledger import Ledger
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, ClientResponse, open_request
 from tamarackfield.wire import Submit
--- a/tamarackfield/sidecar/tests/test_scheduler.py
+++ b/tamarackfield/sidecar/tests/test_scheduler.py
@@ -1,10 +1,13 @@
 """State machine of the scheduler: slots, pins and at most one run of each job."""
 
+from collections import Counter
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
-from tamarackfield.sidecar.scheduler import Dispatch, Job, Load, Refuse, Scheduler, SlotState, Unload
+from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS
+from tamarackfield.sidecar.jobs import Dispatch, Job, Load, Refuse, SlotState, Unload
+from tamarackfield.sidecar.scheduler import Scheduler
 
 ADAPTERS = st.sampled_from(['a@1', 'b@1', 'c@1', 'd@1'])
 SLOTS = 2
@@ -14,10 +17,15 @@
 class SchedulerMachine(RuleBasedStateMachine):
     """Drives the scheduler as an engine would that restarts, fails and answers late."""
 
+    eviction = 'lru'
+    queue_order = 'fifo'
+    admission = 'all'
+
     def __init__(self):
         super().__init__()
         self.now = 1.0
-        self.scheduler = Scheduler(SLOTS, BATCH, EVICTIONS['lru'], QUEUE_ORDERS['fifo'])
+        self.scheduler = Scheduler(SLOTS, BATCH, EVICTIONS[self.eviction], QUEUE_ORDERS[self.queue_order])
+        self.scheduler.admission = ADMISSIONS[self.admission]
         self.next_id = 0
         self.orders = []
         self.dispatched = set()
@@ -40,10 +48,10 @@
                         assert action.adapter not in using
                     self.orders.append(action)
 
-    @rule(adapter=ADAPTERS, seconds=st.floats(0.1, 5))
-    def arrive(self, adapter, seconds):
+    @rule(adapter=ADAPTERS, caller=st.sampled_from(['north', 'south']), seconds=st.floats(0.1, 5))
+    def arrive(self, adapter, caller, seconds):
         self.next_id += 1
-        self.scheduler.arrive(Job(self.next_id, adapter, 'caller', 5, self.now, self.now + seconds))
+        self.scheduler.arrive(Job(self.next_id, adapter, caller, 5, self.now, self.now + seconds))
         self.decide()
 
     @rule(seconds=st.floats(0.01, 2))
@@ -107,5 +115,57 @@
         for name, slot in self.scheduler.table.items():
             assert slot.pins == sum(job.adapter == name for job in self.scheduler.running.values())
 
+    @invariant()
+    def callers_are_counted_while_they_wait(self):
+        assert self.scheduler.callers == Counter(job.caller for job in self.scheduler.waiting.values())
+
+
+class FairSchedulerMachine(SchedulerMachine):
+    """The same under fair queueing, admission by deadline and eviction by use."""
+
+    eviction = 'lfu'
+    queue_order = 'fair'
+    admission = 'deadline'
+
 
 TestScheduler = SchedulerMachine.TestCase
+TestFairScheduler = FairSchedulerMachine.TestCase
+
+
+def make_fair_scheduler():
+    """Return a scheduler that refuses what cannot end in time; a request takes half a second."""
+    return Scheduler(SLOTS, BATCH, EVICTIONS['lfu'], QUEUE_ORDERS['fair'], ADMISSIONS['deadline'])
+
+
+def refusals(scheduler, now):
+    """Return the refusals among the next actions."""
+    return [action for action in scheduler.decide(now) if isinstance(action, Refuse)]
+
+
+def test_an_idle_target_refuses_nothing():
+    scheduler = make_fair_scheduler()
+    scheduler.reset(['a@1'], 0.5)
+    scheduler.arrive(Job(1, 'a@1', 'north', 5, 1.0, 1.1))
+    assert refusals(scheduler, 1.0) == []
+
+
+def test_a_full_target_refuses_at_once_what_cannot_end_in_time():
+    scheduler = make_fair_scheduler()
+    scheduler.reset(['a@1'], 0.5)
+    for job_id in range(1, 31):
+        scheduler.arrive(Job(job_id, 'a@1', 'north', 5, 1.0, 30.0))
+    assert refusals(scheduler, 1.0) == []
+    scheduler.arrive(Job(31, 'a@1', 'north', 5, 1.0, 3.0))
+    refused = refusals(scheduler, 1.0)
+    assert [(refusal.job_id, refusal.code) for refusal in refused] == [(31, 'overloaded')]
+    assert refused[0].retry_after >= 1
+
+
+def test_a_burst_of_one_caller_does_not_get_another_refused():
+    scheduler = make_fair_scheduler()
+    scheduler.reset(['a@1'], 0.5)
+    for job_id in range(1, 61):
+        scheduler.arrive(Job(job_id, 'a@1', 'north', 5, 1.0, 30.0))
+    scheduler.decide(1.0)
+    scheduler.arrive(Job(61, 'a@1', 'south', 5, 1.0, 3.0))
+    assert refusals(scheduler, 1.0) == []
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -11,7 +11,8 @@
 from tamarackfield.core.errors import RequestError
 from tamarackfield.observe import AuditTrail, Metrics
 from tamarackfield.sidecar.engine import EngineClient, EngineError, EngineStatus
-from tamarackfield.sidecar.scheduler import Action, Dispatch, Job, Load, Refuse, Scheduler, Unload
+from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Unload
+from tamarackfield.sidecar.scheduler import Scheduler
 
 #: Seconds between two reads of the engine's status.
 STATUS_INTERVAL = 0.25
@@ -163,6 +164,8 @@
         match event:
             case Arrived(job, permit):
                 self.permits[job.job_id] = permit
+                self.scheduler.load_seconds = self.load_seconds
+                self.scheduler.service_seconds = self.service_seconds
                 self.scheduler.arrive(job)
             case Ended(job_id):
                 self.permits.pop(job_id, None)
@@ -235,7 +238,7 @@
         if permit is not None and not permit.done():
             permit.set_exception(
                 RequestError(
-                    'the request could not start before its deadline',
+                    'the request cannot end before its deadline',
                     step='admission',
                     peer=self.name,
                     status=HTTPStatus.SERVICE_UNAVAILABLE,
