--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -52,12 +52,14 @@
         """
         tried: set[str] = set()
         self.retry_budget.earn()
+        ran: RequestError | None = None
         while True:
             try:
                 await self._attempt(call, responder, tried)
             except RequestError as exc:
+                ran = _most_telling(ran, exc)
                 if not self._may_retry(call, responder, exc, tried):
-                    raise
+                    raise ran from exc
                 self.metrics.count('retries')
             else:
                 return
@@ -68,7 +70,7 @@
         if error.code in {'no_target', 'deadline_passed'}:
             return False
         repeatable = error.outcome is Outcome.NOT_RUN or not call.idempotency_key
-        return repeatable and self.retry_budget.spend()
+        return repeatable and (error.code == 'draining' or self.retry_budget.spend())
 
     async def _attempt(self, call: Call, responder: Responder, tried: set[str]) -> None:
         now = SYSTEM_CLOCK.monotonic()
@@ -119,6 +121,13 @@
             ) from None
 
 
+def _most_telling(earlier: RequestError | None, error: RequestError) -> RequestError:
+    """Return the error that tells what became of a call: ``not_run`` only if no attempt may have run."""
+    if earlier is None or earlier.outcome is Outcome.NOT_RUN:
+        return error
+    return earlier if error.outcome is Outcome.NOT_RUN else error
+
+
 def _build_submit(call: Call, request_id: int, credit: int) -> Submit:
     return Submit(
         request_id=request_id,
--- a/tamarackfield/sidecar/jobs.py
+++ b/tamarackfield/sidecar/jobs.py
@@ -10,16 +10,24 @@
     LOADING = 'loading'
     RESIDENT = 'resident'
     UNLOADING = 'unloading'
+    #: An order ended without an answer; only a later status of the engine tells what it did.
+    UNCERTAIN = 'uncertain'
 
 
 @dataclass(slots=True)
 class Slot:
-    """One adapter in the engine's slots; ``pins`` counts the running requests that use it."""
+    """One adapter in the engine's slots; ``pins`` counts the running requests that use it.
+
+    While the state is uncertain, only a status asked at ``settles_at`` or later counts, and one
+    that shows the adapter as resident only from ``trusted_at`` on; both are monotonic seconds.
+    """
 
     state: SlotState
     last_used: float
     pins: int = 0
     frequency: float = 0.0
+    settles_at: float = 0.0
+    trusted_at: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -115,7 +115,7 @@
         if slot is not None and slot.state is SlotState.LOADING:
             slot.state = SlotState.RESIDENT
             slot.last_used = now
-            self._end_stalls(adapter, now)
+            self.end_stalls(adapter, now)
         self.load_again_at.pop(adapter, None)
         self.failures.pop(adapter, None)
 
@@ -140,11 +140,26 @@
             slot.state = SlotState.RESIDENT
 
     def reset(self, resident: Iterable[str], now: float) -> None:
-        """Take over what the engine says it holds, after a restart of it or a pause of this process."""
+        """Take over what the engine says it holds, after a restart of it or a pause of this process.
+
+        An adapter whose order is under way or uncertain is left as it is: that order may yet
+        take effect.
+        """
         pins = Counter(job.adapter for job in self.running.values())
-        self.table = {adapter: Slot(SlotState.RESIDENT, now, pins[adapter]) for adapter in resident}
+        unsettled = {name: slot for name, slot in self.table.items() if slot.state is not SlotState.RESIDENT}
+        found = {adapter: Slot(SlotState.RESIDENT, now, pins[adapter]) for adapter in resident}
+        self.table = found | unsettled
+
+    def refuse_all(self, code: str, retry_after: int) -> list[Refuse]:
+        """Refuse every waiting job, since this process may not dispatch any more."""
+        refused = [*self.refused, *(Refuse(job_id, code, retry_after) for job_id in self.waiting)]
+        self.refused.clear()
+        self.waiting.clear()
+        self.callers.clear()
+        return refused
 
-    def _end_stalls(self, adapter: str, now: float) -> None:
+    def end_stalls(self, adapter: str, now: float) -> None:
+        """Note that the waiting jobs of an adapter need not wait for a load any more."""
         for job in self.waiting.values():
             if job.adapter == adapter:
                 job.resident_at = now
@@ -162,8 +177,7 @@
 
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
-        actions: list[Action] = [*self.refused, *self._expired(now)]
-        self.refused.clear()
+        actions = self.expire(now)
         if len(self.running) >= self.batch and self._count(SlotState.LOADING) >= self.max_loads:
             return actions
         ordered = self._ordered()
@@ -176,11 +190,15 @@
         running = Counter(job.caller for job in self.running.values())
         return [self.waiting[item.job_id] for item in self.queue_order(items, running)]
 
-    def _expired(self, now: float) -> list[Action]:
+    def expire(self, now: float) -> list[Action]:
+        """Refuse the waiting jobs whose deadline has passed, and those that were not admitted."""
+        refused = list(self.refused)
+        self.refused.clear()
         late = [job for job in self.waiting.values() if job.deadline <= now]
         for job in late:
             self._take_out(job.job_id)
-        return [Refuse(job.job_id, 'deadline_passed', 1, stall_seconds(job, now)) for job in late]
+        refused.extend(Refuse(job.job_id, 'deadline_passed', 1, stall_seconds(job, now)) for job in late)
+        return refused
 
     def _dispatches(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
@@ -212,7 +230,7 @@
             if self.load_again_at.get(adapter, 0) > now:
                 continue
             if len(self.table) < self.slots:
-                self.table[adapter] = Slot(SlotState.LOADING, now, self._users(adapter))
+                self.table[adapter] = Slot(SlotState.LOADING, now, self.users(adapter))
                 actions.append(Load(adapter))
             elif not self._count(SlotState.UNLOADING):
                 actions.extend(self._evict(needed, now))
@@ -230,7 +248,7 @@
         self.table[victim].state = SlotState.UNLOADING
         return [Unload(victim)]
 
-    def _users(self, adapter: str) -> int:
+    def users(self, adapter: str) -> int:
         """Count the running jobs of an adapter, those from before a restart of the engine among them."""
         return sum(job.adapter == adapter for job in self.running.values())
 
