Refuse at once what cannot end in time: margin of two service times, and a check when the turn comes

Now a request must fit twice its expected time after the expected wait, and one whose turn comes too late while others wait gives its turn to the next. Not yet measured; the default stays to admit all.

--- a/tamarackfield/policy/admission.py
+++ b/tamarackfield/policy/admission.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+#: Times of a request, in its smoothed time, that must fit between its start and its deadline.
+SERVICE_MARGIN = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class Backlog:
@@ -32,10 +35,6 @@
     load_seconds: float
 
 
-#: Returns 0 to admit, or the seconds after which a request is worth sending again.
-Admission = Callable[[Backlog, float], int]
-
-
 def expected_wait(backlog: Backlog) -> float:
     """Return the seconds until a request can be dispatched.
 
@@ -76,15 +75,39 @@
     --------
     >>> busy = Backlog(8, 8, 80, 0, 2, 0.5, 0.25)
     >>> admit_in_time(busy, 10.0), admit_in_time(busy, 2.0)
-    (0, 4)
+    (0, 5)
     """
     wait = expected_wait(backlog)
-    excess = wait + backlog.service_seconds - remaining
+    excess = wait + backlog.service_seconds * SERVICE_MARGIN - remaining
     if wait <= 0 or excess <= 0:
         return 0
     return math.ceil(excess)
 
 
+def start_always(remaining: float, service_seconds: float, others: int) -> bool:
+    """Start every request whose turn has come."""
+    return True
+
+
+def start_in_time(remaining: float, service_seconds: float, others: int) -> bool:
+    """Tell whether a request whose turn has come is likely to end in time; with no other waiting it starts.
+
+    Examples
+    --------
+    >>> start_in_time(0.2, 0.5, 3), start_in_time(0.2, 0.5, 0), start_in_time(2.0, 0.5, 3)
+    (False, True, True)
+    """
+    return not others or remaining >= service_seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Decision on arrival, as seconds until a new try or 0, and decision when a request's turn has come."""
+
+    on_arrival: Callable[[Backlog, float], int] = admit_all
+    on_dispatch: Callable[[float, float, int], bool] = start_always
+
+
 #: Admissions by the name used in a bundle's ``policy.admission``.
-ADMISSIONS: dict[str, Admission] = {'all': admit_all, 'deadline': admit_in_time}
+ADMISSIONS = {'all': Admission(), 'deadline': Admission(admit_in_time, start_in_time)}
 DEFAULT_ADMISSION = 'all'
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from tamarackfield.policy.admission import Admission, Backlog, admit_all
+from tamarackfield.policy.admission import ADMISSIONS, DEFAULT_ADMISSION, Admission, Backlog
 from tamarackfield.policy.loading import UNPACED_LOADS
 from tamarackfield.policy.queueing import QueueOrder, Waiting
 from tamarackfield.policy.slots import Eviction, SlotUse, decayed
@@ -35,8 +35,8 @@
         Chooses among adapters that no request needs.
     queue_order : callable
         Orders the waiting jobs.
-    admission : callable
-        Decides which jobs are refused on arrival.
+    admission : Admission
+        Decides which jobs are refused on arrival, or when their turn has come.
     max_loads : int
         Loads under way at once.
     load_seconds, service_seconds : float
@@ -47,7 +47,7 @@
     batch: int
     eviction: Eviction
     queue_order: QueueOrder
-    admission: Admission = admit_all
+    admission: Admission = ADMISSIONS[DEFAULT_ADMISSION]
     max_loads: int = UNPACED_LOADS
     load_seconds: float = 0.25
     service_seconds: float = 0.5
@@ -61,7 +61,7 @@
 
     def arrive(self, job: Job) -> None:
         """Take in a job, or refuse it at once if it cannot end in time."""
-        retry_after = self.admission(self.backlog(job), job.deadline - job.arrived_at)
+        retry_after = self.admission.on_arrival(self.backlog(job), job.deadline - job.arrived_at)
         if retry_after:
             self.refused.append(Refuse(job.job_id, 'overloaded', retry_after))
             return
@@ -206,19 +206,21 @@
             if len(self.running) >= self.batch:
                 break
             if not job.adapter or self.is_resident(job.adapter):
-                self._start(job, now)
-                actions.append(Dispatch(job.job_id))
+                actions.append(self._start(job, now))
         return actions
 
-    def _start(self, job: Job, now: float) -> None:
-        job.started_at = now
+    def _start(self, job: Job, now: float) -> Action:
         self._take_out(job.job_id)
+        if not self.admission.on_dispatch(job.deadline - now, self.service_seconds, len(self.waiting)):
+            return Refuse(job.job_id, 'overloaded', 1, stall_seconds(job, now))
+        job.started_at = now
         self.running[job.job_id] = job
         slot = self.table.get(job.adapter)
         if slot is not None:
             slot.pins += 1
             slot.frequency = decayed(slot.frequency, slot.last_used, now) + 1
             slot.last_used = now
+        return Dispatch(job.job_id)
 
     def _loads(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
--- a/tamarackfield/sidecar/tests/test_scheduler.py
+++ b/tamarackfield/sidecar/tests/test_scheduler.py
@@ -169,3 +169,16 @@
     scheduler.decide(1.0)
     scheduler.arrive(Job(61, 'a@1', 'south', 5, 1.0, 3.0))
     assert refusals(scheduler, 1.0) == []
+
+
+def test_a_turn_that_comes_too_late_is_given_to_the_next():
+    scheduler = make_fair_scheduler()
+    scheduler.reset(['a@1'], 0.5)
+    for job_id in range(1, BATCH + 1):
+        scheduler.arrive(Job(job_id, 'a@1', 'north', 5, 1.0, 30.0))
+    scheduler.decide(1.0)
+    scheduler.arrive(Job(11, 'a@1', 'north', 5, 1.0, 4.0))
+    scheduler.arrive(Job(12, 'a@1', 'north', 5, 1.0, 30.0))
+    scheduler.leave(1, 3.8)
+    assert [type(action) for action in scheduler.decide(3.8)] == [Refuse, Dispatch]
+    assert 12 in scheduler.running
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -268,7 +268,7 @@
             permit.set_result(None)
 
     def _refuse(self, action: Refuse) -> None:
-        if action.code == 'deadline_passed':
+        if action.code == 'deadline_passed' or action.stalled:
             self.metrics.timing('load_stall', action.stalled * MS_PER_SECOND)
         permit = self.permits.pop(action.job_id, None)
         if permit is not None and not permit.done():
