--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -12,7 +12,7 @@
 from tamarackfield.entry.keys import run_keyed
 from tamarackfield.entry.links import Exchange, Link
 from tamarackfield.observe import Metrics
-from tamarackfield.policy import RoutingRequest
+from tamarackfield.policy import RetryBudget, RoutingRequest
 from tamarackfield.web import Responder
 from tamarackfield.wire import Chunk, End, Fail, Head, Message, Submit
 
@@ -41,6 +41,7 @@
         self.fleet = fleet
         self.zone = zone
         self.metrics = metrics
+        self.retry_budget = RetryBudget()
 
     async def run(self, call: Call, responder: Responder) -> None:
         """Run a call and stream its answer.
@@ -54,6 +55,7 @@
             await run_keyed(self.fleet, call, responder, lambda link: self._send(link, call, responder))
             return
         tried: set[str] = set()
+        self.retry_budget.earn()
         ran: RequestError | None = None
         while True:
             try:
@@ -71,7 +73,7 @@
             return False
         if error.code in {'no_target', 'deadline_passed'}:
             return False
-        return True
+        return error.code == 'draining' or self.retry_budget.spend()
 
     async def _attempt(self, call: Call, responder: Responder, tried: set[str]) -> None:
         now = SYSTEM_CLOCK.monotonic()
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -8,15 +8,12 @@
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
 from tamarackfield.discovery import BundleFollower
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
-from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
-from tamarackfield.policy.slots import DEFAULT_EVICTION
+from tamarackfield.sidecar.decisions import follow_bundle, make_scheduler
 from tamarackfield.sidecar.dispatch import make_run_call
 from tamarackfield.sidecar.engine import EngineClient
 from tamarackfield.sidecar.homes import Homes
 from tamarackfield.sidecar.orders import poll
 from tamarackfield.sidecar.peers import DEFAULT_MAX_STREAMS, PeerServer
-from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Hello, client_context, server_context
@@ -129,8 +126,7 @@
             self.peers.drain('removed from the bundle')
             return
         scheduler = self.peers.target.worker.scheduler
-        scheduler.batch = entry.batch
-        scheduler.slots = entry.slots
+        follow_bundle(scheduler, bundle, entry)
 
     def _build(self, bundle: Bundle) -> None:
         name = self.settings['target']
@@ -139,12 +135,7 @@
             self.audit.record('target_unknown', target=name)
             return
         address = split_address(self.settings['target_address'])
-        scheduler = Scheduler(
-            entry.slots,
-            entry.batch,
-            EVICTIONS[bundle.policy.get('eviction', DEFAULT_EVICTION)],
-            QUEUE_ORDERS[bundle.policy.get('queue', DEFAULT_QUEUE_ORDER)],
-        )
+        scheduler = make_scheduler(bundle, entry)
         engine = EngineClient(address) if entry.kind == 'engine' else None
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
--- a/tamarackfield/sidecar/settling.py
+++ b/tamarackfield/sidecar/settling.py
@@ -1,6 +1,7 @@
 """What a read-back of the engine's state tells about adapters whose orders got no answer."""
 
-from tamarackfield.sidecar.scheduler import LOAD_RETRY_SECONDS, Scheduler, Slot, SlotState
+from tamarackfield.sidecar.jobs import Slot, SlotState
+from tamarackfield.sidecar.scheduler import LOAD_RETRY_SECONDS, Scheduler
 
 
 def lose_order(scheduler: Scheduler, adapter: str, settles_at: float, trusted_at: float) -> None:
