--- a/tamarackfield/cli/commands.py
+++ b/tamarackfield/cli/commands.py
@@ -3,15 +3,14 @@
 import asyncio
 import json
 import pathlib
-from http import HTTPStatus
 from typing import Any
 
 from result import Err, Ok, Result
 
 from tamarackfield.bundle import find_bundle_problems, generate_key, publish
+from tamarackfield.bundle.shards import Publication
+from tamarackfield.cli.queries import exchange
 from tamarackfield.core import Problem
-from tamarackfield.core.settings import split_address
-from tamarackfield.web import ClientError, fetch_json
 
 _PRIVATE_MODE = 0o600
 
@@ -31,8 +30,8 @@
     """
     try:
         document = json.loads(pathlib.Path(path).read_text('utf-8'))
-    except (OSError, ValueError) as exc:
-        return Err([Problem('$', f'{path}: {exc}')])
+    except (OSError, ValueError, RecursionError) as exc:
+        return Err([Problem('$', str(exc))])
     problems = find_bundle_problems(document)
     return Err(problems) if problems else Ok(document)
 
@@ -53,15 +52,24 @@
     return public_key
 
 
-def write_publication(document: dict[str, Any], private_key: str, directory: str) -> int:
-    """Sign a bundle and write every value to a directory, by its name in the configuration service.
+def sign_bundle(document: dict[str, Any], private_key: str) -> Publication:
+    """Sign a checked bundle.
+
+    Raises
+    ------
+    ValueError
+        If the key is not a private signing key in base64.
+    """
+    return publish(document, private_key)
+
+
+def write_publication(publication: Publication, directory: str) -> int:
+    """Write every value to a directory, by its name in the configuration service.
 
     Parameters
     ----------
-    document : dict
-        Checked bundle.
-    private_key : str
-        In base64.
+    publication : Publication
+        Signed bundle.
     directory : str
         Made if it is absent; shards go first, the manifest last.
 
@@ -69,9 +77,14 @@
     -------
     int
         Number of values written.
+
+    Raises
+    ------
+    OSError
+        If a value cannot be written.
     """
-    values = publish(document, private_key).items()
-    for name, content in values.items():
+    values = publication.items().items()
+    for name, content in values:
         target = pathlib.Path(directory) / name
         target.parent.mkdir(parents=True, exist_ok=True)
         target.write_bytes(content)
@@ -93,9 +106,6 @@
     Result
         Its answer, or why there is none.
     """
-    headers = [('Authorization', f'Bearer {token}')]
-    try:
-        status, answer = asyncio.run(fetch_json(split_address(address), 'POST', '/drain', None, headers))
-    except ClientError as exc:
-        return Err(f'{exc.step} at {exc.peer}: {exc.message}')
-    return Ok(answer) if status == HTTPStatus.OK else Err(f'status {status}: {answer}')
+    if not token.isascii() or not token.isprintable():
+        return Err('the operators token is not printable ASCII')
+    return asyncio.run(exchange(address, 'POST', '/drain', [('Authorization', f'Bearer {token}')]))
--- a/tamarackfield/cli/queries.py
+++ b/tamarackfield/cli/queries.py
@@ -9,6 +9,9 @@
 from tamarackfield.core.settings import split_address
 from tamarackfield.web import ClientError, fetch_json
 
+#: Seconds that a process is waited for.
+ANSWER_TIMEOUT = 5.0
+
 
 def ask(address: str, path: str) -> Result[Any, str]:
     """Read a page of a process's operators' interface.
@@ -25,11 +28,39 @@
     Result
         The decoded answer, or why there is none.
     """
+    return asyncio.run(exchange(address, 'GET', path, []))
+
+
+async def exchange(address: str, method: str, path: str, headers: list[tuple[str, str]]) -> Result[Any, str]:
+    """Make one exchange with a process's operators' interface.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    method, path : str
+        Of the request.
+    headers : list of pairs
+        Besides those that every request has.
+
+    Returns
+    -------
+    Result
+        The decoded answer, or why there is none; a process that is silent is not waited for.
+    """
     try:
-        status, answer = asyncio.run(fetch_json(split_address(address), 'GET', path))
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            status, answer = await fetch_json(split_address(address), method, path, None, headers)
+    except TimeoutError:
+        return Err(f'no answer from {address} within {ANSWER_TIMEOUT:g} s')
     except ClientError as exc:
         return Err(f'{exc.step} at {exc.peer}: {exc.message}')
-    return Ok(answer) if status == HTTPStatus.OK else Err(f'status {status}: {answer}')
+    return Ok(answer) if status == HTTPStatus.OK else Err(_refusal_text(status, answer))
+
+
+def _refusal_text(status: int, answer: Any) -> str:
+    error = answer.get('error') if isinstance(answer, dict) else None
+    return f'status {status}: {error["message"]}' if isinstance(error, dict) else f'status {status}: {answer}'
 
 
 def find_differences(before: Any, after: Any, path: str = '$') -> list[tuple[str, Any, Any]]:
--- a/tamarackfield/core/settings.py
+++ b/tamarackfield/core/settings.py
@@ -9,6 +9,9 @@
 import jsonschema
 from result import Err, Ok, Result
 
+#: Highest TCP or UDP port.
+MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 #: Schema of a listening address.
 ADDRESS_SCHEMA = {
     'type': 'object',
@@ -16,7 +19,7 @@
     'additionalProperties': False,
     'properties': {
         'host': {'type': 'string', 'format': 'ip', 'description': 'IP number to listen on'},
-        'port': {'type': 'integer', 'minimum': 0, 'maximum': 65535, 'description': 'port; 0 takes a free one'},
+        'port': {'type': 'integer', 'minimum': 0, 'maximum': MAX_PORT, 'description': 'port; 0 takes a free one'},
     },
 }
 #: Schema of a peer's address, ``ip:port`` or ``[ip6]:port``.
@@ -71,6 +74,8 @@
         raise ValueError(f'{text!r} has no port')
     bare_host = host.removeprefix('[').removesuffix(']')
     ipaddress.ip_address(bare_host)
+    if not port.isascii() or not port.isdigit() or len(port) > _MAX_PORT_DIGITS or int(port) > MAX_PORT:
+        raise ValueError(f'{port!r} is not a port')
     return bare_host, int(port)
 
 
@@ -152,7 +157,7 @@
     """
     try:
         document = json.loads(pathlib.Path(path).read_text('utf-8')) if path else {}
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         return Err([Problem('$', f'{path}: {exc}')])
     if not isinstance(document, dict):
         return Err([Problem('$', f'{path}: settings are not a JSON object')])
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -7,6 +7,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA
 from tamarackfield.discovery import BundleFollower, ConfigurationClient
+from tamarackfield.entry.explain import explain_request, explain_route
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
@@ -53,6 +54,7 @@
             self.audit,
             settings['operations'].get('token_sha256', ''),
         )
+        self.operations.pages['/explain'] = self.explain
         self.draining = False
         self.application.on_start(self.start)
         self.application.on_stop(self.stop)
@@ -61,6 +63,14 @@
         """Tell whether this entry takes new work."""
         return self.follower.ready.is_set() and not self.draining
 
+    def explain(self, asked: dict[str, str]) -> dict[str, Any]:
+        """Answer the page ``/explain``: by the id of a request, or by model and caller."""
+        request_id = asked.get('request')
+        if request_id is not None:
+            return explain_request(self.interface.records, request_id)
+        named = (asked.get('model', ''), asked.get('caller', ''))
+        return explain_route(self.follower.bundle, self.fleet, self.settings['zone'], named)
+
     def status(self) -> dict[str, Any]:
         """Return the state of this process, ready for JSON."""
         return {
--- a/tamarackfield/entry/calls.py
+++ b/tamarackfield/entry/calls.py
@@ -1,10 +1,11 @@
 """Reads a caller's request against the bundle: who calls, what is named, may it, until when."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
-from tamarackfield.bundle import Bundle, CallerEntry
+from tamarackfield.bundle import AdapterEntry, Bundle, CallerEntry
 from tamarackfield.core import SYSTEM_CLOCK, AdapterRef, RequestError, deadline_from_unix_ms, parse_adapter_ref
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.ids import AdapterRefError
@@ -26,6 +27,10 @@
 _SERVICE_METHODS = frozenset(('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'))
 
 
+def ignore_step(step: str, **details: Any) -> None:
+    """Take a step of a call that nobody follows."""
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request that may go to a target.
@@ -48,6 +53,8 @@
         What goes to the target.
     stream : bool
         Whether the answer is a stream of events.
+    note : callable
+        Takes a step and its details, for ``tamarackfield explain``.
     """
 
     caller: str
@@ -61,6 +68,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     stream: bool
+    note: Callable[..., None] = ignore_step
 
 
 def authenticate(request: HttpRequest, bundle: Bundle) -> CallerEntry:
@@ -106,17 +114,8 @@
     caller = authenticate(request, bundle)
     document = read_json(request.body)
     adapter = _read_adapter(document)
-    entry = bundle.adapters.get(adapter.name)
-    model = bundle.model_of(adapter)
-    if entry is None or model is None:
-        raise refusal(
-            f'no adapter {adapter} is known', step='resolve', code='model_not_found', status=HTTPStatus.NOT_FOUND
-        )
     check_parameters(document, request.path)
-    if caller.name not in entry.grants:
-        raise refusal(
-            f'{caller.name} may not use {adapter.name}', step='authorize', code='no_grant', status=HTTPStatus.FORBIDDEN
-        )
+    entry, model = find_adapter(bundle, adapter, caller.name)
     return Call(
         caller=caller.name,
         adapter=adapter,
@@ -132,6 +131,41 @@
     )
 
 
+def find_adapter(bundle: Bundle, adapter: AdapterRef, caller: str) -> tuple[AdapterEntry, str]:
+    """Return the entry of an adapter and the base model of the named version.
+
+    Parameters
+    ----------
+    bundle : Bundle
+        In force now.
+    adapter : AdapterRef
+        What the request names.
+    caller : str
+        Who asks.
+
+    Returns
+    -------
+    tuple
+        Entry in the bundle and name of the base model.
+
+    Raises
+    ------
+    RequestError
+        If the version is unknown or the caller may not use it.
+    """
+    entry = bundle.adapters.get(adapter.name)
+    model = bundle.model_of(adapter)
+    if entry is None or model is None:
+        raise refusal(
+            f'no adapter {adapter} is known', step='resolve', code='model_not_found', status=HTTPStatus.NOT_FOUND
+        )
+    if caller not in entry.grants:
+        raise refusal(
+            f'{caller} may not use {adapter.name}', step='authorize', code='no_grant', status=HTTPStatus.FORBIDDEN
+        )
+    return entry, model
+
+
 def read_service_call(request: HttpRequest, bundle: Bundle) -> Call:
     """Read a call to a plain service, ``/services/NAME/PATH``.
 
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface."""
 
+import dataclasses
 import json
 from collections.abc import Callable
 from http import HTTPStatus
@@ -18,6 +19,7 @@
     read_completion,
     read_service_call,
 )
+from tamarackfield.entry.records import RequestRecords
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
 from tamarackfield.web import CallerGoneError, HttpRequest, Responder, internal_error
@@ -52,25 +54,34 @@
         self.relay = relay
         self.is_ready = is_ready
         self.metrics = metrics
+        self.records = RequestRecords()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         if await answer_health(request, responder, self.is_ready):
             return
         self.metrics.count('requests')
+        record = self.records.begin(request)
         bundle = self.current_bundle()
         if bundle is None:
             raise RequestError('no bundle is in force yet', step='resolve', code='starting', retry_after=1)
         if request.path == '/v1/models' and request.method == 'GET':
             await self._models(request, responder, bundle)
+            record.end('answered', 'list of models')
             return
-        call = self._read(request, bundle)
+        call = dataclasses.replace(self._read(request, bundle), note=record.note)
+        record.note('read', caller=call.caller, adapter=str(call.adapter or ''), priority=call.priority)
         try:
             await self._run(call, request, responder)
         except RequestError as exc:
             await self._fail(exc, call, responder)
+        except CallerGoneError:
+            record.end('cut', 'the caller left before its answer was whole')
+            raise
         finally:
             self._log(call, request, responder)
+        if record.verdict == 'running':
+            record.end('answered', 'the whole answer was sent')
 
     async def _run(self, call: Call, request: HttpRequest, responder: Responder) -> None:
         """Run a call; a fault of this process ends it with outcome unknown, for it may have been sent."""
@@ -86,6 +97,7 @@
     async def on_error(self, error: RequestError, responder: Responder) -> None:
         """Answer a request that ended in an error before its answer began."""
         self.metrics.count(f'refusals.{error.outcome.value}')
+        self.records.fail(responder.request_id, error)
         logger.bind(
             request_id=responder.request_id,
             step=error.step,
@@ -140,6 +152,7 @@
             caller=call.caller,
         ).warning('answer_cut')
         responder.close_after = True
+        self.records.cut(responder.request_id, error)
         if call.stream:
             event = json.dumps(error_document(error))
             await responder.send_body(f'data: {event}\n\n'.encode())
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -56,6 +56,7 @@
             except RequestError as exc:
                 if not self._may_retry(call, responder, exc, tried):
                     raise
+                call.note(exc.step, peer=exc.peer, code=exc.code, outcome=exc.outcome.value, retried=True)
                 self.metrics.count('retries')
             else:
                 return
@@ -72,6 +73,7 @@
         request = RoutingRequest(str(call.adapter or ''), self.zone, now, call.deadline)
         link = self.fleet.choose(request, call.targets, tried)
         tried.add(link.target.name)
+        call.note('submit', target=link.target.name, zone=link.target.zone, attempt=len(tried))
         exchange = link.submit(lambda request_id, credit: _build_submit(call, request_id, credit))
         try:
             await self._carry(call, exchange, responder)
@@ -85,13 +87,15 @@
             message = await self._next(call, exchange)
             match message:
                 case Head(_, status, headers):
+                    call.note('head', target=target, status=status)
                     pairs = [(name, text) for name, text in headers]
                     await responder.send_head(status, [*pairs, ('x-target', target), ('Transfer-Encoding', 'chunked')])
                 case Chunk(_, sequence, body):
                     _check_sequence(exchange, sequence, target)
                     await responder.send_body(body)
                     exchange.consumed(len(body))
-                case End(_, chunks):
+                case End(_, chunks, load_stall_ms, queue_ms):
+                    call.note('end', target=target, load_stall_ms=load_stall_ms, queue_ms=queue_ms)
                     _check_sequence(exchange, chunks, target)
                     whole = True
                 case Fail():
--- a/tamarackfield/observe/operations.py
+++ b/tamarackfield/observe/operations.py
@@ -31,6 +31,7 @@
 _MAX_SINCE_DIGITS = 15
 Status = Callable[[], dict[str, Any]]
 Command = Callable[[], Awaitable[dict[str, Any]]]
+Page = Callable[[dict[str, str]], dict[str, Any]]
 
 
 class Operations:
@@ -55,19 +56,24 @@
         self.audit = audit
         self.token_sha256 = token_sha256
         self.commands: dict[str, Command] = {}
+        self.pages: dict[str, Page] = {'/status': lambda _: self.status(), '/audit': self._audit_page}
         self.server = HttpServer(self.handle, answer_error)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request of an operator or of the balancer."""
         if request.method == 'POST':
             await self._command(request, responder)
-        elif request.path == '/status':
-            await responder.send_json(HTTPStatus.OK, self.status())
-        elif request.path == '/audit':
-            await responder.send_json(HTTPStatus.OK, {'changes': self.audit.since(_read_since(request.query))})
+            return
+        page = self.pages.get(request.path)
+        if page is not None:
+            asked = dict(urllib.parse.parse_qsl(request.query, errors='replace'))
+            await responder.send_json(HTTPStatus.OK, page(asked))
         elif not await answer_health(request, responder, self.is_ready):
             raise refusal(f'no page {request.path}', step='operations', code='not_found', status=HTTPStatus.NOT_FOUND)
 
+    def _audit_page(self, asked: dict[str, str]) -> dict[str, Any]:
+        return {'changes': self.audit.since(_read_since(asked.get('since', '0')))}
+
     async def _command(self, request: HttpRequest, responder: Responder) -> None:
         scheme, _, token = request.headers.get('authorization', '').partition(' ')
         token_hash = hashlib.sha256(token.encode()).hexdigest()
@@ -86,8 +92,7 @@
         await responder.send_json(HTTPStatus.OK, await command())
 
 
-def _read_since(query: str) -> int:
-    text = urllib.parse.parse_qs(query).get('since', ['0'])[0]
+def _read_since(text: str) -> int:
     if not text.isascii() or not text.isdigit() or len(text) > _MAX_SINCE_DIGITS:
         raise refusal(f'since={text!r} is not a sequence number', step='operations', code='bad_since')
     return int(text)
--- a/tamarackfield/observe/program.py
+++ b/tamarackfield/observe/program.py
@@ -8,8 +8,9 @@
 import click
 from result import Err
 
-from tamarackfield.core import Application, format_problems, load_settings
+from tamarackfield.core import Application, Problem, format_problems, load_settings
 from tamarackfield.observe.logs import configure_logs
+from tamarackfield.observe.start import find_listen_problems, find_security_problems
 
 #: Exit code for settings that are not good.
 EXIT_BAD_SETTINGS = 2
@@ -35,9 +36,10 @@
     """
     loaded = load_settings(path, overrides, schema)
     if isinstance(loaded, Err):
-        click.echo(f'bad settings: {format_problems(loaded.err_value)}', err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
+        _exit_if(loaded.err_value, 'bad settings', EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
+    _exit_if(find_security_problems(settings), 'bad settings', EXIT_BAD_SETTINGS)
+    _exit_if(find_listen_problems(settings, schema), 'cannot start', EXIT_CANNOT_START)
     configure_logs(settings['instance'], settings['log_level'])
     try:
         asyncio.run(_run(settings, build))
@@ -46,5 +48,11 @@
         sys.exit(EXIT_CANNOT_START)
 
 
+def _exit_if(problems: list[Problem], headline: str, code: int) -> None:
+    if problems:
+        click.echo(f'{headline}: {format_problems(problems)}', err=True)
+        sys.exit(code)
+
+
 async def _run(settings: dict[str, Any], build: Build) -> None:
     await build(settings).run()
--- /dev/null
+++ b/tamarackfield/observe/start.py
@@ -0,0 +1,82 @@
+"""Checks that only the machine can answer: is a port free, do certificate and key fit."""
+
+import errno
+import socket
+import ssl
+from collections.abc import Iterator
+from typing import Any
+
+from tamarackfield.core.settings import ADDRESS_SCHEMA, Problem
+from tamarackfield.wire.security import MUTUAL_TLS, server_context
+
+_Listener = tuple[str, str, int]
+
+
+def find_listen_problems(settings: dict[str, Any], schema: dict[str, Any]) -> list[Problem]:
+    """List the listening addresses that cannot be taken now.
+
+    Parameters
+    ----------
+    settings : dict
+        Checked settings.
+    schema : dict
+        Their JSON schema.
+
+    Returns
+    -------
+    list of Problem
+        One for each address that is in use, named twice or not of this machine.
+    """
+    problems = []
+    seen: set[tuple[str, int]] = set()
+    for path, host, port in _listeners(settings, schema, '$'):
+        if port and (host, port) in seen:
+            problems.append(Problem(path, f'{host}:{port} is named twice in these settings'))
+        elif port:
+            problems.extend(_bind_problem(path, host, port))
+        seen.add((host, port))
+    return sorted(problems)
+
+
+def find_security_problems(settings: dict[str, Any]) -> list[Problem]:
+    """List what is wrong with the files of ``peer_security``.
+
+    Parameters
+    ----------
+    settings : dict
+        Checked settings.
+
+    Returns
+    -------
+    list of Problem
+        Empty if the files fit or authentication is switched off.
+    """
+    security = settings.get('peer_security', {})
+    if security.get('mode') != MUTUAL_TLS:
+        return []
+    try:
+        server_context(security)
+    except (OSError, ssl.SSLError) as exc:
+        return [Problem('$.peer_security', f'certificate, key and authority do not fit: {exc}')]
+    return []
+
+
+def _listeners(node: dict[str, Any], schema: dict[str, Any], path: str) -> Iterator[_Listener]:
+    if schema.get('properties') == ADDRESS_SCHEMA['properties']:
+        yield path, node['host'], node['port']
+        return
+    for name, member in schema.get('properties', {}).items():
+        if isinstance(node.get(name), dict):
+            yield from _listeners(node[name], member, f'{path}.{name}')
+
+
+def _bind_problem(path: str, host: str, port: int) -> list[Problem]:
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    with socket.socket(family) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError as exc:
+            reason = 'the port is in use' if exc.errno == errno.EADDRINUSE else exc.strerror
+            return [Problem(path, f'cannot listen on {host}:{port}: {reason}')]
+    return []
