--- a/tamarackfield/core/settings.py
+++ b/tamarackfield/core/settings.py
@@ -3,6 +3,7 @@
 import ipaddress
 import json
 import pathlib
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,6 +13,7 @@
 #: Highest TCP or UDP port.
 MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
+_PLAIN_NAME = re.compile('[A-Za-z_][A-Za-z0-9_]*')
 #: Schema of a listening address.
 ADDRESS_SCHEMA = {
     'type': 'object',
@@ -44,6 +46,23 @@
     message: str
 
 
+def json_path(*parts: str | int) -> str:
+    """Return the JSON path of a member; names that are not plain words are quoted.
+
+    Examples
+    --------
+    >>> json_path('targets', 'engine-1', 'speeds', 0)
+    "$.targets['engine-1'].speeds[0]"
+    """
+    return ''.join(('$', *(_path_part(part) for part in parts)))
+
+
+def _path_part(part: str | int) -> str:
+    if isinstance(part, int):
+        return f'[{part}]'
+    return f'.{part}' if _PLAIN_NAME.fullmatch(part) else f'[{part!r}]'
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split ``ip:port`` into its parts.
 
@@ -115,7 +134,7 @@
     [Problem(path='$.port', message="'x' is not of type 'integer'")]
     """
     validator = jsonschema.Draft202012Validator(schema, format_checker=_checker)
-    return sorted(Problem(error.json_path, error.message) for error in validator.iter_errors(document))
+    return sorted(Problem(json_path(*error.absolute_path), error.message) for error in validator.iter_errors(document))
 
 
 def format_problems(problems: list[Problem]) -> str:
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -6,13 +6,14 @@
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
-from tamarackfield.discovery import BundleFollower, ConfigurationClient
+from tamarackfield.discovery import BundleFollower
 from tamarackfield.ledger import Ledger
 from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.engine import EngineClient
+from tamarackfield.sidecar.orders import poll
 from tamarackfield.sidecar.peers import DEFAULT_MAX_STREAMS, PeerServer
 from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
@@ -51,11 +52,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics(settings['instance'], settings['statsd']['host'], settings['statsd']['port'])
         self.audit = AuditTrail()
-        self.follower = BundleFollower(
-            ConfigurationClient(settings['configuration_service']),
-            frozenset(settings['trusted_keys']),
-            self.audit.record,
-        )
+        self.follower = BundleFollower(settings, self.application, self._hello, self.audit.record, self.metrics.count)
         self.peers: PeerServer | None = None
         self.server: asyncio.Server | None = None
         self.operations = Operations(
@@ -80,8 +77,7 @@
             'target': self.settings['target'],
             'incarnation': self.incarnation,
             'ready': self.is_ready(),
-            'bundle': self.follower.acceptance.number,
-            'bundle_source': self.follower.source,
+            **self.follower.status(),
         }
         if self.peers is not None:
             report = self.peers.report()
@@ -102,7 +98,7 @@
         listen = self.settings['operations']['listen']
         await self.operations.server.listen(listen['host'], listen['port'])
         self.follower.on_bundle(self._apply)
-        self.application.spawn(self.follower.run(), 'bundle')
+        await self.follower.start()
 
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
@@ -134,10 +130,10 @@
         engine = EngineClient(address) if entry.kind == 'engine' else None
         worker = TargetWorker(self.application, scheduler, engine, self.audit, self.metrics)
         worker.name = name
-        target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds)
+        target = TargetAddress(name, address, worker, Ledger(), bundle.horizon_seconds, self.incarnation)
         self.peers = PeerServer(target, self._hello, self.settings['max_peer_streams'])
         self.application.spawn(worker.run(), 'worker')
-        self.application.spawn(worker.poll(), 'poll')
+        self.application.spawn(poll(worker), 'poll')
 
     async def _serve(self) -> None:
         if self.peers is None:
@@ -162,7 +158,7 @@
             self.peers.drain('shutdown')
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
-                stream.close()
+                await stream.finish()
         if self.server is not None:
             self.server.close()
         await self.operations.server.shutdown()
