--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -12,7 +12,7 @@
 from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.resume import resumed_chunks
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.scheduler import Job, stall_seconds
 from tamarackfield.sidecar.target import (
     TargetAddress,
     error_from_client,
@@ -157,8 +157,9 @@
     def _measure(self) -> None:
         worker = self.target.worker
         job = self.job
-        service_seconds = SYSTEM_CLOCK.monotonic() - job.started_at
+        now = SYSTEM_CLOCK.monotonic()
+        service_seconds = now - job.started_at
         worker.service_seconds += (service_seconds - worker.service_seconds) * _SMOOTHING
-        stalled = max(0, (job.resident_at or job.started_at) - job.stalled_at) if job.stalled_at else 0
+        stalled = stall_seconds(job, now)
         worker.metrics.timing('load_stall', stalled * _MS_PER_SECOND)
         self.reply.end(stalled, job.started_at - job.arrived_at)
