--- /dev/null
+++ b/tamarackfield/cli/tests/test_pages.py
@@ -0,0 +1,62 @@
+"""The pages say what the code does."""
+
+import ast
+import pathlib
+
+from tamarackfield.cli.pages import PAGES
+from tamarackfield.observe import METRICS
+
+ROOT = pathlib.Path(__file__).parents[3]
+DOCS = ROOT / 'docs'
+#: Position of the code among the arguments of calls that do not name it.
+POSITIONS = {'Fail': 3, 'Refuse': 1, 'refuse_all': 0, '_refusal': 1}
+
+
+def read_sources():
+    """Yield the syntax tree of each module that callers may meet."""
+    for path in sorted((ROOT / 'tamarackfield').rglob('*.py')):
+        if 'tests' not in path.parts and 'testing' not in path.parts:
+            yield ast.parse(path.read_text())
+
+
+def find_codes(tree):
+    """Yield the error codes that a module gives."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Call):
+            codes = [keyword.value for keyword in node.keywords if keyword.arg == 'code']
+            position = POSITIONS.get(getattr(node.func, 'id', getattr(node.func, 'attr', '')))
+            if position is not None:
+                codes.extend(node.args[position : position + 1])
+            yield from (code.value for code in codes if isinstance(code, ast.Constant))
+
+
+def test_generated_pages_are_up_to_date():
+    stale = [name for name, make_page in PAGES.items() if (DOCS / name).read_text() != make_page()]
+    assert stale == [], 'run bin/generate-docs'
+
+
+def test_every_error_code_is_on_the_callers_page():
+    page = (DOCS / 'callers.md').read_text()
+    codes = {code for tree in read_sources() for code in find_codes(tree)}
+    assert len(codes) > 20
+    assert {code for code in codes if f'| `{code}` |' not in page} == set()
+    errors = page.partition('| code | status |')[2]
+    listed = {line.split('`')[1] for line in errors.splitlines() if line.startswith('| `')}
+    assert listed - codes == set()
+
+
+def test_alarm_pages_name_metrics_that_exist():
+    pages = list((DOCS / 'operators' / 'alarms').glob('*.md'))
+    named = {word for page in pages for word in page.read_text().split('`')[1::2] if word.startswith('metric:')}
+    assert pages
+    assert {word.removeprefix('metric:') for word in named} <= set(METRICS)
+
+
+def test_every_relative_link_leads_to_a_page():
+    broken = []
+    for page in DOCS.rglob('*.md'):
+        for link in page.read_text().split('](')[1:]:
+            target = link.partition(')')[0].partition('#')[0]
+            if target and '://' not in target and not (page.parent / target).exists():
+                broken.append(f'{page.name}: {target}')
+    assert broken == []
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -12,7 +12,7 @@
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
 from tamarackfield.entry.relay import Relay
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
+from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
 from tamarackfield.web import HTTP_SCHEMA, HttpLimits, HttpServer
 from tamarackfield.wire import Hello, client_context
 
@@ -92,8 +92,13 @@
         await self.operations.server.listen(operations['host'], operations['port'])
         await self.server.listen(self.settings['listen']['host'], self.settings['listen']['port'])
         self.follower.on_bundle(self._apply)
+        self.application.spawn(send_gauges(self.metrics, self._gauges), 'gauges')
         await self.follower.start()
 
+    def _gauges(self) -> dict[str, float]:
+        connected = sum(link.stream is not None for link in self.fleet.links.values())
+        return {'peer_streams': connected, 'bundle_watching': self.follower.watching is not None}
+
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
         self.fleet.apply(bundle)
--- a/tamarackfield/entry/explain.py
+++ b/tamarackfield/entry/explain.py
@@ -88,7 +88,7 @@
     steps.extend(_candidate(fleet, target, model) for target in targets)
     now = SYSTEM_CLOCK.monotonic()
     link = fleet.choose(RoutingRequest(model, zone, now, now + DEFAULT_SECONDS), targets, set())
-    steps.append({'step': 'route', 'ok': True, 'target': link.target.name, 'router': fleet.router_name})
+    steps.append({'step': 'route', 'ok': True, 'target': link.target.name, 'router': fleet.routing[0]})
     return link.target.name
 
 
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -79,7 +79,7 @@
             record.end('cut', 'the caller left before its answer was whole')
             raise
         finally:
-            self._log(call, request, responder)
+            self._note_end(call, request, responder)
         if record.verdict == 'running':
             record.end('answered', 'the whole answer was sent')
 
@@ -157,7 +157,10 @@
             event = json.dumps(error_document(error))
             await responder.send_body(f'data: {event}\n\n'.encode())
 
-    def _log(self, call: Call, request: HttpRequest, responder: Responder) -> None:
+    def _note_end(self, call: Call, request: HttpRequest, responder: Responder) -> None:
+        if responder.finished and responder.first_byte_at:
+            waited = responder.first_byte_at - request.received_at
+            self.metrics.timing('first_token', waited * _MS_PER_SECOND)
         logger.bind(
             request_id=request.request_id,
             caller=call.caller,
--- a/tamarackfield/observe/metrics.py
+++ b/tamarackfield/observe/metrics.py
@@ -1,9 +1,14 @@
 """Metrics by statsd; each name is declared once with its type and unit."""
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import statsd
 
+#: Seconds between two sendings of the gauges.
+GAUGE_INTERVAL = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Metric:
@@ -107,3 +112,19 @@
         declared = METRICS[name]
         if self.client is not None:
             self.client.timing(declared.name, milliseconds)
+
+
+async def send_gauges(metrics: Metrics, read: Callable[[], dict[str, float]]) -> None:
+    """Send gauges again and again, for ever.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where they go.
+    read : callable
+        Returns the levels by the names of declared metrics.
+    """
+    while True:
+        for name, level in read().items():
+            metrics.gauge(name, level)
+        await asyncio.sleep(GAUGE_INTERVAL)
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -8,7 +8,7 @@
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
 from tamarackfield.discovery import BundleFollower
 from tamarackfield.ledger import Ledger
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
+from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
@@ -98,8 +98,18 @@
         listen = self.settings['operations']['listen']
         await self.operations.server.listen(listen['host'], listen['port'])
         self.follower.on_bundle(self._apply)
+        self.application.spawn(send_gauges(self.metrics, self._gauges), 'gauges')
         await self.follower.start()
 
+    def _gauges(self) -> dict[str, float]:
+        gauges: dict[str, float] = {'bundle_watching': self.follower.watching is not None}
+        if self.peers is not None:
+            report = self.peers.report()
+            gauges['peer_streams'] = len(self.peers.streams)
+            gauges['queue_length'] = report.queued
+            gauges['batch_fill'] = report.running / report.batch
+        return gauges
+
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
         if self.peers is None:
@@ -109,6 +119,7 @@
         entry = bundle.targets.get(self.settings['target'])
         if entry is None:
             self.peers.drain('removed from the bundle')
+            self.audit.record('drain', reason='removed from the bundle')
             return
         scheduler = self.peers.target.worker.scheduler
         scheduler.batch = entry.batch
@@ -156,6 +167,7 @@
         """Drain, finish what runs, then close."""
         if self.peers is not None:
             self.peers.drain('shutdown')
+            self.audit.record('drain', reason='shutdown')
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
                 await stream.finish()
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -46,6 +46,8 @@
         else:
             await _run_once(target, submit, reply)
     except RequestError as exc:
+        if exc.code == 'echo_mismatch':
+            target.worker.metrics.count('echo_mismatches')
         reply.fail(exc)
 
 
--- a/tamarackfield/web/reading.py
+++ b/tamarackfield/web/reading.py
@@ -22,7 +22,6 @@
 
 #: Bytes read from a socket at once.
 READ_BYTES = 65_536
-_TIMED_OUT = ('request_timeout', HTTPStatus.REQUEST_TIMEOUT)
 
 
 class BodyBudget:
@@ -48,7 +47,7 @@
             If there is no room for them; they are not counted then.
         """
         if self.held + size > self.limit:
-            raise server_busy('too many request bodies are held at the moment', 'too_much_buffered')
+            raise server_busy('too many request bodies are held at the moment', code='too_much_buffered')
         self.held += size
 
     def give_back(self, size: int) -> None:
@@ -156,7 +155,11 @@
         try:
             await self._receive(expires_at)
         except TimeoutError:
-            raise bad_request(f'the {part} of the request did not arrive in time', *_TIMED_OUT) from None
+            raise bad_request(
+                f'the {part} of the request did not arrive in time',
+                code='request_timeout',
+                status=HTTPStatus.REQUEST_TIMEOUT,
+            ) from None
 
     async def _receive(self, expires_at: float) -> None:
         if self.protocol.they_are_waiting_for_100_continue:
@@ -169,4 +172,4 @@
         try:
             return self.protocol.next_event()
         except h11.RemoteProtocolError as exc:
-            raise bad_request(f'malformed HTTP: {exc}', 'malformed_http', exc.error_status_hint) from None
+            raise bad_request(f'malformed HTTP: {exc}', code='malformed_http', status=exc.error_status_hint) from None
--- a/tamarackfield/web/request.py
+++ b/tamarackfield/web/request.py
@@ -68,13 +68,13 @@
     lengths = len(_LENGTH_LINE.findall(head))
     encodings = len(_ENCODING_LINE.findall(head))
     if lengths + encodings > 1 or _LIST_OF_LENGTHS.search(head):
-        raise bad_request('the request states its body length more than once', 'ambiguous_framing')
+        raise bad_request('the request states its body length more than once', code='ambiguous_framing')
     if _BARE_NEWLINE.search(head):
-        raise bad_request('a line of the head does not end with CR LF', 'ambiguous_framing')
+        raise bad_request('a line of the head does not end with CR LF', code='ambiguous_framing')
     if _FOLDED_LINE.search(head):
-        raise bad_request('a line of the head is folded', 'ambiguous_framing')
+        raise bad_request('a line of the head is folded', code='ambiguous_framing')
     if encodings and b'HTTP/1.1\r\n' not in head:
-        raise bad_request('Transfer-Encoding needs HTTP/1.1', 'ambiguous_framing')
+        raise bad_request('Transfer-Encoding needs HTTP/1.1', code='ambiguous_framing')
 
 
 def stated_length(request: h11.Request, limit: int) -> int:
@@ -113,7 +113,7 @@
     """
     if length > limit:
         raise bad_request(
-            f'the body is larger than {limit} bytes', 'body_too_large', HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            f'the body is larger than {limit} bytes', code='body_too_large', status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         )
 
 
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -6,6 +6,8 @@
 
 import h11
 
+from tamarackfield.core.clock import SYSTEM_CLOCK
+
 _JSON_TYPE = ('Content-Type', 'application/json')
 _REQUEST_ID_HEADER = 'X-Request-Id'
 
@@ -35,6 +37,7 @@
         self.request_id = ''
         self.head_only = False
         self.started = False
+        self.first_byte_at = 0.0
         self.finished = False
         self.close_after = False
 
@@ -51,6 +54,7 @@
 
     async def send_body(self, chunk: bytes) -> None:
         """Send part of the body and wait until the caller has room for more."""
+        self.first_byte_at = self.first_byte_at or SYSTEM_CLOCK.monotonic()
         if not self.head_only:
             await self._write(h11.Data(data=chunk))
 
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -129,7 +129,7 @@
     async def turn_away(self) -> None:
         """Refuse a connection for which there is no room."""
         responder = self._make_responder()
-        await self._refuse(server_busy('too many connections are open', 'too_many_connections'), responder)
+        await self._refuse(server_busy('too many connections are open', code='too_many_connections'), responder)
 
     async def _answer_one(self) -> bool:
         """Answer one request; return whether another may follow on this connection."""
