--- a/tamarackfield/cli/tests/test_pages.py
+++ b/tamarackfield/cli/tests/test_pages.py
@@ -60,3 +60,10 @@
             if target and '://' not in target and not (page.parent / target).exists():
                 broken.append(f'{page.name}: {target}')
     assert broken == []
+
+
+def test_every_rule_switched_off_has_its_reason_on_the_style_page():
+    settings = (ROOT / '.flake8').read_text()
+    ignored = next(line for line in settings.splitlines() if line.startswith('ignore = '))
+    page = (DOCS / 'style.md').read_text()
+    assert [rule for rule in ignored.removeprefix('ignore = ').split(', ') if f'`{rule}`' not in page] == []
