--- a/benchmarks/fake_peers.py
+++ b/benchmarks/fake_peers.py
@@ -5,15 +5,18 @@
 
 import asyncio
 import json
+from typing import Any
 
 import click
 
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
-from tamarackfield.ledger import Ledger
+from tamarackfield.ledger import Coverage, Ledger
 from tamarackfield.observe import AuditTrail, Metrics
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
+from tamarackfield.sidecar.keyed import KeyedCalls
 from tamarackfield.sidecar.peers import PeerServer
-from tamarackfield.sidecar.scheduler import Scheduler, Slot, SlotState
+from tamarackfield.sidecar.jobs import Slot, SlotState
+from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.testing.processes import HOST
@@ -59,11 +62,16 @@
         scheduler.table[f'adapter-{name}-{index}@v1'] = Slot(SlotState.RESIDENT, now)
     worker = TargetWorker(application, scheduler, None, AuditTrail(), Metrics(name))
     worker.ready.set()
-    target = TargetAddress(name, (HOST, 0), worker, Ledger(), 1)
     incarnation = new_incarnation()
+    keyed = KeyedCalls(name, Ledger(), Coverage(name, incarnation, now, 1), _never_called, _never_called)
+    target = TargetAddress(name, (HOST, 0), worker, keyed, incarnation)
     return PeerServer(target, lambda: Hello('sidecar', name, incarnation, 'zone-1', SYSTEM_CLOCK.unix_ms(), name))
 
 
+async def _never_called(*arguments: object) -> Any:
+    raise NotImplementedError(f'light peers run no calls: {arguments}')
+
+
 async def _run_entries(port: int, count: int, seconds: float) -> dict[str, float]:
     streams = [await _connect_entry(port, index) for index in range(count)]
     tasks = [asyncio.ensure_future(_drain(stream)) for stream in streams]
--- a/tamarackfield/bundle/validation.py
+++ b/tamarackfield/bundle/validation.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from tamarackfield.bundle.schema import BUNDLE_SCHEMA
-from tamarackfield.core.settings import Problem, find_problems
+from tamarackfield.core.settings import Problem, find_problems, json_path
 
 
 def find_bundle_problems(document: Any) -> list[Problem]:
@@ -39,14 +39,14 @@
         for name, entry in document.get(section, {}).items():
             for caller in entry['grants']:
                 if caller not in document['callers']:
-                    yield Problem(f'$.{section}.{name}.grants.{caller}', f'{caller!r} is not a caller')
+                    yield Problem(json_path(section, name, 'grants', caller), f'{caller!r} is not a caller')
 
 
 def target_problems(document: dict[str, Any]) -> Iterator[Problem]:
     """Yield what is wrong between targets, and between targets and services."""
     addresses: dict[str, str] = {}
     for name, target in document['targets'].items():
-        path = f'$.targets.{name}'
+        path = json_path('targets', name)
         needed = 'model' if target['kind'] == 'engine' else 'service'
         if needed not in target:
             yield Problem(path, f'a target of kind {target["kind"]} needs {needed!r}')
@@ -65,7 +65,7 @@
         for key in caller['key_sha256']:
             other = owners.setdefault(key, name)
             if other != name:
-                yield Problem(f'$.callers.{name}.key_sha256', f'holds a key of {other!r} too')
+                yield Problem(json_path('callers', name, 'key_sha256'), f'holds a key of {other!r} too')
 
 
 def _model_problems(document: dict[str, Any]) -> Iterator[Problem]:
@@ -73,5 +73,5 @@
     for name, adapter in document['adapters'].items():
         for version, entry in adapter['versions'].items():
             if entry['model'] not in models:
-                path = f'$.adapters.{name}.versions.{version}.model'
+                path = json_path('adapters', name, 'versions', version, 'model')
                 yield Problem(path, f'no target has the model {entry["model"]!r}')
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -7,11 +7,12 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA
 from tamarackfield.discovery import BundleFollower, InstanceReader
+from tamarackfield.entry.explain import explain_request, explain_route
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
 from tamarackfield.entry.relay import Relay
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
+from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
 from tamarackfield.web import HTTP_SCHEMA, HttpLimits, HttpServer
 from tamarackfield.wire import Hello, client_context
 
@@ -55,6 +56,7 @@
             self.audit,
             settings['operations'].get('token_sha256', ''),
         )
+        self.operations.pages['/explain'] = self.explain
         self.draining = False
         self.application.on_start(self.start)
         self.application.on_stop(self.stop)
@@ -63,6 +65,14 @@
         """Tell whether this entry takes new work."""
         return self.follower.ready.is_set() and not self.draining
 
+    def explain(self, asked: dict[str, str]) -> dict[str, Any]:
+        """Answer the page ``/explain``: by the id of a request, or by model and caller."""
+        request_id = asked.get('request')
+        if request_id is not None:
+            return explain_request(self.interface.records, request_id)
+        named = (asked.get('model', ''), asked.get('caller', ''))
+        return explain_route(self.follower.bundle, self.fleet, self.settings['zone'], named)
+
     def status(self) -> dict[str, Any]:
         """Return the state of this process, ready for JSON."""
         return {
@@ -90,10 +100,15 @@
         await self.operations.server.listen(operations['host'], operations['port'])
         await self.server.listen(self.settings['listen']['host'], self.settings['listen']['port'])
         self.follower.on_bundle(self._apply)
+        self.application.spawn(send_gauges(self.metrics, self._gauges), 'gauges')
         await self.follower.start()
         if self.settings['instance_list']:
             self.application.spawn(self.instances.run(), 'instance-list')
 
+    def _gauges(self) -> dict[str, float]:
+        connected = sum(link.stream is not None for link in self.fleet.links.values())
+        return {'peer_streams': connected, 'bundle_watching': self.follower.watching is not None}
+
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
         self.fleet.apply(bundle)
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface."""
 
+import dataclasses
 import json
 from collections.abc import Callable
 from http import HTTPStatus
@@ -20,6 +21,7 @@
 )
 from tamarackfield.entry.homes import qualify
 from tamarackfield.entry.issuing import KEYS_PATH, send_issued_key
+from tamarackfield.entry.records import RequestRecords
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
 from tamarackfield.web import CallerGoneError, HttpRequest, Responder, internal_error
@@ -54,6 +56,7 @@
         self.relay = relay
         self.is_ready = is_ready
         self.metrics = metrics
+        self.records = RequestRecords()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -66,22 +69,31 @@
         if await answer_health(request, responder, self.is_ready):
             return
         self.metrics.count('requests')
+        record = self.records.begin(request)
         bundle = self.current_bundle()
         if bundle is None:
             raise RequestError('no bundle is in force yet', step='resolve', code='starting', retry_after=1)
         if request.path == '/v1/models' and request.method == 'GET':
             await self._models(request, responder, bundle)
+            record.end('answered', 'list of models')
             return
         if request.path == KEYS_PATH and request.method == 'POST':
             await send_issued_key(request, responder, bundle, self.relay.fleet)
+            record.end('answered', 'idempotency key')
             return
-        call = self._read(request, bundle)
+        call = dataclasses.replace(self._read(request, bundle), note=record.note)
+        record.note('read', caller=call.caller, adapter=str(call.adapter or ''), priority=call.priority)
         try:
             await self._run(call, request, responder)
         except RequestError as exc:
             await self._fail(exc, call, responder)
+        except CallerGoneError:
+            record.end('cut', 'the caller left before its answer was whole')
+            raise
         finally:
-            self._log(call, request, responder)
+            self._note_end(call, request, responder)
+        if record.verdict == 'running':
+            record.end('answered', 'the whole answer was sent')
 
     async def _run(self, call: Call, request: HttpRequest, responder: Responder) -> None:
         """Run a call; a fault of this process ends it with outcome unknown, for it may have been sent."""
@@ -97,6 +109,7 @@
     async def on_error(self, error: RequestError, responder: Responder) -> None:
         """Answer a request that ended in an error before its answer began."""
         self.metrics.count(f'refusals.{error.outcome.value}')
+        self.records.fail(responder.request_id, error)
         logger.bind(
             request_id=responder.request_id,
             step=error.step,
@@ -151,11 +164,15 @@
             caller=call.caller,
         ).warning('answer_cut')
         responder.close_after = True
+        self.records.cut(responder.request_id, error)
         if call.stream:
             event = json.dumps(error_document(error))
             await responder.send_body(f'data: {event}\n\n'.encode())
 
-    def _log(self, call: Call, request: HttpRequest, responder: Responder) -> None:
+    def _note_end(self, call: Call, request: HttpRequest, responder: Responder) -> None:
+        if responder.finished and responder.first_byte_at:
+            waited = responder.first_byte_at - request.received_at
+            self.metrics.timing('first_token', waited * _MS_PER_SECOND)
         logger.bind(
             request_id=request.request_id,
             caller=call.caller,
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -64,6 +64,7 @@
                 ran = _most_telling(ran, exc)
                 if not self._may_retry(call, responder, exc, tried):
                     raise ran from exc
+                call.note(exc.step, peer=exc.peer, code=exc.code, outcome=exc.outcome.value, retried=True)
                 self.metrics.count('retries')
             else:
                 return
@@ -83,6 +84,7 @@
         await self._send(link, call, responder)
 
     async def _send(self, link: Link, call: Call, responder: Responder) -> None:
+        call.note('submit', target=link.target.name, zone=link.target.zone)
         exchange = link.submit(lambda request_id, credit: _build_submit(call, request_id, credit))
         try:
             await self._carry(call, exchange, responder)
@@ -96,13 +98,15 @@
             message = await self._next(call, exchange)
             match message:
                 case Head(_, status, headers):
+                    call.note('head', target=target, status=status)
                     pairs = [(name, text) for name, text in headers]
                     await responder.send_head(status, [*pairs, ('x-target', target), ('Transfer-Encoding', 'chunked')])
                 case Chunk(_, sequence, body):
                     _check_sequence(exchange, sequence, target)
                     await responder.send_body(body)
                     exchange.consumed(len(body))
-                case End(_, chunks):
+                case End(_, chunks, load_stall_ms, queue_ms):
+                    call.note('end', target=target, load_stall_ms=load_stall_ms, queue_ms=queue_ms)
                     _check_sequence(exchange, chunks, target)
                     whole = True
                 case Fail():
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -7,7 +7,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
 from tamarackfield.discovery import BundleFollower
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema
+from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
 from tamarackfield.sidecar.decisions import follow_bundle, make_scheduler
 from tamarackfield.sidecar.dispatch import make_run_call
 from tamarackfield.sidecar.engine import EngineClient
@@ -112,8 +112,18 @@
         listen = self.settings['operations']['listen']
         await self.operations.server.listen(listen['host'], listen['port'])
         self.follower.on_bundle(self._apply)
+        self.application.spawn(send_gauges(self.metrics, self._gauges), 'gauges')
         await self.follower.start()
 
+    def _gauges(self) -> dict[str, float]:
+        gauges: dict[str, float] = {'bundle_watching': self.follower.watching is not None}
+        if self.peers is not None:
+            report = self.peers.report()
+            gauges['peer_streams'] = len(self.peers.streams)
+            gauges['queue_length'] = report.queued
+            gauges['batch_fill'] = report.running / report.batch
+        return gauges
+
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
         self.homes.follow(bundle)
@@ -124,6 +134,7 @@
         entry = bundle.targets.get(self.settings['target'])
         if entry is None:
             self.peers.drain('removed from the bundle')
+            self.audit.record('drain', reason='removed from the bundle')
             return
         scheduler = self.peers.target.worker.scheduler
         follow_bundle(scheduler, bundle, entry)
@@ -166,6 +177,7 @@
         """Drain, finish what runs, then close."""
         if self.peers is not None:
             self.peers.drain('shutdown')
+            self.audit.record('drain', reason='shutdown')
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
                 await stream.finish()
