--- a/tamarackfield/entry/calls.py
+++ b/tamarackfield/entry/calls.py
@@ -9,8 +9,8 @@
 from tamarackfield.core import SYSTEM_CLOCK, AdapterRef, RequestError, deadline_from_unix_ms, parse_adapter_ref
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.ids import AdapterRefError
+from tamarackfield.entry.homes import home_of_key
 from tamarackfield.entry.parameters import check_parameters, read_json
-from tamarackfield.policy import home_target
 from tamarackfield.web import HttpRequest
 
 #: Seconds that a request may take if its caller names no deadline.
@@ -205,7 +205,7 @@
         key = ''
     else:
         _check_key(key)
-        home = home_target(f'{caller.name}|{key}', [target.name for target in targets])
+        home = home_of_key(caller.name, key, [target.name for target in targets])
         targets = tuple(target for target in targets if target.name == home)
     headers = _passed_headers(request)
     if key:
--- a/tamarackfield/entry/explain.py
+++ b/tamarackfield/entry/explain.py
@@ -104,9 +104,9 @@
         step['state'] = 'not connected'
     else:
         step['state'] = f'draining: {link.draining}' if link.draining else 'not ready'
-    report = link.report
-    if report is not None:
-        age = SYSTEM_CLOCK.monotonic() - link.reported_at
-        step |= {'holds_adapter': model in report.residents, 'running': report.running, 'queued': report.queued}
-        step |= {'outstanding': len(link.exchanges), 'report_age_ms': round(age * _MS_PER_SECOND)}
+    if link.report is not None:
+        view = link.view()
+        age = SYSTEM_CLOCK.monotonic() - view.reported_at
+        step |= {'holds_adapter': model in view.residents, 'running': view.running, 'queued': view.queued}
+        step |= {'outstanding': view.outstanding, 'report_age_ms': round(age * _MS_PER_SECOND)}
     return step
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -19,6 +19,8 @@
     read_completion,
     read_service_call,
 )
+from tamarackfield.entry.homes import qualify
+from tamarackfield.entry.issuing import KEYS_PATH, send_issued_key
 from tamarackfield.entry.records import RequestRecords
 from tamarackfield.entry.relay import Relay
 from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
@@ -58,6 +60,12 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
+        try:
+            await self._handle(request, responder)
+        except RequestError as exc:
+            raise qualify(exc, request) from exc
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if await answer_health(request, responder, self.is_ready):
             return
         self.metrics.count('requests')
@@ -69,6 +77,10 @@
             await self._models(request, responder, bundle)
             record.end('answered', 'list of models')
             return
+        if request.path == KEYS_PATH and request.method == 'POST':
+            await send_issued_key(request, responder, bundle, self.relay.fleet)
+            record.end('answered', 'idempotency key')
+            return
         call = dataclasses.replace(self._read(request, bundle), note=record.note)
         record.note('read', caller=call.caller, adapter=str(call.adapter or ''), priority=call.priority)
         try:
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -9,7 +9,6 @@
 from tamarackfield.sidecar.cancel import release
 from tamarackfield.sidecar.echo import EventStream, check_echo
 from tamarackfield.sidecar.events import Doubted, Ended
-from tamarackfield.sidecar.keyed import run_keyed
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.resume import resumed_chunks
 from tamarackfield.sidecar.scheduler import Job, stall_seconds
@@ -42,7 +41,7 @@
     """
     try:
         if submit.idempotency_key:
-            await run_keyed(target, submit, reply)
+            await target.keyed.run(submit, reply)
         else:
             await _run_once(target, submit, reply)
     except RequestError as exc:
--- a/tamarackfield/sidecar/target.py
+++ b/tamarackfield/sidecar/target.py
@@ -7,7 +7,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
 from tamarackfield.core.outcome import Outcome
-from tamarackfield.ledger import Ledger
+from tamarackfield.sidecar.keyed import KeyedCalls
 from tamarackfield.sidecar.scheduler import Job
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, ClientResponse, open_request
@@ -25,8 +25,7 @@
     name: str
     address: tuple[str, int]
     worker: TargetWorker
-    ledger: Ledger
-    horizon_seconds: int
+    keyed: KeyedCalls
     #: Of this sidecar's process; makes the numbers that requests get at the target unique.
     incarnation: int = 0
 
@@ -71,18 +70,6 @@
     )
 
 
-def check_deadline(job: Job, peer: str) -> None:
-    """Raise with outcome ``not_run`` if a job's deadline has passed, such as after a pause."""
-    if SYSTEM_CLOCK.monotonic() >= job.deadline:
-        raise RequestError(
-            'the deadline passed before the request was dispatched',
-            step='dispatch',
-            peer=peer,
-            code='deadline_passed',
-            retry_after=1,
-        )
-
-
 def error_from_client(error: ClientError, peer: str) -> RequestError:
     """Return what a broken exchange with the target means for the request."""
     if error.sent:
