--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -60,7 +60,9 @@
         try:
             await self._handle(request, responder)
         except RequestError as exc:
-            raise qualify(exc, request) from exc
+            if request.path.startswith(SERVICES_PREFIX):
+                raise qualify(exc, request) from exc
+            raise
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if await answer_health(request, responder, self.is_ready):
--- a/tamarackfield/entry/keys.py
+++ b/tamarackfield/entry/keys.py
@@ -48,6 +48,8 @@
     try:
         await send(_home_link(fleet, call))
     except RequestError as exc:
+        if exc.step in _LINK_STEPS:
+            raise _home_away(call) from exc
         if exc.code != 'stream_broken' or responder.started:
             raise
         logger.bind(peer=exc.peer, step=exc.step).info('reattach')
@@ -72,17 +74,21 @@
 def _home_link(fleet: Fleet, call: Call) -> Link:
     link = fleet.links.get(call.targets[0].name) if call.targets else None
     if link is None or link.stream is None:
-        raise RequestError(
-            'the home of this key cannot be reached; whether an earlier request with the key ran is not known',
-            step='route',
-            peer=call.targets[0].name if call.targets else '',
-            outcome=Outcome.UNKNOWN,
-            code='home_away',
-            retry_after=1,
-        )
+        raise _home_away(call)
     return link
 
 
+def _home_away(call: Call) -> RequestError:
+    return RequestError(
+        'the home of this key cannot be reached; whether an earlier request with the key ran is not known',
+        step='route',
+        peer=call.targets[0].name if call.targets else '',
+        outcome=Outcome.UNKNOWN,
+        code='home_away',
+        retry_after=1,
+    )
+
+
 async def _wait_connected(fleet: Fleet, call: Call, give_up_at: float) -> None:
     """Wait until the home's stream is back or the time is over."""
     await asyncio.sleep(REATTACH_PAUSE)
--- a/tamarackfield/ledger/tests/test_at_most_once_machine.py
+++ b/tamarackfield/ledger/tests/test_at_most_once_machine.py
@@ -28,6 +28,7 @@
 TARGET_SETS = st.sampled_from([frozenset(('t1',)), frozenset(('t1', 't2')), frozenset(('t2', 't3')), frozenset(NAMES)])
 NAME_SETS = st.sets(st.sampled_from(NAMES), max_size=2)
 CHOSEN_KEYS = st.sampled_from([f'key-{number}' for number in range(4)])
+PROGRESS = st.sampled_from(['queued', 'left', 'answered', 'answered', 'lost'])
 INDEXES = st.integers(min_value=0, max_value=30)
 FINGERPRINT = fingerprint_of('POST', '/bookings', b'{}')
 
@@ -60,10 +61,12 @@
         self.homes = {}
         self.ran = {}
         self.first_tried = {}
+        self.generations = {}
         self.runs = []
         self.issued = []
         for name in NAMES:
             self.start(name, len(self.bundles))
+        self.now += HORIZON
 
     def start(self, name, number):
         self.incarnations += 1
@@ -107,23 +110,29 @@
         coverage = self.homes[name].coverage
         self.issued.append(str(issue_key(name, coverage.incarnation, coverage.uptime_ms(self.now))))
 
-    @rule(key=CHOSEN_KEYS, lag=st.integers(0, 2), cut=NAME_SETS)
-    def try_chosen(self, key, lag, cut):
+    @rule(key=CHOSEN_KEYS, lag=st.integers(0, 2), cut=NAME_SETS, progress=PROGRESS)
+    def try_chosen(self, key, lag, cut, progress):
         """Try a caller's key by the bundle of an entry that lags, while some earlier homes are away."""
-        if self.now - self.first_tried.get(key, self.now) > HORIZON:
-            return
+        key = self.renewed(key)
         self.first_tried.setdefault(key, self.now)
         targets = self.bundles[max(0, len(self.bundles) - 1 - lag)]
-        self.submit(home_target(f'{CALLER}|{key}', targets), key, cut)
+        self.submit(home_target(f'{CALLER}|{key}', targets), key, cut, progress)
 
-    @rule(index=INDEXES)
-    def try_issued(self, index):
+    def renewed(self, key):
+        """Return a new key in place of one that was first tried a horizon ago."""
+        generation = self.generations.setdefault(key, 0)
+        if self.now - self.first_tried.get(f'{key}-{generation}', self.now) >= HORIZON:
+            self.generations[key] = generation + 1
+        return f'{key}-{self.generations[key]}'
+
+    @rule(index=INDEXES, progress=PROGRESS)
+    def try_issued(self, index, progress):
         """Try an issued key, at any age."""
         if self.issued:
             key = self.issued[index % len(self.issued)]
-            self.submit(key.split(':')[1], key, set())
+            self.submit(key.split(':')[1], key, set(), progress)
 
-    def submit(self, name, key, cut):
+    def submit(self, name, key, cut, progress):
         home = self.homes[name]
         scoped = f'{CALLER}|{key}'
         if home.ledger.find(scoped, self.now) is not None or not self.is_proved(home, key, scoped, cut):
@@ -133,7 +142,12 @@
         except LedgerFullError:
             self.refuse(key)
             return
-        self.runs.append(Run(key, home))
+        run = Run(key, home)
+        self.runs.append(run)
+        if progress != 'queued':
+            self.leave(run)
+        if progress in {'answered', 'lost'}:
+            self.finish(run, lost=progress == 'lost')
 
     def is_proved(self, home, key, scoped, cut):
         verdict = home.coverage.judge(CALLER, key, self.now)
@@ -160,7 +174,10 @@
         waiting = [run for run in self.runs if not run.left]
         if not waiting:
             return
-        run = waiting[index % len(waiting)]
+        self.leave(waiting[index % len(waiting)])
+
+    def leave(self, run):
+        """Send the call to the target, which runs it."""
         run.home.ledger.dispatch(f'{CALLER}|{run.key}')
         run.left = True
         self.ran[run.key] = self.ran.get(run.key, 0) + 1
@@ -181,7 +198,9 @@
         left = [run for run in self.runs if run.left]
         if not left:
             return
-        run = left[index % len(left)]
+        self.finish(left[index % len(left)], lost=lost)
+
+    def finish(self, run, *, lost):
         self.runs.remove(run)
         scoped = f'{CALLER}|{run.key}'
         if self.homes[run.home.coverage.target] is not run.home:
@@ -207,5 +226,5 @@
                 assert record.state is not RecordState.ANSWERED or record.answer is not None
 
 
-AtMostOnceMachine.TestCase.settings = hypothesis.settings(max_examples=300, stateful_step_count=40)
+AtMostOnceMachine.TestCase.settings = hypothesis.settings(max_examples=400, stateful_step_count=40)
 TestAtMostOnceMachine = AtMostOnceMachine.TestCase
