--- a/tamarackfield/cli/commands.py
+++ b/tamarackfield/cli/commands.py
@@ -93,9 +93,31 @@
     Result
         Its answer, or why there is none.
     """
+    return _order(address, token, '/drain')
+
+
+def declare_first_start(address: str, token: str) -> Result[Any, str]:
+    """Declare to a sidecar that no idempotency key ran before its process started.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of its operators' interface.
+    token : str
+        The operators' token.
+
+    Returns
+    -------
+    Result
+        Its answer, or why there is none.
+    """
+    return _order(address, token, '/first-start')
+
+
+def _order(address: str, token: str, path: str) -> Result[Any, str]:
     headers = [('Authorization', f'Bearer {token}')]
     try:
-        status, answer = asyncio.run(fetch_json(split_address(address), 'POST', '/drain', None, headers))
+        status, answer = asyncio.run(fetch_json(split_address(address), 'POST', path, None, headers))
     except ClientError as exc:
         return Err(f'{exc.step} at {exc.peer}: {exc.message}')
     return Ok(answer) if status == HTTPStatus.OK else Err(f'status {status}: {answer}')
--- a/tamarackfield/cli/main.py
+++ b/tamarackfield/cli/main.py
@@ -144,6 +144,19 @@
     click.echo(json.dumps(_reached(commands.drain(address, token))))
 
 
+@main.command('declare-first-start')
+@click.argument('address')
+@click.option('--token', envvar='TAMARACKFIELD_TOKEN', required=True, help='Operators token.')
+def declare_first_start(address: str, token: str) -> None:
+    """Declare to a sidecar that no idempotency key ran before its process started.
+
+    Only for the first start of a deployment. After a restart a key may run twice if this is declared.
+
+    Example: tamarackfield declare-first-start 10.0.0.6:9001 --token "$TAMARACKFIELD_TOKEN"
+    """
+    click.echo(json.dumps(_reached(commands.declare_first_start(address, token))))
+
+
 @main.command()
 @click.argument('address')
 @click.option('--since', default=0, help='Show changes after this sequence number.')
--- a/tamarackfield/sidecar/homes.py
+++ b/tamarackfield/sidecar/homes.py
@@ -13,7 +13,7 @@
 from tamarackfield.wire import AskKey, Hello, KeyGiven, connect
 
 #: Seconds allowed for asking an earlier home.
-ASK_TIMEOUT = 1.0
+ASK_TIMEOUT = 2.0
 
 
 class Homes:
