--- a/tamarackfield/cli/commands.py
+++ b/tamarackfield/cli/commands.py
@@ -106,6 +106,28 @@
     Result
         Its answer, or why there is none.
     """
+    return _order(address, token, '/drain')
+
+
+def declare_first_start(address: str, token: str) -> Result[Any, str]:
+    """Declare to a sidecar that no idempotency key ran before its process started.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of its operators' interface.
+    token : str
+        The operators' token.
+
+    Returns
+    -------
+    Result
+        Its answer, or why there is none.
+    """
+    return _order(address, token, '/first-start')
+
+
+def _order(address: str, token: str, path: str) -> Result[Any, str]:
     if not token.isascii() or not token.isprintable():
         return Err('the operators token is not printable ASCII')
-    return asyncio.run(exchange(address, 'POST', '/drain', [('Authorization', f'Bearer {token}')]))
+    return asyncio.run(exchange(address, 'POST', path, [('Authorization', f'Bearer {token}')]))
--- a/tamarackfield/cli/main.py
+++ b/tamarackfield/cli/main.py
@@ -6,7 +6,7 @@
 from tamarackfield.cli import checks
 from tamarackfield.cli.bundles import bundle
 from tamarackfield.cli.exits import fail
-from tamarackfield.cli.processes import audit, drain, explain, status
+from tamarackfield.cli.processes import audit, declare_first_start, drain, explain, status
 
 
 @click.group()
@@ -37,6 +37,7 @@
 main.add_command(explain)
 main.add_command(drain)
 main.add_command(audit)
+main.add_command(declare_first_start)
 
 
 if __name__ == '__main__':
