--- a/tamarackfield/discovery/store.py
+++ b/tamarackfield/discovery/store.py
@@ -79,7 +79,8 @@
         ShardError
             If the manifest is malformed.
         """
-        return [digest for digest in manifest_digests(envelope.manifest) if digest not in self.shards]
+        digests = dict.fromkeys(manifest_digests(envelope.manifest))
+        return [digest for digest in digests if digest not in self.shards]
 
     def receive(self, envelope: Envelope, digest: str, content: bytes, source: str) -> bool:
         """Check a shard of a newer bundle and tell whether it is good."""
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -101,6 +101,7 @@
         self.index = HolderIndex()
         self.rng = random.Random()
         self.written_off: frozenset[str] = frozenset()
+        self.targets: dict[str, TargetEntry] = {}
 
     def sightings(self) -> dict[str, Sighting]:
         """Return the address of each target and the incarnation of its sidecar."""
@@ -118,6 +119,17 @@
 
     def apply(self, bundle: Bundle) -> None:
         """Follow the targets and the policy of a bundle."""
+        if bundle.targets is not self.targets:
+            self._follow_targets(bundle)
+        weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
+        routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
+        if routing != self.routing:
+            self.router = ROUTERS[routing[0]](weights)
+            self.routing = routing
+
+    def _follow_targets(self, bundle: Bundle) -> None:
+        """Follow the targets; a bundle that changed others only holds the very same mapping."""
+        self.targets = bundle.targets
         stale = [name for name, link in self.links.items() if bundle.targets.get(name) != link.target]
         for name in stale:
             self.links.pop(name)
@@ -129,11 +141,6 @@
                 self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
         self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
-        weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
-        routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
-        if routing != self.routing:
-            self.router = ROUTERS[routing[0]](weights)
-            self.routing = routing
 
     def choose(self, request: RoutingRequest, targets: Iterable[TargetEntry], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
--- a/tamarackfield/testing/tests/test_bundles.py
+++ b/tamarackfield/testing/tests/test_bundles.py
@@ -69,6 +69,14 @@
     assert await numbers(cluster) == [1, 1, 1]
 
 
+async def test_bundle_with_equal_shards_is_fetched_from_peers(tmp_path):
+    bundle = make_bundle(('clinic',), ('draft@v1',), services={})
+    async with Cluster(tmp_path, [TargetSpec('engine-1')], entries=2, bundle=bundle) as cluster:
+        await cluster.control('configuration', down=True)
+        await cluster.restart('entry-2')
+        assert await numbers(cluster) == [1, 1, 1]
+
+
 async def test_stale_service_cannot_take_back_half_a_fleet(cluster):
     await cluster.publish()
     await wait_number(cluster, 2)
