--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,111 @@
+"""Cost of one routing and of one eviction decision, by the number of adapters and targets.
+
+Run with ``python -m benchmarks.decisions``; prints one JSON document.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+from types import SimpleNamespace
+from typing import Any
+
+from tamarackfield.bundle import TargetEntry
+from tamarackfield.core import Application
+from tamarackfield.entry.fleet import Fleet
+from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS, Ring, RoutingRequest, TargetView
+from tamarackfield.sidecar.jobs import Job, Load, Unload
+from tamarackfield.sidecar.scheduler import Scheduler
+
+SLOTS = 8
+BATCH = 8
+DECISIONS = 2000
+_MICROSECONDS = 1_000_000
+
+
+def make_fleet(rng: random.Random, adapters: int, targets: int) -> tuple[Fleet, tuple[TargetEntry, ...]]:
+    """Return a fleet of links that are never connected, each holding random adapters."""
+    fleet = Fleet(Application('benchmark'), lambda target: None)
+    entries = tuple(
+        TargetEntry(f'engine-{index}', 'engine', '127.0.0.1', 1, 'zone-1', 'west', 'base', '', 1.0, SLOTS, BATCH)
+        for index in range(targets)
+    )
+    fleet.speeds = {entry.name: rng.choice((0.5, 1.0, 1.5)) for entry in entries}
+    fleet.ring = Ring(fleet.speeds)
+    for entry in entries:
+        held = frozenset(f'member-{rng.randrange(adapters)}@v1' for _ in range(SLOTS))
+        view = TargetView(
+            entry.name, entry.zone, batch=BATCH, slots=SLOTS, residents=held, running=rng.randrange(BATCH)
+        )
+        fleet.links[entry.name] = SimpleNamespace(target=entry, usable=True, view=_returning(view))
+        fleet.index.update(entry.name, held)
+    return fleet, entries
+
+
+def _returning(view: TargetView) -> Any:
+    return lambda: view
+
+
+def routing_microseconds(adapters: int, targets: int) -> dict[str, float]:
+    """Return the mean cost of a routing decision and of building the ring."""
+    rng = random.Random(1)
+    tracemalloc.start()
+    fleet, entries = make_fleet(rng, adapters, targets)
+    megabytes = tracemalloc.get_traced_memory()[0] / 1_000_000
+    tracemalloc.stop()
+    started_at = time.perf_counter()
+    Ring(fleet.speeds)
+    ring_seconds = time.perf_counter() - started_at
+    requests = [RoutingRequest(f'member-{rng.randrange(adapters)}@v1', 'zone-1', 0.0, 10.0) for _ in range(DECISIONS)]
+    fleet.choose(requests[0], entries, set())
+    started_at = time.perf_counter()
+    for request in requests:
+        fleet.choose(request, entries, set())
+    seconds = time.perf_counter() - started_at
+    return {
+        'routing_us': round(seconds / DECISIONS * _MICROSECONDS, 1),
+        'ring_ms': round(ring_seconds * 1000, 1),
+        'state_mb': round(megabytes, 2),
+    }
+
+
+def eviction_microseconds(adapters: int, waiting: int) -> float:
+    """Return the mean cost of taking in a job for a cold adapter and deciding what to evict for it."""
+    rng = random.Random(1)
+    scheduler = Scheduler(SLOTS, BATCH, EVICTIONS['lfu'], QUEUE_ORDERS['fair'])
+    scheduler.reset([f'held-{index}@v1' for index in range(SLOTS)], 0.0)
+    for job_id in range(waiting):
+        scheduler.arrive(Job(job_id, f'member-{rng.randrange(adapters)}@v1', f'caller-{job_id % 7}', 5, 1.0, 9e9))
+    decided = 0
+    started_at = time.perf_counter()
+    for job_id in range(waiting, waiting + DECISIONS // 10):
+        scheduler.arrive(Job(job_id, f'member-{rng.randrange(adapters)}@v1', 'caller-1', 5, 1.0, 9e9))
+        actions = scheduler.decide(1.0)
+        decided += 1
+        _carry_out(scheduler, actions)
+        scheduler.leave(job_id, 1.0)
+    return round((time.perf_counter() - started_at) / decided * _MICROSECONDS, 1)
+
+
+def _carry_out(scheduler: Scheduler, actions: list[Any]) -> None:
+    for action in actions:
+        match action:
+            case Load(adapter):
+                scheduler.load_failed(adapter, 1.0)
+            case Unload(adapter):
+                scheduler.unload_failed(adapter)
+
+
+def main() -> None:
+    """Print the cost of the decisions."""
+    figures: dict[str, Any] = {'routing': {}, 'eviction_us': {}}
+    for adapters in (3000, 120_000):
+        for targets in (10, 100, 10_000):
+            figures['routing'][f'{adapters} adapters, {targets} targets'] = routing_microseconds(adapters, targets)
+        for waiting in (0, 100, 1000):
+            figures['eviction_us'][f'{adapters} adapters, {waiting} waiting'] = eviction_microseconds(adapters, waiting)
+    print(json.dumps(figures, indent=2))
+
+
+if __name__ == '__main__':
+    main()
--- a/tamarackfield/bundle/model.py
+++ b/tamarackfield/bundle/model.py
@@ -85,6 +85,7 @@
     policy: dict[str, str]
     horizon_seconds: int
     callers_by_key: dict[str, CallerEntry] = field(default_factory=dict)
+    engines_by_need: dict[tuple[str, tuple[str, ...]], tuple[TargetEntry, ...]] = field(default_factory=dict)
 
     def caller_for_key(self, key: str) -> CallerEntry | None:
         """Return the caller that a secret key belongs to, or None."""
@@ -95,13 +96,20 @@
         entry = self.adapters.get(adapter.name)
         return None if entry is None else entry.models.get(adapter.version)
 
-    def engines(self, model: str, regions: tuple[str, ...]) -> list[TargetEntry]:
-        """Return the engines with a base model in the regions allowed (all if empty)."""
-        return [
-            target
-            for target in self.targets.values()
-            if target.model == model and target.kind == 'engine' and (not regions or target.region in regions)
-        ]
+    def engines(self, model: str, regions: tuple[str, ...]) -> tuple[TargetEntry, ...]:
+        """Return the engines with a base model in the regions allowed (all if empty).
+
+        Equal arguments give the same tuple, so that a request does not cost a look at every target.
+        """
+        found = self.engines_by_need.get((model, regions))
+        if found is None:
+            found = tuple(
+                target
+                for target in self.targets.values()
+                if target.model == model and target.kind == 'engine' and (not regions or target.region in regions)
+            )
+            self.engines_by_need[model, regions] = found
+        return found
 
     def service_targets(self, service: str) -> list[TargetEntry]:
         """Return the targets of a plain service."""
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -8,11 +8,18 @@
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import Application, RequestError
 from tamarackfield.entry.links import Link
-from tamarackfield.policy import ROUTERS, Ring, Router, RoutingRequest, TargetView, Weights
+from tamarackfield.policy import ROUTERS, Ring, Router, RoutingRequest, TargetView, Weights, rendezvous_order
 from tamarackfield.policy.routers import DEFAULT_ROUTER
 
 MakeLink = Callable[[TargetEntry], Link]
 
+#: Up to so many allowed targets are ordered directly; more of them are found along the ring of all.
+FEW_TARGETS = 4
+#: Holders of an adapter that one choice looks at.
+MAX_HOLDERS = 8
+#: Lists of allowed targets whose names are remembered.
+MAX_REMEMBERED = 256
+
 
 class HolderIndex:
     """Which targets hold or load an adapter, by their last reports."""
@@ -33,9 +40,9 @@
             self.holders[adapter].add(target)
         self.held[target] = adapters
 
-    def of(self, adapter: str) -> frozenset[str]:
+    def of(self, adapter: str) -> list[str]:
         """Return the names of an adapter's holders."""
-        return frozenset(self.holders.get(adapter, ()))
+        return sorted(self.holders.get(adapter, ()))
 
 
 class UsableTargets:
@@ -45,13 +52,13 @@
     ----------
     fleet : Fleet
         Links, ring and index of holders.
-    allowed : dict
-        Targets that may serve the request, by name.
+    allowed : frozenset of str
+        Targets that may serve the request.
     tried : set of str
         Targets that already failed it.
     """
 
-    def __init__(self, fleet: 'Fleet', allowed: dict[str, TargetEntry], tried: set[str]) -> None:
+    def __init__(self, fleet: 'Fleet', allowed: frozenset[str], tried: set[str]) -> None:
         """Keep what the lookups need."""
         self.fleet = fleet
         self.allowed = allowed
@@ -59,14 +66,20 @@
 
     def all(self) -> list[TargetView]:
         """Return every target."""
-        return list(self._views(self.allowed))
+        return list(self._views(sorted(self.allowed)))
 
     def holders(self, adapter: str) -> list[TargetView]:
-        """Return the targets that hold or load an adapter."""
-        return list(self._views(sorted(self.fleet.index.of(adapter))))
+        """Return the targets that hold or load an adapter, a random sample where there are many."""
+        names = self.fleet.index.of(adapter)
+        if len(names) > MAX_HOLDERS:
+            names = self.fleet.rng.sample(names, MAX_HOLDERS)
+        return list(self._views(names))
 
     def ring_order(self, adapter: str) -> Iterator[TargetView]:
         """Yield the targets in the ring order of an adapter."""
+        if len(self.allowed) <= FEW_TARGETS:
+            speeds = {name: self.fleet.speeds.get(name, 1.0) for name in self.allowed}
+            return self._views(rendezvous_order(adapter, speeds))
         return self._views(self.fleet.ring.order(adapter))
 
     def _views(self, names: Iterable[str]) -> Iterator[TargetView]:
@@ -95,7 +108,9 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.router: Router = ROUTERS[DEFAULT_ROUTER](Weights())
         self.routing: tuple[str, Weights] = (DEFAULT_ROUTER, Weights())
+        self.speeds: dict[str, float] = {}
         self.ring = Ring({})
+        self.allowed: dict[int, tuple[tuple[TargetEntry, ...], frozenset[str]]] = {}
         self.index = HolderIndex()
         self.rng = random.Random()
 
@@ -111,22 +126,26 @@
                 self.links[name] = self.make_link(target)
                 self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
-        self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
+        self.allowed.clear()
+        speeds = {name: target.speed for name, target in bundle.targets.items()}
+        if speeds != self.speeds:
+            self.speeds = speeds
+            self.ring = Ring(speeds)
         weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
         routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
         if routing != self.routing:
             self.router = ROUTERS[routing[0]](weights)
             self.routing = routing
 
-    def choose(self, request: RoutingRequest, targets: Iterable[TargetEntry], tried: set[str]) -> Link:
+    def choose(self, request: RoutingRequest, targets: tuple[TargetEntry, ...], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
 
         Parameters
         ----------
         request : RoutingRequest
             What is to be placed.
-        targets : iterable of TargetEntry
-            Those allowed.
+        targets : tuple of TargetEntry
+            Those allowed; the names of a long tuple are remembered by its identity.
         tried : set of str
             Targets that already failed this request.
 
@@ -140,7 +159,7 @@
         RequestError
             With outcome ``not_run`` if there is none.
         """
-        usable = UsableTargets(self, {target.name: target for target in targets}, tried)
+        usable = UsableTargets(self, self._names_of(targets), tried)
         if next(usable.ring_order(request.adapter), None) is None:
             raise RequestError(
                 'no target that may serve this request is reachable',
@@ -149,3 +168,14 @@
                 retry_after=1,
             )
         return self.links[self.router(request, usable, self.rng).name]
+
+    def _names_of(self, targets: tuple[TargetEntry, ...]) -> frozenset[str]:
+        if len(targets) <= FEW_TARGETS:
+            return frozenset(target.name for target in targets)
+        known = self.allowed.get(id(targets))
+        if known is None or known[0] is not targets:
+            if len(self.allowed) >= MAX_REMEMBERED:
+                self.allowed.clear()
+            known = (targets, frozenset(target.name for target in targets))
+            self.allowed[id(targets)] = known
+        return known[1]
