--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -24,6 +24,7 @@
     Head,
     Hello,
     Holdings,
+    KeyEpoch,
     LoadReport,
     Message,
     PeerStream,
@@ -103,6 +104,8 @@
         self.report: LoadReport | None = None
         self.reported_at = 0.0
         self.draining = ''
+        self.key_epoch: KeyEpoch | None = None
+        self.connected = asyncio.Event()
         self.unreported = 0
         self.held: frozenset[str] = frozenset()
         self.residents: frozenset[str] = frozenset()
@@ -208,11 +211,14 @@
         if hello.target != self.target.name:
             raise StreamClosedError(f'peer serves {hello.target!r}', step='hello', peer=self.target.name)
         self.stream = stream
+        self.connected.set()
         self.draining = ''
         logger.bind(peer=self.target.name, incarnation=hello.incarnation).info('link_up')
 
     def _disconnect(self, stream: PeerStream) -> None:
         self.stream = None
+        self.connected.clear()
+        self.key_epoch = None
         self.report = None
         self._hold(frozenset(), frozenset())
         stream.abort()
@@ -226,6 +232,8 @@
                 self.unreported = 0
             case Holdings(residents, loading):
                 self._hold(frozenset(residents), frozenset(loading))
+            case KeyEpoch():
+                self.key_epoch = message
             case Draining(reason):
                 self.draining = reason
                 logger.bind(peer=self.target.name, reason=reason).info('target_draining')
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -7,16 +7,19 @@
 from loguru import logger
 
 from tamarackfield.core import RequestError, TamarackfieldError
+from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.reports import make_holdings, make_report, report_changes
 from tamarackfield.sidecar.runs import run_request
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
+    AskKey,
     Cancel,
     Credit,
     Draining,
     Hello,
     Holdings,
+    KeyGiven,
     LoadReport,
     Message,
     PeerStream,
@@ -25,6 +28,8 @@
 )
 from tamarackfield.wire.stream import PeerBusyError
 
+#: Seconds between two epochs for issuing keys.
+EPOCH_INTERVAL = 1.0
 #: Streams that a sidecar accepts unless its settings say otherwise.
 DEFAULT_MAX_STREAMS = 4000
 #: Running requests of one stream by their number.
@@ -79,7 +84,11 @@
         self.streams.add(stream)
         if self.draining:
             stream.send(Draining(self.draining))
-        beats = [asyncio.create_task(stream.beat()), asyncio.create_task(report_changes(self, stream))]
+        beats = [
+            asyncio.create_task(stream.beat()),
+            asyncio.create_task(report_changes(self, stream)),
+            asyncio.create_task(self._send_epochs(stream)),
+        ]
         try:
             while True:
                 self._take(await stream.receive(), stream, mine)
@@ -102,8 +111,8 @@
 
     async def wait_idle(self) -> None:
         """Wait until no request runs."""
-        while self.runs:
-            await asyncio.wait(self.runs)
+        while self.runs or self.target.keyed.running:
+            await asyncio.wait({*self.runs, *self.target.keyed.running.values()})
 
     def report(self) -> LoadReport:
         """Return how busy the target is as of now."""
@@ -113,6 +122,12 @@
         """Return the adapters that the target holds, loads or has requests waiting for."""
         return make_holdings(self.target.worker)
 
+    async def _send_epochs(self, stream: PeerStream) -> None:
+        while not stream.closed:
+            with contextlib.suppress(StreamClosedError, PeerBusyError):
+                stream.send(self.target.keyed.epoch())
+            await asyncio.sleep(EPOCH_INTERVAL)
+
     def _take(self, message: Message, stream: PeerStream, mine: Runs) -> None:
         match message:
             case Submit():
@@ -125,17 +140,26 @@
                 run = mine.get(request_id)
                 if run is not None:
                     run[0].cancel()
+            case AskKey(key, holder):
+                stream.send(KeyGiven(key, self.target.keyed.hand_over(key, holder)))
             case Hello():
                 logger.bind(peer=stream.peer).warning('second_hello')
 
+    def _draining_outcome(self, submit: Submit) -> Outcome | None:
+        if not self.draining:
+            return None
+        return self.target.keyed.draining_outcome(submit) if submit.idempotency_key else Outcome.NOT_RUN
+
     def _submit(self, submit: Submit, stream: PeerStream, mine: Runs) -> None:
         reply = Reply(stream, submit.request_id, submit.credit)
-        if self.draining:
+        outcome = self._draining_outcome(submit)
+        if outcome is not None:
             reply.fail(
                 RequestError(
                     f'the target takes no new work: {self.draining}',
                     step='admission',
                     peer=self.target.name,
+                    outcome=outcome,
                     code='draining',
                     retry_after=1,
                 ),
--- a/tamarackfield/wire/__init__.py
+++ b/tamarackfield/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackfield.wire.codec import FrameDecoder, FrameError, encode
 from tamarackfield.wire.messages import (
+    AskKey,
     Cancel,
     Chunk,
     Credit,
@@ -12,6 +13,8 @@
     Heartbeat,
     Hello,
     Holdings,
+    KeyEpoch,
+    KeyGiven,
     LoadReport,
     Message,
     Submit,
@@ -20,6 +23,7 @@
 from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
 
 __all__ = [
+    'AskKey',
     'Cancel',
     'Chunk',
     'Credit',
@@ -32,6 +36,8 @@
     'Heartbeat',
     'Hello',
     'Holdings',
+    'KeyEpoch',
+    'KeyGiven',
     'LoadReport',
     'Message',
     'PeerStream',
