--- a/tamarackfield/policy/admission.py
+++ b/tamarackfield/policy/admission.py
@@ -110,4 +110,4 @@
 
 #: Admissions by the name used in a bundle's ``policy.admission``.
 ADMISSIONS = {'all': Admission(), 'deadline': Admission(admit_in_time, start_in_time)}
-DEFAULT_ADMISSION = 'all'
+DEFAULT_ADMISSION = 'deadline'
--- a/tamarackfield/policy/queueing.py
+++ b/tamarackfield/policy/queueing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,22 +24,30 @@
     priority: int
 
 
-QueueOrder = Callable[[Iterable[Waiting], dict[str, int]], list[Waiting]]
+class Waits(Protocol):
+    """What a queue order looks at; `Waiting` and a sidecar's jobs have it."""
+
+    job_id: int
+    caller: str
+    priority: int
+
+
+QueueOrder = Callable[[Iterable[Waits], dict[str, int]], list[Waits]]
 
 
-def first_in_first_out(waiting: Iterable[Waiting], running: dict[str, int]) -> list[Waiting]:
+def first_in_first_out(waiting: Iterable[Waits], running: dict[str, int]) -> list[Waits]:
     """Order by priority, then by arrival.
 
     Parameters
     ----------
-    waiting : iterable of Waiting
+    waiting : iterable of Waits
         In any order.
     running : dict
         Requests running now, by caller.
 
     Returns
     -------
-    list of Waiting
+    list of Waits
         The first is to be considered first.
 
     Examples
@@ -50,19 +59,19 @@
     return sorted(waiting, key=lambda item: (item.priority, item.job_id))
 
 
-def fair_between_callers(waiting: Iterable[Waiting], running: dict[str, int]) -> list[Waiting]:
+def fair_between_callers(waiting: Iterable[Waits], running: dict[str, int]) -> list[Waits]:
     """Order by priority, then in turn between callers, counting what each has running.
 
     Parameters
     ----------
-    waiting : iterable of Waiting
+    waiting : iterable of Waits
         In any order.
     running : dict
         Requests running now, by caller.
 
     Returns
     -------
-    list of Waiting
+    list of Waits
         The first is to be considered first.
 
     Examples
@@ -88,4 +97,4 @@
 
 #: Queue orders by the name used in a bundle's ``policy.queue``.
 QUEUE_ORDERS: dict[str, QueueOrder] = {'fifo': first_in_first_out, 'fair': fair_between_callers}
-DEFAULT_QUEUE_ORDER = 'fifo'
+DEFAULT_QUEUE_ORDER = 'fair'
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -5,13 +5,14 @@
 pinned: it is never chosen for unloading.
 """
 
+import itertools
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from tamarackfield.policy.admission import ADMISSIONS, DEFAULT_ADMISSION, Admission, Backlog
 from tamarackfield.policy.loading import UNPACED_LOADS
-from tamarackfield.policy.queueing import QueueOrder, Waiting
+from tamarackfield.policy.queueing import QueueOrder
 from tamarackfield.policy.slots import Eviction, SlotUse, decayed
 from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Slot, SlotState, Unload, stall_seconds
 
@@ -21,6 +22,15 @@
 MAX_WANTED = 16
 
 
+def missing_adapters(jobs: Iterable[Job], table: dict[str, Slot]) -> Iterator[str]:
+    """Yield each adapter that the jobs need and that is in no slot, in the order of the jobs."""
+    seen = {''}
+    for job in jobs:
+        if job.adapter not in seen and job.adapter not in table:
+            seen.add(job.adapter)
+            yield job.adapter
+
+
 @dataclass(slots=True)
 class Scheduler:
     """Queue, slots and pins of one target.
@@ -171,9 +181,7 @@
 
     def wanted(self) -> list[str]:
         """Return adapters that requests wait for and that are in no slot, the first `MAX_WANTED` by arrival."""
-        missing = dict.fromkeys(job.adapter for job in self.waiting.values() if job.adapter not in self.table)
-        missing.pop('', None)
-        return list(missing)[:MAX_WANTED]
+        return list(itertools.islice(missing_adapters(self.waiting.values(), self.table), MAX_WANTED))
 
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
@@ -186,9 +194,8 @@
         return actions
 
     def _ordered(self) -> list[Job]:
-        items = (Waiting(job.job_id, job.caller, job.priority) for job in self.waiting.values())
         running = Counter(job.caller for job in self.running.values())
-        return [self.waiting[item.job_id] for item in self.queue_order(items, running)]
+        return self.queue_order(self.waiting.values(), running)
 
     def expire(self, now: float) -> list[Action]:
         """Refuse the waiting jobs whose deadline has passed, and those that were not admitted."""
@@ -224,9 +231,7 @@
 
     def _loads(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
-        needed = {job.adapter for job in ordered if job.adapter}
-        missing = dict.fromkeys(job.adapter for job in ordered if job.adapter and job.adapter not in self.table)
-        for adapter in missing:
+        for adapter in missing_adapters(ordered, self.table):
             if self._count(SlotState.LOADING) >= self.max_loads:
                 break
             if self.load_again_at.get(adapter, 0) > now:
@@ -234,11 +239,14 @@
             if len(self.table) < self.slots:
                 self.table[adapter] = Slot(SlotState.LOADING, now, self.users(adapter))
                 actions.append(Load(adapter))
-            elif not self._count(SlotState.UNLOADING):
-                actions.extend(self._evict(needed, now))
+            elif self._count(SlotState.UNLOADING):
+                break
+            else:
+                return [*actions, *self._evict(now)]
         return actions
 
-    def _evict(self, needed: set[str], now: float) -> list[Action]:
+    def _evict(self, now: float) -> list[Action]:
+        needed = {job.adapter for job in self.waiting.values()}
         idle = [
             SlotUse(adapter, slot.last_used, slot.frequency)
             for adapter, slot in self.table.items()
