--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -94,16 +94,19 @@
         whole = False
         while not whole:
             message = await self._next(call, exchange)
+            if _is_repeat(message, exchange, started=responder.started):
+                exchange.link.count_late()
+                continue
             match message:
                 case Head(_, status, headers):
                     pairs = [(name, text) for name, text in headers]
                     await responder.send_head(status, [*pairs, ('x-target', target), ('Transfer-Encoding', 'chunked')])
                 case Chunk(_, sequence, body):
-                    _check_sequence(exchange, sequence, target)
+                    _check_sequence(exchange, sequence, target, started=responder.started)
                     await responder.send_body(body)
                     exchange.consumed(len(body))
                 case End(_, chunks):
-                    _check_sequence(exchange, chunks, target)
+                    _check_sequence(exchange, chunks, target, started=responder.started)
                     whole = True
                 case Fail():
                     raise _error_from(message)
@@ -152,10 +155,17 @@
     )
 
 
-def _check_sequence(exchange: Exchange, sequence: int, target: str) -> None:
+def _is_repeat(message: Message, exchange: Exchange, *, started: bool) -> bool:
+    """Tell whether a frame was taken in before."""
+    if isinstance(message, Head):
+        return started
+    return isinstance(message, Chunk) and message.sequence < exchange.next_sequence
+
+
+def _check_sequence(exchange: Exchange, sequence: int, target: str, *, started: bool) -> None:
     expected = exchange.next_sequence
     exchange.next_sequence += 1
-    if sequence != expected:
+    if sequence != expected or not started:
         logger.bind(peer=target, expected=expected, got=sequence).error('chunk_missing')
         raise RequestError(
             'part of the answer is missing',
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -18,6 +18,8 @@
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Hello, client_context, server_context
 
+#: Seconds in which entries hear that this process leaves, and what they sent before is still refused.
+DRAIN_LINGER = 0.5
 SETTINGS_SCHEMA = program_schema(
     ('target', 'target_address', 'listen'),
     {
@@ -166,6 +168,7 @@
         """Drain, finish what runs, then close."""
         if self.peers is not None:
             self.peers.drain('shutdown')
+            await asyncio.sleep(DRAIN_LINGER)
             await self.peers.wait_idle()
             for stream in list(self.peers.streams):
                 await stream.finish()
--- a/tamarackfield/sidecar/orders.py
+++ b/tamarackfield/sidecar/orders.py
@@ -46,7 +46,8 @@
             await _claim(worker)
         await _read_status(worker)
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(worker.attention.wait(), STATUS_INTERVAL)
+            async with asyncio.timeout(STATUS_INTERVAL):
+                await worker.attention.wait()
 
 
 async def _send_order(worker: 'TargetWorker', order: Load | Unload) -> int:
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -151,6 +151,9 @@
         return self.target.keyed.draining_outcome(submit) if submit.idempotency_key else Outcome.NOT_RUN
 
     def _submit(self, submit: Submit, stream: PeerStream, mine: Runs) -> None:
+        if submit.request_id in mine:
+            logger.bind(peer=stream.peer, request=submit.request_id).warning('repeated_submit')
+            return
         reply = Reply(stream, submit.request_id, submit.credit)
         outcome = self._draining_outcome(submit)
         if outcome is not None:
--- a/tamarackfield/sidecar/reports.py
+++ b/tamarackfield/sidecar/reports.py
@@ -85,7 +85,7 @@
     return LoadReport(
         unix_ms=SYSTEM_CLOCK.unix_ms(),
         incarnation=worker.incarnation,
-        ready=worker.ready.is_set() and not draining,
+        ready=worker.may_act() and not draining,
         batch=scheduler.batch,
         running=len(scheduler.running),
         queued=len(scheduler.waiting),
--- a/tamarackfield/sidecar/resume.py
+++ b/tamarackfield/sidecar/resume.py
@@ -1,5 +1,6 @@
 """Takes up an engine's event stream again after its connection broke."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 
@@ -11,7 +12,9 @@
 from tamarackfield.web import ClientError, ClientResponse, open_request
 
 #: Times that one stream is taken up again.
-MAX_RESUMES = 3
+MAX_RESUMES = 5
+#: Seconds before the first attempt to take a stream up again; doubled for each further one.
+RESUME_PAUSE = 0.02
 
 
 async def resumed_chunks(
@@ -54,6 +57,7 @@
                 yield chunk
         except ClientError as exc:
             _check_resumable(exc, resumes_left, same_engine=target.worker.incarnation == incarnation)
+            await asyncio.sleep(RESUME_PAUSE * 2 ** (MAX_RESUMES - resumes_left))
             source = _resume(target, job, events, exc)
         if events.done:
             break
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -96,6 +96,7 @@
                 await self._exchange()
         except ClientError as exc:
             self.sent = exc.sent
+            self.target.worker.post(Doubted())
             raise error_from_client(exc, self.target.name) from exc
         except TimeoutError:
             raise RequestError(
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -129,7 +129,8 @@
 
     async def _next_event(self) -> Event | None:
         try:
-            return await asyncio.wait_for(self.inbox.get(), TICK_INTERVAL)
+            async with asyncio.timeout(TICK_INTERVAL):
+                return await self.inbox.get()
         except TimeoutError:
             return None
 
@@ -160,7 +161,13 @@
                 self.last_order_at = now
                 self.attention.set()
             case Doubted():
-                self.ready.clear()
+                self._doubt(now)
+
+    def _doubt(self, now: float) -> None:
+        if self.engine is not None:
+            self.ready.clear()
+            self.last_order_at = now
+            self.attention.set()
 
     def _order_done(self, event: OrderDone, now: float) -> None:
         self.last_order_at = now
@@ -196,23 +203,20 @@
         )
 
     def _note_failure(self, event: OrderFailed, now: float) -> None:
+        """Take in a failed order; one without an answer bars its adapter while it may take effect.
+
+        A raised fencing number rules a late effect out; an engine that ignores it is given time.
+        """
         adapter = event.order.adapter
         if isinstance(event.order, Load) and event.error.answered:
             self.scheduler.load_failed(adapter, now)
         elif event.error.answered:
             self.scheduler.unload_failed(adapter)
         else:
-            self._order_lost(adapter, now)
-
-    def _order_lost(self, adapter: str, now: float) -> None:
-        """Bar an adapter until its unanswered order can take no more effect.
-
-        A raised fencing number rules a late effect out; an engine that ignores it is given time.
-        """
-        self.ownership.raise_fence()
-        self.attention.set()
-        trusted_at = now if self.ownership.fencing else now + ORDER_HORIZON
-        lose_order(self.scheduler, adapter, now, trusted_at)
+            self.ownership.raise_fence()
+            self.attention.set()
+            trusted_at = now if self.ownership.fencing else now + ORDER_HORIZON
+            lose_order(self.scheduler, adapter, now, trusted_at)
 
     def _take_status(self, status: EngineStatus, asked_at: float, now: float) -> None:
         if self.ownership.superseded:
--- a/tamarackfield/testing/calls.py
+++ b/tamarackfield/testing/calls.py
@@ -1,5 +1,6 @@
 """Calls that tests and the chaos run make, each judged against what was asked."""
 
+import asyncio
 import json
 from dataclasses import dataclass, field
 from typing import Any
@@ -8,6 +9,9 @@
 from tamarackfield.testing.processes import HOST
 from tamarackfield.web import ClientError, ClientResponse, open_request
 
+#: Refusals after which `complete_with_retries` gives up, and the pause in seconds after each.
+MAX_REFUSALS = 60
+REFUSAL_PAUSE = 0.25
 _OK = 200
 _DATA = 'data: '
 _DONE = '[DONE]'
@@ -61,7 +65,7 @@
     return expected.startswith(answer.text) and bool(answer.error or answer.broken)
 
 
-async def complete(
+async def complete(  # noqa: WPS211 a call is described by all of these
     port: int,
     model: str,
     tokens: int = 3,
@@ -69,6 +73,8 @@
     stream: bool = False,
     seconds: float = 20.0,
     key: str = 'key-clinic',
+    gate: asyncio.Event | None = None,
+    prompt: str = 'x',
 ) -> Answer:
     """Ask an entry for a completion.
 
@@ -86,25 +92,52 @@
         Until the deadline that is named.
     key : str
         Of the caller.
+    gate : asyncio.Event, optional
+        The body is not read before this is set.
+    prompt : str
+        Shows in the engine's witness.
 
     Returns
     -------
     Answer
         Never raises for what the system does.
     """
-    document = {'model': model, 'prompt': 'x', 'max_tokens': tokens, 'stream': stream}
+    document = {'model': model, 'prompt': prompt, 'max_tokens': tokens, 'stream': stream}
     deadline = SYSTEM_CLOCK.unix_ms() + round(seconds * _MS_PER_SECOND)
     headers = [('Authorization', f'Bearer {key}'), ('X-Deadline-Unix-Ms', str(deadline))]
     body = json.dumps(document).encode()
     answer = Answer()
     try:
         async with open_request((HOST, port), 'POST', '/v1/completions', body, headers) as response:
+            if gate is not None:
+                await gate.wait()
             await _read(response, answer, stream=stream)
     except ClientError as exc:
         answer.broken = exc.message
     return answer
 
 
+async def complete_with_retries(port: int, model: str, tokens: int = 3, *, stream: bool = False) -> Answer:
+    """Ask for a completion as a caller does that comes back when it was refused as ``not_run``.
+
+    Parameters
+    ----------
+    port, model, tokens, stream
+        As in `complete`.
+
+    Returns
+    -------
+    Answer
+        The first that is not such a refusal, or the last refusal.
+    """
+    for _ in range(MAX_REFUSALS):
+        answer = await complete(port, model, tokens, stream=stream)
+        if answer.outcome != 'not_run':
+            break
+        await asyncio.sleep(REFUSAL_PAUSE)
+    return answer
+
+
 async def _read(response: ClientResponse, answer: Answer, *, stream: bool) -> None:
     answer.status = response.status
     if answer.status == _OK and stream:
--- /dev/null
+++ b/tamarackfield/testing/chaos.py
@@ -0,0 +1,180 @@
+"""Seeded chaos run: random faults on a whole deployment under load, judged by the witnesses."""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+from dataclasses import dataclass, field
+
+import click
+
+from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.testing.calls import Answer, complete, complete_with_retries, is_truthful
+from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
+from tamarackfield.testing.faults import FAULTS, Incident
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.witnesses import Witnesses
+from tamarackfield.web import ClientError, fetch_json
+
+ADAPTERS = ('draft@v1', 'draft@v2', 'summary@v1', 'summary@v2', 'notes@v1')
+#: Callers that ask for completions, and callers that make bookings, at once.
+COMPLETION_CALLERS = 6
+BOOKING_CALLERS = 2
+#: Faults that are injected at once.
+INJECTORS = 2
+#: Seconds of one completion's deadline and of one booking's.
+CALL_SECONDS = 6.0
+#: Seconds before a failed call in which a fault counts as related to it.
+TRACE_SECONDS = 5.0
+_OK = 200
+
+
+@dataclass(slots=True)
+class Run:
+    """What one chaos run has seen; times are monotonic seconds."""
+
+    cluster: Cluster
+    ends_at: float
+    witnesses: Witnesses
+    incidents: list[Incident] = field(default_factory=list)
+    outcomes: collections.Counter[str] = field(default_factory=collections.Counter)
+    violations: list[str] = field(default_factory=list)
+
+    @property
+    def over(self) -> bool:
+        """Whether the time is up."""
+        return SYSTEM_CLOCK.monotonic() >= self.ends_at
+
+    def violate(self, what: str, started_at: float) -> None:
+        """Note a broken promise with the faults around it."""
+        related = [str(incident) for incident in self.incidents if incident.ended_at >= started_at - TRACE_SECONDS]
+        self.violations.append('\n  '.join([what, *related]))
+
+
+async def run_chaos(directory: pathlib.Path, seed: int, seconds: float) -> Run:
+    """Run one seed.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        For settings and logs.
+    seed : int
+        Of the faults and the calls.
+    seconds : float
+        How long faults are injected.
+
+    Returns
+    -------
+    Run
+        Its ``violations`` are empty if every promise held.
+    """
+    specs = [
+        TargetSpec('engine-1', proxied=True, engine_proxied=True, options={'slots': 2, 'step_ms': 4}),
+        TargetSpec('engine-2', proxied=True, engine_proxied=True, options={'slots': 2, 'step_ms': 4, 'fencing': False}),
+        TargetSpec('booking-1', kind='service', proxied=True),
+    ]
+    cluster = Cluster(directory, specs, entries=2, bundle=make_bundle(('clinic',), ADAPTERS))
+    async with cluster:
+        ends_at = SYSTEM_CLOCK.monotonic() + seconds
+        run = Run(cluster, ends_at, Witnesses(cluster))
+        callers = [_ask_for_completions(run, random.Random(f'{seed}-{index}')) for index in range(COMPLETION_CALLERS)]
+        callers += [_make_bookings(run, index, random.Random(f'{seed}-b{index}')) for index in range(BOOKING_CALLERS)]
+        injectors = [_inject(run, random.Random(f'{seed}-f{index}')) for index in range(INJECTORS)]
+        await asyncio.gather(*injectors, *callers)
+        await _check_end(run)
+    return run
+
+
+async def _inject(run: Run, rng: random.Random) -> None:
+    """Inject one fault after another; two such loops make faults meet."""
+    while not run.over:
+        await _inject_one(run, rng)
+        await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+
+async def _inject_one(run: Run, rng: random.Random) -> None:
+    name = rng.choice(sorted(FAULTS))
+    incident = Incident(name, SYSTEM_CLOCK.monotonic())
+    run.incidents.append(incident)
+    await FAULTS[name](run.cluster, rng, incident, run.witnesses)
+    incident.ended_at = SYSTEM_CLOCK.monotonic()
+
+
+async def _ask_for_completions(run: Run, rng: random.Random) -> None:
+    while not run.over:
+        started_at = SYSTEM_CLOCK.monotonic()
+        model = rng.choice(ADAPTERS)
+        tokens = rng.randint(1, 120)
+        prompt = str(rng.random())
+        port = run.cluster.ports[rng.choice(run.cluster.entry_names)]
+        answer = await complete(
+            port, model, tokens, stream=rng.choice((True, False)), seconds=rng.uniform(0.5, CALL_SECONDS), prompt=prompt
+        )
+        run.outcomes[_name_outcome(answer)] += 1
+        if not is_truthful(answer, model, tokens):
+            run.violate(f'{model}, {tokens} tokens: {answer}', started_at)
+        if answer.outcome == 'not_run':
+            run.witnesses.told_not_run[prompt] = f'{model}: {answer.error}'
+        await asyncio.sleep(rng.uniform(0, 0.05))
+
+
+def _name_outcome(answer: Answer) -> str:
+    return 'whole' if answer.whole else answer.outcome or 'broken'
+
+
+async def _make_bookings(run: Run, index: int, rng: random.Random) -> None:
+    number = 0
+    while not run.over:
+        number += 1
+        key = f'booking-{index}-{number}'
+        entries = rng.sample(run.cluster.entry_names, 2)
+        await asyncio.gather(*(_book(run, key, entry) for entry in entries[: rng.choice((1, 2))]))
+        await asyncio.sleep(rng.uniform(0, 0.1))
+
+
+async def _book(run: Run, key: str, entry: str) -> None:
+    headers = [('Authorization', 'Bearer key-clinic'), ('Idempotency-Key', key)]
+    address = (HOST, run.cluster.ports[entry])
+    try:
+        status, document = await fetch_json(address, 'POST', '/services/booking/bookings', {}, headers)
+    except ClientError:
+        outcome = 'broken'
+    else:
+        outcome = 'whole' if status == _OK else document.get('error', {}).get('outcome', 'unknown')
+    run.outcomes[f'booking {outcome}'] += 1
+    run.witnesses.bookings[key].append(outcome)
+
+
+async def _check_end(run: Run) -> None:
+    started_at = SYSTEM_CLOCK.monotonic()
+    for entry in run.cluster.entry_names:
+        for model in ADAPTERS:
+            answer = await complete_with_retries(run.cluster.ports[entry], model)
+            if not answer.whole:
+                run.violate(f'{entry} does not serve {model} after all faults ended: {answer}', started_at)
+    for violation in await run.witnesses.check():
+        run.violate(violation, run.ends_at)
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True, help='First seed.')
+@click.option('--seeds', default=1, show_default=True, help='How many seeds, one after another.')
+@click.option('--seconds', default=10.0, show_default=True, help='How long faults are injected for each.')
+def main(seed: int, seeds: int, seconds: float) -> None:
+    """Inject random faults into a whole deployment under load and check every promise."""
+    failed = 0
+    for current in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory(prefix='tamarackfield-chaos-') as directory:
+            run = asyncio.run(run_chaos(pathlib.Path(directory), current, seconds))
+        failed += bool(run.violations)
+        verdict = 'FAILED' if run.violations else 'held'
+        click.echo(f'seed={current} seconds={seconds} {verdict} faults={len(run.incidents)} {dict(run.outcomes)}')
+        for violation in run.violations:
+            click.echo(f'seed={current} {violation}')
+    sys.exit(failed > 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/tamarackfield/testing/cluster.py
+++ b/tamarackfield/testing/cluster.py
@@ -189,10 +189,10 @@
             health=(port, '/control'),
         )
 
-    def add_proxy(self, name: str, upstream: str) -> str:
+    def add_proxy(self, name: str, upstream: str, *, framed: bool = False) -> str:
         """Add a fault proxy before a port and return the address to use in place of it."""
         port = self.port(f'{name}-port')
-        options = {'proxy': {'host': HOST, 'port': port}, 'upstream': upstream}
+        options = {'proxy': {'host': HOST, 'port': port}, 'upstream': upstream, 'framed': framed}
         self.add_standin(name, 'proxy', options)
         return address(port)
 
@@ -209,7 +209,7 @@
         peer_address = address(self.port(f'{spec.name}-peer'))
         self.add_sidecar(f'{spec.name}-sidecar', spec, target_address, self.port(f'{spec.name}-peer'))
         if spec.proxied:
-            peer_address = self.add_proxy(f'{spec.name}-proxy', peer_address)
+            peer_address = self.add_proxy(f'{spec.name}-proxy', peer_address, framed=True)
         entry = {'kind': spec.kind, 'address': peer_address, 'zone': spec.zone, 'region': spec.region}
         if spec.kind == 'engine':
             entry |= {'model': MODEL, 'speed': spec.speed}
--- a/tamarackfield/testing/engine.py
+++ b/tamarackfield/testing/engine.py
@@ -64,6 +64,7 @@
         self.cancelled = 0
         self.broken_pins = 0
         self.ran: dict[str, int] = {}
+        self.prompts: set[str] = set()
         self.faults: dict[str, Any] = {
             'fail_loads': 0,
             'load_delay': 0,
@@ -98,6 +99,7 @@
             'cancelled': self.cancelled,
             'running': len(batcher.running) + len(batcher.waiting),
             'ran': self.ran,
+            'prompts': sorted(self.prompts),
         }
 
     async def route(self, request: HttpRequest, responder: Responder) -> None:
@@ -217,6 +219,7 @@
         sequence = Sequence(request_id, adapter, prompt, int(limit), priority, chat='chat' in request.path)
         self.sequences[request_id] = sequence
         self.ran[request_id] = self.ran.get(request_id, 0) + 1
+        self.prompts.add(prompt)
         self.batcher.add(sequence)
         try:
             await self._answer(sequence, responder, stream=document.get('stream') is True)
--- /dev/null
+++ b/tamarackfield/testing/faults.py
@@ -0,0 +1,136 @@
+"""Faults of the chaos run; each ends by itself and leaves everything whole."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tamarackfield.testing.cluster import OPERATOR_TOKEN, Cluster
+from tamarackfield.testing.frames import NO_FRAME_FAULTS
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.witnesses import Witnesses
+from tamarackfield.web import fetch
+from tamarackfield.wire import Chunk, End, Fail, Head
+
+ENGINES = ('engine-1', 'engine-2')
+SIDECARS = ('engine-1-sidecar', 'engine-2-sidecar', 'booking-1-sidecar')
+PEER_PROXIES = ('engine-1-proxy', 'engine-2-proxy', 'booking-1-proxy')
+ENGINE_PROXIES = ('engine-1-engine-proxy', 'engine-2-engine-proxy')
+PROXY_MODES = ('cut', 'freeze', 'freeze_up', 'freeze_down', 'half_open')
+_ANSWER_KINDS = tuple(message.kind for message in (Head, Chunk, End, Fail))
+
+
+@dataclass(slots=True)
+class Incident:
+    """One fault that was injected; times are monotonic seconds."""
+
+    name: str
+    started_at: float
+    ended_at: float = float('inf')
+    where: str = ''
+
+    def __str__(self) -> str:
+        """Return one line of a trace."""
+        return f'{self.started_at:.2f}..{self.ended_at:.2f} {self.name} {self.where}'
+
+
+Fault = Callable[[Cluster, random.Random, Incident, Witnesses], Awaitable[None]]
+
+
+def kill_one_of(names: tuple[str, ...]) -> Fault:
+    """Return a fault that kills a process and starts it again."""
+
+    async def inject(cluster: Cluster, rng: random.Random, incident: Incident, witnesses: Witnesses) -> None:
+        name = rng.choice(names)
+        incident.where = name
+        async with witnesses.hold(name):
+            if name in ENGINES:
+                await witnesses.sample(name)
+            await cluster.processes[name].kill()
+            await asyncio.sleep(rng.uniform(0, 0.5))
+            await cluster.start_one(name)
+
+    return inject
+
+
+def freeze_one_of(names: tuple[str, ...]) -> Fault:
+    """Return a fault that pauses a process."""
+
+    async def inject(cluster: Cluster, rng: random.Random, incident: Incident, witnesses: Witnesses) -> None:
+        name = rng.choice(names)
+        incident.where = name
+        async with witnesses.hold(name):
+            cluster.processes[name].freeze()
+            await asyncio.sleep(rng.uniform(0.2, 3))
+            cluster.processes[name].thaw()
+
+    return inject
+
+
+async def drain_sidecar(cluster: Cluster, rng: random.Random, incident: Incident, witnesses: Witnesses) -> None:
+    """Drain a sidecar by the operator's order, end it gracefully and start it again."""
+    name = rng.choice(SIDECARS)
+    incident.where = name
+    async with witnesses.hold(name):
+        headers = [('Authorization', f'Bearer {OPERATOR_TOKEN}')]
+        await fetch((HOST, cluster.ports[f'{name}-operations']), 'POST', '/drain', b'', headers)
+        await cluster.processes[name].terminate()
+        await cluster.start_one(name)
+
+
+def set_one_of(
+    names: tuple[str, ...], draw: Callable[[random.Random], dict[str, Any]], normal: dict[str, Any]
+) -> Fault:
+    """Return a fault that sets something on a control page for a while."""
+
+    async def inject(cluster: Cluster, rng: random.Random, incident: Incident, witnesses: Witnesses) -> None:
+        name = rng.choice(names)
+        drawn = draw(rng)
+        incident.where = f'{name} {drawn}'
+        async with witnesses.hold(name):
+            await cluster.control(name, **drawn)
+            await cluster.control(name)
+            await asyncio.sleep(rng.uniform(0.05, 2.5))
+            await cluster.control(name, **normal)
+
+    return inject
+
+
+def _draw_frames(rng: random.Random) -> dict[str, Any]:
+    fault = rng.choice(sorted(NO_FRAME_FAULTS))
+    kind = rng.choice(_ANSWER_KINDS)
+    return {fault: kind if fault == 'cut_before_frame' else [kind]}
+
+
+def _draw_engine(rng: random.Random) -> dict[str, Any]:
+    drawn = rng.choice(
+        (
+            {'load_delay': rng.uniform(0.1, 2)},
+            {'unload_delay': rng.uniform(0.1, 2)},
+            {'fail_loads': rng.randint(1, 3)},
+            {'cut_stream_after': rng.randint(0, 20)},
+            {'slowdown': rng.uniform(2, 10)},
+        ),
+    )
+    return dict(drawn)
+
+
+_ENGINE_NORMAL = {'load_delay': 0, 'unload_delay': 0, 'fail_loads': 0, 'cut_stream_after': -1, 'slowdown': 1}
+
+#: Faults by name.
+FAULTS: dict[str, Fault] = {
+    'kill_entry': kill_one_of(('entry-1', 'entry-2')),
+    'kill_sidecar': kill_one_of(SIDECARS),
+    'kill_engine': kill_one_of(ENGINES),
+    'freeze_entry': freeze_one_of(('entry-1', 'entry-2')),
+    'freeze_sidecar': freeze_one_of(SIDECARS),
+    'freeze_engine': freeze_one_of(ENGINES),
+    'drain_sidecar': drain_sidecar,
+    'peer_network': set_one_of(PEER_PROXIES, lambda rng: {'mode': rng.choice(PROXY_MODES)}, {'mode': 'pass'}),
+    'peer_delay': set_one_of(PEER_PROXIES, lambda rng: {'delay': rng.uniform(0.01, 0.3)}, {'delay': 0}),
+    'peer_frames': set_one_of(PEER_PROXIES, _draw_frames, NO_FRAME_FAULTS),
+    'engine_network': set_one_of(ENGINE_PROXIES, lambda rng: {'mode': rng.choice(PROXY_MODES)}, {'mode': 'pass'}),
+    'engine_orders': set_one_of(ENGINES, _draw_engine, _ENGINE_NORMAL),
+    'configuration_down': set_one_of(('configuration',), lambda rng: {'down': True}, {'down': False}),
+}
--- a/tamarackfield/testing/proxy.py
+++ b/tamarackfield/testing/proxy.py
@@ -6,12 +6,14 @@
 
 from tamarackfield.core import Application
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
+from tamarackfield.testing.frames import NO_FRAME_FAULTS, CutError, FrameFaults
 from tamarackfield.testing.standin import Standin, standin_schema
 
 SETTINGS_SCHEMA = standin_schema(
     {
         'proxy': {**ADDRESS_SCHEMA, 'description': 'where the faulty connection is offered'},
         'upstream': PEER_SCHEMA,
+        'framed': {'type': 'boolean', 'default': False, 'description': 'carries the peer protocol'},
     }
 )
 _READ_BYTES = 16 * 1024
@@ -25,6 +27,7 @@
     either direction), ``freeze_up`` or ``freeze_down`` (one direction), ``half_open`` (accept and
     pass nothing); ``delay`` in seconds applies to every piece; ``cut_down_after`` and
     ``cut_up_after`` close each connection after that many bytes in one direction (-1: never).
+    On a connection of the peer protocol the faults of `FrameFaults` apply to what comes down.
 
     Parameters
     ----------
@@ -35,7 +38,13 @@
     def __init__(self, settings: dict[str, Any]) -> None:
         """Start passing everything."""
         self.settings = settings
-        self.faults: dict[str, Any] = {'mode': 'pass', 'delay': 0, 'cut_up_after': -1, 'cut_down_after': -1}
+        self.faults: dict[str, Any] = {
+            'mode': 'pass',
+            'delay': 0,
+            'cut_up_after': -1,
+            'cut_down_after': -1,
+            **NO_FRAME_FAULTS,
+        }
         self.connections: set[asyncio.Task[None]] = set()
         self.accepted = 0
         self.passed = {'up': 0, 'down': 0}
@@ -82,6 +91,7 @@
 
     async def _pump(self, direction: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         passed = 0
+        frames = FrameFaults(self.faults) if self.settings['framed'] and direction == 'down' else None
         while True:
             chunk = await reader.read(_READ_BYTES)
             while self.faults['mode'] in {'freeze', f'freeze_{direction}'}:
@@ -89,6 +99,8 @@
             if not chunk:
                 return
             await asyncio.sleep(self.faults['delay'])
+            if frames is not None:
+                chunk = await _pass_frames(frames, chunk, writer)
             limit = self.faults[f'cut_{direction}_after']
             if limit >= 0:
                 chunk = chunk[: max(0, limit - passed)]
@@ -103,6 +115,18 @@
         await responder.send_json(404, {})
 
 
+async def _pass_frames(frames: FrameFaults, chunk: bytes, writer: asyncio.StreamWriter) -> bytes:
+    """Return what the frame faults leave of a chunk; at a cut, send what precedes it and fail."""
+    passed: list[bytes] = []
+    try:
+        passed.extend(frames.feed(chunk))
+    except CutError as exc:
+        writer.write(b''.join(passed))
+        await writer.drain()
+        raise ConnectionResetError('cut by fault') from exc
+    return b''.join(passed)
+
+
 def build(settings: dict[str, Any]) -> Application:
     """Build the application of a fault-injecting proxy."""
     return FaultProxy(settings).standin.application
--- /dev/null
+++ b/tamarackfield/testing/tests/test_answer_promises.py
@@ -0,0 +1,147 @@
+"""Promise 3: each caller gets the whole answer to its own request and only that."""
+
+import asyncio
+import functools
+import pathlib
+
+import pytest
+
+from tamarackfield.testing.calls import complete, complete_with_retries, expected_text, is_truthful
+from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
+from tamarackfield.testing.processes import wait_until
+from tamarackfield.wire import Chunk, End, Fail, Head
+
+FIRST = 'draft@v1'
+SECOND = 'draft@v2'
+LONG_NAME = 'x' * 100
+ANSWER_KINDS = [message.kind for message in (Head, Chunk, End, Fail)]
+MEGABYTE = 1_000_000
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    """Run one entry and one engine, with fault proxies before the sidecar and the engine."""
+    options = {'slots': 2, 'step_ms': 2}
+    target = TargetSpec('engine-1', proxied=True, engine_proxied=True, options=options)
+    bundle = make_bundle(('clinic',), (FIRST, SECOND, f'{LONG_NAME}@v1'))
+    async with Cluster(tmp_path, [target], entries=1, bundle=bundle) as running:
+        yield running
+
+
+async def engine_steps(cluster):
+    """Wait until the engine generates."""
+
+    async def stepped():
+        return (await cluster.control('engine-1'))['steps'] >= 10
+
+    await wait_until(stepped, 'the engine generates')
+
+
+def resident_bytes(process):
+    """Return the resident memory of a process."""
+    fields = pathlib.Path(f'/proc/{process.process.pid}/statm').read_text().split()
+    return int(fields[1]) * 4096
+
+
+@pytest.mark.parametrize('stream', [True, False], ids=['stream', 'plain'])
+@pytest.mark.parametrize('kind', [Head, Chunk, End])
+async def test_cut_before_a_frame_is_an_explicit_error(cluster, kind, stream):
+    port = cluster.ports['entry-1']
+    await cluster.control('engine-1-proxy', cut_before_frame=kind.kind)
+    answer = await complete(port, FIRST, 20, stream=stream)
+    end_marker_passed = stream and kind is End
+    assert answer.whole is end_marker_passed
+    assert answer.broken or answer.status != 200
+    assert is_truthful(answer, FIRST, 20)
+    if stream or kind is Head:
+        assert answer.outcome == 'unknown'
+    await cluster.control('engine-1-proxy', cut_before_frame=-1)
+    assert (await complete_with_retries(port, FIRST, 20, stream=stream)).text == expected_text(FIRST, 20)
+
+
+@pytest.mark.parametrize('fault', ['repeat_frames', 'replay_frames'])
+async def test_repeated_and_late_frames_change_no_answer(cluster, fault):
+    call = functools.partial(complete, cluster.ports['entry-1'])
+    await cluster.control('engine-1-proxy', **{fault: ANSWER_KINDS})
+    for stream in (True, False, True):
+        answers = await asyncio.gather(*(call(model, 60, stream=stream) for model in (FIRST, SECOND)))
+        assert [answer.text for answer in answers] == [expected_text(model, 60) for model in (FIRST, SECOND)]
+        assert all(answer.whole for answer in answers)
+
+
+@pytest.mark.parametrize('kind', [Head, Chunk, End])
+async def test_crossed_frames_never_reach_the_wrong_caller(cluster, kind):
+    call = functools.partial(complete, cluster.ports['entry-1'], seconds=3)
+    await cluster.control('engine-1-proxy', swap_frames=[kind.kind])
+    calls = [(model, asyncio.create_task(call(model, 30, stream=True))) for model in (FIRST, SECOND) * 3]
+    for model, task in calls:
+        assert is_truthful(await task, model, 30)
+
+
+async def test_stream_cut_by_the_engine_is_resumed_on_the_same_run(cluster):
+    await cluster.control('engine-1', cut_stream_after=5)
+    answer = await complete(cluster.ports['entry-1'], FIRST, 40, stream=True)
+    assert (answer.text, answer.whole) == (expected_text(FIRST, 40), True)
+    witness = await cluster.control('engine-1')
+    assert witness['resumes'] == 1
+    assert list(witness['ran'].values()) == [1]
+
+
+async def test_connection_to_the_engine_cut_mid_stream_is_resumed(cluster):
+    call = asyncio.create_task(complete(cluster.ports['entry-1'], FIRST, 400, stream=True))
+    await engine_steps(cluster)
+    await cluster.control('engine-1-engine-proxy', mode='cut')
+    await cluster.control('engine-1-engine-proxy', mode='pass')
+    answer = await call
+    assert (answer.text, answer.whole) == (expected_text(FIRST, 400), True)
+    assert list((await cluster.control('engine-1'))['ran'].values()) == [1]
+
+
+async def test_engine_that_dies_mid_stream_ends_it_in_an_error(cluster):
+    call = asyncio.create_task(complete(cluster.ports['entry-1'], FIRST, 2000, stream=True))
+    await engine_steps(cluster)
+    await cluster.restart('engine-1')
+    answer = await call
+    assert is_truthful(answer, FIRST, 2000)
+    assert (answer.whole, answer.outcome) == (False, 'unknown')
+
+
+async def test_sidecar_that_dies_mid_stream_ends_it_in_an_error(cluster):
+    call = asyncio.create_task(complete(cluster.ports['entry-1'], FIRST, 2000, stream=True))
+    await engine_steps(cluster)
+    await cluster.restart('engine-1-sidecar')
+    answer = await call
+    assert is_truthful(answer, FIRST, 2000)
+    assert (answer.whole, answer.outcome) == (False, 'unknown')
+
+
+async def test_callers_that_leave_at_the_last_token_leave_nothing_behind(cluster):
+    port = cluster.ports['entry-1']
+    assert (await complete(port, FIRST, 2)).whole
+    for index in range(24):
+        leaving = asyncio.create_task(complete(port, FIRST, 8, stream=True))
+        await asyncio.sleep(0.01 + index / 1000)
+        leaving.cancel()
+
+    async def idle():
+        running = (await cluster.control('engine-1'))['running'] + (await cluster.status('engine-1-sidecar'))['running']
+        return not running
+
+    await wait_until(idle, 'nothing runs any more')
+    assert (await complete_with_retries(port, FIRST, 8)).text == expected_text(FIRST, 8)
+
+
+async def test_slow_reader_does_not_grow_memory(cluster):
+    tokens = 40_000
+    await cluster.control('engine-1', slowdown=0)
+    port = cluster.ports['entry-1']
+    assert (await complete(port, f'{LONG_NAME}@v1', 2, stream=True)).whole
+    names = ('entry-1', 'engine-1-sidecar')
+    before = [resident_bytes(cluster.processes[name]) for name in names]
+    gate = asyncio.Event()
+    call = asyncio.create_task(complete(port, f'{LONG_NAME}@v1', tokens, stream=True, seconds=120, gate=gate))
+    await asyncio.sleep(2)
+    growth = [resident_bytes(cluster.processes[name]) - size for name, size in zip(names, before, strict=True)]
+    assert max(growth) < 4 * MEGABYTE
+    gate.set()
+    assert (await call).text == expected_text(f'{LONG_NAME}@v1', tokens)
--- /dev/null
+++ b/tamarackfield/testing/tests/test_drain_promises.py
@@ -0,0 +1,138 @@
+"""Promises 6 and 7: a leaving target gets nothing new; a graceful shutdown cuts nothing."""
+
+import asyncio
+import contextlib
+import itertools
+
+import pytest
+
+from tamarackfield.testing.calls import complete, complete_with_retries, expected_text
+from tamarackfield.testing.cluster import OPERATOR_TOKEN, Cluster, TargetSpec, make_bundle
+from tamarackfield.testing.processes import HOST, wait_until
+from tamarackfield.web import ClientError, fetch
+
+FIRST = 'draft@v1'
+SECOND = 'draft@v2'
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    """Run two entries and two engines."""
+    targets = [TargetSpec(f'engine-{index}', proxied=True, options={'step_ms': 2}) for index in (1, 2)]
+    async with Cluster(tmp_path, targets, entries=2, bundle=make_bundle(('clinic',), (FIRST, SECOND))) as running:
+        yield running
+
+
+async def count_runs(cluster, engine):
+    """Return how many requests an engine ran."""
+    return len((await cluster.control(engine))['ran'])
+
+
+async def drain(cluster, name):
+    """Give the operator's order to drain."""
+    headers = [('Authorization', f'Bearer {OPERATOR_TOKEN}')]
+    status, _, _ = await fetch((HOST, cluster.ports[f'{name}-operations']), 'POST', '/drain', b'', headers)
+    assert status == 200
+
+
+async def check_serves(cluster, calls):
+    """Call through both entries in turn and check every answer."""
+    turns = itertools.cycle(itertools.product(cluster.entry_names, (FIRST, SECOND)))
+    for entry, model in itertools.islice(turns, calls):
+        answer = await complete(cluster.ports[entry], model)
+        assert (answer.text, answer.whole) == (expected_text(model, 3), True), answer
+
+
+async def test_target_drained_by_an_operator_gets_nothing_new(cluster):
+    await check_serves(cluster, 4)
+    await drain(cluster, 'engine-1-sidecar')
+    ran = await count_runs(cluster, 'engine-1')
+    await check_serves(cluster, 12)
+    assert await count_runs(cluster, 'engine-1') == ran
+
+
+async def test_partitioned_entry_that_has_not_heard_of_the_drain_is_refused(cluster):
+    await check_serves(cluster, 4)
+    await cluster.control('engine-1-proxy', mode='freeze_down')
+    await drain(cluster, 'engine-1-sidecar')
+    ran = await count_runs(cluster, 'engine-1')
+    await check_serves(cluster, 8)
+    await cluster.control('engine-1-proxy', mode='pass')
+    await check_serves(cluster, 4)
+    assert await count_runs(cluster, 'engine-1') == ran
+
+
+async def test_terminated_sidecar_finishes_what_runs_and_takes_nothing_new(cluster):
+    calls = [
+        asyncio.create_task(complete(cluster.ports[entry], model, 300, stream=stream))
+        for entry, model, stream in itertools.product(cluster.entry_names, (FIRST, SECOND), (True, False))
+    ]
+
+    async def all_run():
+        return sum([await count_runs(cluster, engine) for engine in ('engine-1', 'engine-2')]) == len(calls)
+
+    await wait_until(all_run, 'every call runs')
+    stopping = asyncio.create_task(cluster.processes['engine-1-sidecar'].terminate())
+    await check_serves(cluster, 8)
+    assert all([(await call).whole for call in calls])
+    assert await stopping == 0
+
+
+async def test_flapping_target_gets_work_only_while_it_is_live(cluster):
+    for _ in range(2):
+        await drain(cluster, 'engine-1-sidecar')
+        ran = await count_runs(cluster, 'engine-1')
+        await check_serves(cluster, 6)
+        assert await count_runs(cluster, 'engine-1') == ran
+        await cluster.processes['engine-1-sidecar'].terminate()
+        await cluster.start_one('engine-1-sidecar')
+        await cluster.wait_links()
+    await check_serves(cluster, 4)
+
+
+async def is_ready(cluster, entry):
+    """Ask an entry as the platform's balancer does."""
+    with contextlib.suppress(ClientError):
+        status, _, _ = await fetch((HOST, cluster.ports[entry]), 'GET', '/readyz')
+        return status == 200
+    return False
+
+
+async def send_steadily(cluster, stopped, answers, model):
+    """Call one ready entry after another until told to stop."""
+    for entry, stream in itertools.cycle(itertools.product(cluster.entry_names, (True, False))):
+        if stopped.is_set():
+            return
+        if await is_ready(cluster, entry):
+            answers.append((model, await complete(cluster.ports[entry], model, 60, stream=stream)))
+
+
+async def test_rolling_restart_under_steady_load_cuts_nothing(cluster):
+    stopped = asyncio.Event()
+    answers = []
+    senders = [
+        asyncio.create_task(send_steadily(cluster, stopped, answers, model))
+        for model in (FIRST, SECOND)
+        for _ in range(3)
+    ]
+    for name in ('engine-1-sidecar', 'engine-2-sidecar', *cluster.entry_names):
+        assert await cluster.processes[name].terminate() == 0
+        await cluster.start_one(name)
+        await cluster.wait_links()
+    stopped.set()
+    await asyncio.gather(*senders)
+    bad = [answer for model, answer in answers if answer.text != expected_text(model, 60) or not answer.whole]
+    assert bad == []
+    assert len(answers) > len(senders)
+
+
+async def test_sidecar_that_restarts_alone_is_waited_for_or_refused_as_not_run(cluster):
+    await cluster.processes['engine-2-sidecar'].terminate()
+    stopping = asyncio.create_task(cluster.processes['engine-1-sidecar'].terminate())
+    port = cluster.ports['entry-1']
+    answers = await asyncio.gather(*(complete(port, FIRST, 2, seconds=2) for _ in range(6)))
+    assert {answer.outcome for answer in answers} <= {'not_run', ''}
+    assert all(answer.whole or answer.outcome == 'not_run' for answer in answers)
+    assert await stopping == 0
+    await cluster.start_one('engine-1-sidecar')
+    assert (await complete_with_retries(port, FIRST)).whole
--- /dev/null
+++ b/tamarackfield/testing/witnesses.py
@@ -0,0 +1,62 @@
+"""What the stand-ins saw in a chaos run, compared with what callers were told."""
+
+import asyncio
+import collections
+from typing import Any
+
+from tamarackfield.testing.cluster import Cluster
+
+ENGINES = ('engine-1', 'engine-2')
+SERVICE = 'booking-1'
+
+
+class Witnesses:
+    """Collects the stand-ins' counts, those of engines that are about to be killed among them.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        The deployment.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Start with nothing seen."""
+        self.cluster = cluster
+        self.locks: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
+        self.prompts: set[str] = set()
+        self.broken_pins: dict[int, int] = {}
+        self.told_not_run: dict[str, str] = {}
+        self.bookings: dict[str, list[str]] = collections.defaultdict(list)
+
+    def hold(self, name: str) -> asyncio.Lock:
+        """Return the lock under which a process is tampered with."""
+        return self.locks[name]
+
+    async def sample(self, engine: str) -> None:
+        """Take in the counts of one engine."""
+        witness: dict[str, Any] = await self.cluster.control(engine)
+        self.prompts.update(witness['prompts'])
+        self.broken_pins[witness['incarnation']] = witness['broken_pins']
+
+    async def check(self) -> list[str]:
+        """Return every promise that the counts show as broken."""
+        for engine in ENGINES:
+            await self.sample(engine)
+        broken = [f'incarnation {number}: {pins} broken pins' for number, pins in self.broken_pins.items() if pins]
+        lied_to = self.prompts.intersection(self.told_not_run)
+        broken.extend(f'told not_run, but ran: {self.told_not_run[prompt]}' for prompt in lied_to)
+        ran = (await self.cluster.control(SERVICE))['ran']
+        for key, outcomes in self.bookings.items():
+            broken.extend(_check_booking(key, outcomes, ran.get(f'clinic|{key}', 0)))
+        return broken
+
+
+def _check_booking(key: str, outcomes: list[str], ran: int) -> list[str]:
+    broken = []
+    if ran > 1:
+        broken.append(f'{key} ran {ran} times: {outcomes}')
+    if ran and set(outcomes) == {'not_run'}:
+        broken.append(f'{key} was told not_run and ran')
+    if not ran and 'whole' in outcomes:
+        broken.append(f'{key} was answered and never ran')
+    return broken
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -127,7 +127,8 @@
         """
         self.send(hello)
         try:
-            message = await asyncio.wait_for(self.receive(), CONNECT_TIMEOUT)
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                message = await self.receive()
         except TimeoutError:
             raise StreamClosedError('peer sent no hello', step='hello', peer=self.peer) from None
         if not isinstance(message, Hello):
@@ -163,7 +164,8 @@
         """Close the stream and wait until the peer has taken what was sent, or does not read."""
         self.close()
         with contextlib.suppress(OSError, TimeoutError):
-            await asyncio.wait_for(self.writer.wait_closed(), SILENCE_TIMEOUT)
+            async with asyncio.timeout(SILENCE_TIMEOUT):
+                await self.writer.wait_closed()
 
     def abort(self) -> None:
         """Close the stream at once and drop what waits to be sent."""
