--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -79,7 +79,8 @@
     def ring_order(self, adapter: str) -> Iterator[TargetView]:
         """Yield the targets in the ring order of an adapter."""
         if len(self.allowed) <= FEW_TARGETS:
-            speeds = {name: self.fleet.speeds.get(name, 1.0) for name in self.allowed}
+            links = self.fleet.links
+            speeds = {name: links[name].target.speed for name in self.allowed if name in links}
             return self._views(rendezvous_order(adapter, speeds))
         return self._views(self.fleet.ring.order(adapter))
 
