--- a/tamarackfield/sidecar/cancel.py
+++ b/tamarackfield/sidecar/cancel.py
@@ -6,7 +6,7 @@
 
 from tamarackfield.sidecar.engine import EngineError
 from tamarackfield.sidecar.events import Ended
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.target import TargetAddress, run_id
 
 #: Seconds between two attempts to cancel.
--- a/tamarackfield/sidecar/dispatch.py
+++ b/tamarackfield/sidecar/dispatch.py
@@ -9,7 +9,7 @@
 from tamarackfield.ledger import Answer
 from tamarackfield.sidecar.events import Ended
 from tamarackfield.sidecar.keyed import RunCall
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.target import error_from_client, new_job, passed_headers
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, open_request
--- a/tamarackfield/sidecar/reports.py
+++ b/tamarackfield/sidecar/reports.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from tamarackfield.core import SYSTEM_CLOCK
-from tamarackfield.sidecar.scheduler import SlotState
+from tamarackfield.sidecar.jobs import SlotState
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Holdings, LoadReport, PeerStream, StreamClosedError
 from tamarackfield.wire.stream import PeerBusyError
--- a/tamarackfield/sidecar/resume.py
+++ b/tamarackfield/sidecar/resume.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from tamarackfield.sidecar.echo import EventStream
-from tamarackfield.sidecar.scheduler import Job
+from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.target import TargetAddress, run_id
 from tamarackfield.web import ClientError, ClientResponse, open_request
 
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -14,7 +14,8 @@
 from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, Event, OrderDone, OrderFailed, StatusRead
 from tamarackfield.sidecar.orders import give_order
 from tamarackfield.sidecar.ownership import Ownership
-from tamarackfield.sidecar.scheduler import Action, Dispatch, Job, Load, Refuse, Scheduler, Unload
+from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Unload
+from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.settling import lose_order, reconcile
 
 #: Seconds between two looks at deadlines when nothing else happens.
@@ -142,6 +143,8 @@
         match event:
             case Arrived(job, permit):
                 self.permits[job.job_id] = permit
+                self.scheduler.load_seconds = self.load_seconds
+                self.scheduler.service_seconds = self.service_seconds
                 self.scheduler.arrive(job)
             case Ended(job_id):
                 self.permits.pop(job_id, None)
@@ -265,7 +268,7 @@
             permit.set_result(None)
 
     def _refuse(self, action: Refuse) -> None:
-        if action.code == 'deadline_passed':
+        if action.code == 'deadline_passed' or action.stalled:
             self.metrics.timing('load_stall', action.stalled * MS_PER_SECOND)
         permit = self.permits.pop(action.job_id, None)
         if permit is not None and not permit.done():
