--- a/tamarackfield/cli/main.py
+++ b/tamarackfield/cli/main.py
@@ -35,9 +35,9 @@
 main.add_command(bundle)
 main.add_command(status)
 main.add_command(explain)
+main.add_command(declare_first_start)
 main.add_command(drain)
 main.add_command(audit)
-main.add_command(declare_first_start)
 
 
 if __name__ == '__main__':
