--- a/tamarackfield/discovery/configuration.py
+++ b/tamarackfield/discovery/configuration.py
@@ -7,7 +7,7 @@
 from tamarackfield.web import ClientError, fetch
 
 #: Seconds that a watch waits in the service before it answers "no change".
-WATCH_SECONDS = 20
+WATCH_SECONDS = 2
 #: Seconds allowed for a read.
 READ_TIMEOUT = 3.0
 _OK = 200
--- a/tamarackfield/discovery/follower.py
+++ b/tamarackfield/discovery/follower.py
@@ -128,7 +128,7 @@
     async def _become_ready(self) -> None:
         """Ask the service and the peers, and be ready with the highest number that either gave."""
         expires_at = SYSTEM_CLOCK.monotonic() + START_WAIT
-        await self.watcher.ask_once()
+        await self.watcher.ask_once(with_shards=not self.book.seeds)
         while self.store.number == 0 or not self._peers_asked(expires_at):
             await asyncio.sleep(_START_POLL)
         self.ready.set()
@@ -140,6 +140,8 @@
         if SYSTEM_CLOCK.monotonic() >= expires_at:
             self.record('bundle_start_wait_over', peers=self.spreader.resolved(), number=self.store.number)
             return True
+        if self.store.number < self.watcher.asked_number:
+            return False
         resolved = self.spreader.resolved()
         return resolved >= START_PEERS or bool(resolved and self.book.all_tried())
 
--- a/tamarackfield/discovery/mesh.py
+++ b/tamarackfield/discovery/mesh.py
@@ -27,8 +27,6 @@
 #: Seconds between two looks at the outgoing streams, and between two samples to a peer.
 LINK_INTERVAL = 0.2
 SAMPLE_INTERVAL = 5.0
-#: Longest wait for the tasks of accepted streams at the end, in seconds.
-CLOSE_TIMEOUT = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -101,7 +99,7 @@
         self.neighbours: set[Neighbour] = set()
         self.dialled: dict[str, str] = {}
         self.server: asyncio.Server | None = None
-        self.accepted: dict[PeerStream, asyncio.Task[None] | None] = {}
+        self.accepted: dict[PeerStream, asyncio.Task[None]] = {}
         self.closed_bytes = [0, 0]
 
     def traffic(self) -> tuple[int, int]:
@@ -115,14 +113,11 @@
         self.server = await asyncio.start_server(self.accept, host, port, ssl=self.identity.server_context)
 
     async def stop(self) -> None:
-        """Accept no more peers and close the streams that were accepted."""
+        """Accept no more peers and close all streams; the application ends their tasks."""
         if self.server is not None:
             self.server.close()
-        tasks = list(self.accepted.values())
-        for stream in self.accepted:
-            stream.abort()
-        if tasks:
-            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT)
+        for neighbour in self.neighbours:
+            neighbour.stream.close()
 
     async def run(self) -> None:
         """Keep up the outgoing streams, for ever."""
@@ -143,10 +138,13 @@
             if neighbour is not skip and (not zone or neighbour.zone == zone):
                 neighbour.send(message)
 
-    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one incoming stream until it closes."""
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Start the task that owns an incoming stream."""
         stream = PeerStream(reader, writer)
-        self.accepted[stream] = asyncio.current_task()
+        self.accepted[stream] = self.application.spawn(self._own(stream), f'mesh-{stream.peer}')
+
+    async def _own(self, stream: PeerStream) -> None:
+        """Serve one incoming stream until it closes."""
         try:
             await self._serve(stream, '')
         except TamarackfieldError as exc:
--- a/tamarackfield/discovery/watcher.py
+++ b/tamarackfield/discovery/watcher.py
@@ -37,14 +37,28 @@
         self.store = store
         self.give_up = give_up
         self.failures = 0
+        self.asked_number = 0
 
-    async def ask_once(self) -> None:
-        """Read what the service has now; a failure is logged."""
+    async def ask_once(self, *, with_shards: bool) -> None:
+        """Read what the service has now; a failure is logged.
+
+        Parameters
+        ----------
+        with_shards : bool
+            Whether to read the shards too and put the bundle in force. Otherwise its number is kept
+            in ``asked_number`` and the bundle is left to the watchers, so that a start of many
+            processes costs the service one call each.
+        """
         try:
             encoded, _ = await self.client.read(MANIFEST_NAME)
-            await self._take(encoded)
+            if with_shards:
+                await self._take(encoded)
         except TamarackfieldError as exc:
             logger.bind(error=exc.message, step=exc.step).warning('configuration_unavailable')
+            return
+        envelope = self.store.examine(encoded, self.store.acceptance.rotations, SERVICE_SOURCE)
+        if envelope is not None:
+            self.asked_number = envelope.manifest['number']
 
     async def run(self) -> None:
         """Watch until cancelled; back off with jitter while calls fail or bring old bundles."""
