--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -124,6 +124,7 @@
         adapters = [arrival.adapter for arrival in self.run.trace]
         return Measured(
             exchanges=[result for result in exchanges if result.arrival.at >= self.run.warm_up],
+            finished=self._finished(exchanges, start),
             stalls_ms=self.collector.since('load_stall', start + self.run.warm_up),
             engines=[_growth(old, new) for old, new in zip(before, after, strict=True)],
             weights_served=weights['served'],
@@ -143,6 +144,12 @@
             tasks.append(asyncio.ensure_future(send(arrival, port)))
         return await asyncio.gather(*tasks)
 
+    def _finished(self, exchanges: list[Result], start: float) -> int:
+        first = start + self.run.warm_up
+        last = start + self.run.seconds
+        good = [result for result in exchanges if result.outcome == 'answered' and result.in_time]
+        return sum(first <= result.ended_at <= last for result in good)
+
     async def _make_trouble(self) -> None:
         await asyncio.sleep(self.run.seconds / 3)
         match self.run.load:
