--- a/benchmarks/spread_peer.py
+++ b/benchmarks/spread_peer.py
@@ -37,6 +37,7 @@
         )
         self.ready_cpu = 0.0
         self.ready_at = 0.0
+        self.streams = 0
         self.ready_traffic = (0, 0)
         self.follower.on_bundle(self.note)
         self.application.on_start(self.follower.start)
@@ -61,6 +62,7 @@
         self.ready_at = time.time()
         self.ready_cpu = time.process_time()
         self.ready_traffic = self.follower.mesh.traffic()
+        self.streams = len(self.follower.mesh.neighbours)
 
     async def report(self) -> None:
         """Print what this process did since it settled."""
@@ -70,7 +72,7 @@
             'accepted': self.accepted,
             'number': self.follower.store.number,
             'calls': self.follower.client.calls,
-            'streams': len(self.follower.mesh.neighbours),
+            'streams': self.streams,
             'sent_per_second': (sent - self.ready_traffic[0]) / elapsed,
             'received_per_second': (received - self.ready_traffic[1]) / elapsed,
             'cpu_share': (time.process_time() - self.ready_cpu) / elapsed,
