--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -24,8 +24,8 @@
 from tamarackfield.testing.processes import HOST
 
 _BASELINE = {'eviction': 'lru', 'queue': 'fifo', 'admission': 'all', 'loading': 'unpaced'}
-_FULL = {'routing': 'affine', 'eviction': 'lfu', 'queue': 'fair', 'admission': 'deadline', 'loading': 'share'}
-#: Named sets of decision functions; ``NAME,eviction=lfu`` changes one of a set.
+_FULL = {'routing': 'affine', 'eviction': 'lru', 'queue': 'fair', 'admission': 'deadline', 'loading': 'unpaced'}
+#: Named sets of decision functions; ``NAME,queue=fair`` changes one of a set.
 POLICIES: dict[str, dict[str, str]] = {
     'round-robin': {**_BASELINE, 'routing': 'round-robin'},
     'least-outstanding': {**_BASELINE, 'routing': 'least-outstanding'},
@@ -55,8 +55,8 @@
 
     Examples
     --------
-    >>> parse_policy('round-robin,eviction=lfu')['routing'], parse_policy('round-robin,eviction=lfu')['eviction']
-    ('round-robin', 'lfu')
+    >>> parse_policy('round-robin,queue=fair')['routing'], parse_policy('round-robin,queue=fair')['queue']
+    ('round-robin', 'fair')
     """
     name, *changes = text.split(',')
     return {**POLICIES[name], **dict(change.split('=') for change in changes)}
@@ -229,7 +229,7 @@
     help='Measure a policy against a baseline on real processes; the first third of the trace is the warm-up.',
     params=[
         click.Option(['--deployment'], type=click.Choice(sorted(DEPLOYMENTS)), required=True),
-        click.Option(['--policy'], default='full', help='Name, or NAME,eviction=lfu.'),
+        click.Option(['--policy'], default='full', help='Name, or NAME,queue=fair.'),
         click.Option(['--baseline'], default='least-outstanding', help='As --policy.'),
         click.Option(['--seed'], type=int, default=1),
         click.Option(['--seconds'], type=float, default=30, help='Length of the trace.'),
--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -109,7 +109,7 @@
     'additionalProperties': False,
     'properties': {
         'routing': {'enum': ['affine', 'least-outstanding', 'resident-first', 'round-robin']},
-        'eviction': {'enum': ['lfu', 'lru']},
+        'eviction': {'enum': ['lru']},
         'queue': {'enum': ['fair', 'fifo']},
         'admission': {'enum': ['all', 'deadline']},
         'loading': {'enum': ['share', 'unpaced']},
--- a/tamarackfield/sidecar/jobs.py
+++ b/tamarackfield/sidecar/jobs.py
@@ -25,7 +25,6 @@
     state: SlotState
     last_used: float
     pins: int = 0
-    frequency: float = 0.0
     settles_at: float = 0.0
     trusted_at: float = 0.0
 
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -13,7 +13,7 @@
 from tamarackfield.policy.admission import ADMISSIONS, DEFAULT_ADMISSION, Admission, Backlog
 from tamarackfield.policy.loading import UNPACED_LOADS
 from tamarackfield.policy.queueing import QueueOrder
-from tamarackfield.policy.slots import Eviction, SlotUse, decayed
+from tamarackfield.policy.slots import Eviction, SlotUse
 from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Slot, SlotState, Unload, stall_seconds
 
 #: Seconds after which a failed load is tried again.
@@ -225,7 +225,6 @@
         slot = self.table.get(job.adapter)
         if slot is not None:
             slot.pins += 1
-            slot.frequency = decayed(slot.frequency, slot.last_used, now) + 1
             slot.last_used = now
         return Dispatch(job.job_id)
 
@@ -248,7 +247,7 @@
     def _evict(self, now: float) -> list[Action]:
         needed = {job.adapter for job in self.waiting.values()}
         idle = [
-            SlotUse(adapter, slot.last_used, slot.frequency)
+            SlotUse(adapter, slot.last_used)
             for adapter, slot in self.table.items()
             if slot.state is SlotState.RESIDENT and not slot.pins and adapter not in needed
         ]
