--- a/tamarackfield/core/settings.py
+++ b/tamarackfield/core/settings.py
@@ -3,12 +3,17 @@
 import ipaddress
 import json
 import pathlib
+import re
 from dataclasses import dataclass
 from typing import Any
 
 import jsonschema
 from result import Err, Ok, Result
 
+#: Highest TCP or UDP port.
+MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+_PLAIN_NAME = re.compile('[A-Za-z_][A-Za-z0-9_]*')
 #: Schema of a listening address.
 ADDRESS_SCHEMA = {
     'type': 'object',
@@ -16,7 +21,7 @@
     'additionalProperties': False,
     'properties': {
         'host': {'type': 'string', 'format': 'ip', 'description': 'IP number to listen on'},
-        'port': {'type': 'integer', 'minimum': 0, 'maximum': 65535, 'description': 'port; 0 takes a free one'},
+        'port': {'type': 'integer', 'minimum': 0, 'maximum': MAX_PORT, 'description': 'port; 0 takes a free one'},
     },
 }
 #: Schema of a peer's address, ``ip:port`` or ``[ip6]:port``.
@@ -41,6 +46,23 @@
     message: str
 
 
+def json_path(*parts: str | int) -> str:
+    """Return the JSON path of a member; names that are not plain words are quoted.
+
+    Examples
+    --------
+    >>> json_path('targets', 'engine-1', 'speeds', 0)
+    "$.targets['engine-1'].speeds[0]"
+    """
+    return ''.join(('$', *(_path_part(part) for part in parts)))
+
+
+def _path_part(part: str | int) -> str:
+    if isinstance(part, int):
+        return f'[{part}]'
+    return f'.{part}' if _PLAIN_NAME.fullmatch(part) else f'[{part!r}]'
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split ``ip:port`` into its parts.
 
@@ -71,6 +93,8 @@
         raise ValueError(f'{text!r} has no port')
     bare_host = host.removeprefix('[').removesuffix(']')
     ipaddress.ip_address(bare_host)
+    if not port.isascii() or not port.isdigit() or len(port) > _MAX_PORT_DIGITS or int(port) > MAX_PORT:
+        raise ValueError(f'{port!r} is not a port')
     return bare_host, int(port)
 
 
@@ -110,7 +134,7 @@
     [Problem(path='$.port', message="'x' is not of type 'integer'")]
     """
     validator = jsonschema.Draft202012Validator(schema, format_checker=_checker)
-    return sorted(Problem(error.json_path, error.message) for error in validator.iter_errors(document))
+    return sorted(Problem(json_path(*error.absolute_path), error.message) for error in validator.iter_errors(document))
 
 
 def format_problems(problems: list[Problem]) -> str:
@@ -152,7 +176,7 @@
     """
     try:
         document = json.loads(pathlib.Path(path).read_text('utf-8')) if path else {}
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         return Err([Problem('$', f'{path}: {exc}')])
     if not isinstance(document, dict):
         return Err([Problem('$', f'{path}: settings are not a JSON object')])
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -110,12 +110,12 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.router: Router = ROUTERS[DEFAULT_ROUTER](Weights())
         self.routing: tuple[str, Weights] = (DEFAULT_ROUTER, Weights())
-        self.speeds: dict[str, float] = {}
         self.ring = Ring({})
         self.allowed: dict[int, tuple[tuple[TargetEntry, ...], frozenset[str]]] = {}
         self.index = HolderIndex()
         self.rng = random.Random()
         self.written_off: frozenset[str] = frozenset()
+        self.targets: dict[str, TargetEntry] = {}
 
     def sightings(self) -> dict[str, Sighting]:
         """Return the address of each target and the incarnation of its sidecar."""
@@ -133,6 +133,17 @@
 
     def apply(self, bundle: Bundle) -> None:
         """Follow the targets and the policy of a bundle."""
+        if bundle.targets is not self.targets:
+            self._follow_targets(bundle)
+        weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
+        routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
+        if routing != self.routing:
+            self.router = ROUTERS[routing[0]](weights)
+            self.routing = routing
+
+    def _follow_targets(self, bundle: Bundle) -> None:
+        """Follow the targets; a bundle that changed others only holds the very same mapping."""
+        self.targets = bundle.targets
         stale = [name for name, link in self.links.items() if bundle.targets.get(name) != link.target]
         for name in stale:
             self.links.pop(name)
@@ -144,15 +155,7 @@
                 self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
         self.allowed.clear()
-        speeds = {name: target.speed for name, target in bundle.targets.items()}
-        if speeds != self.speeds:
-            self.speeds = speeds
-            self.ring = Ring(speeds)
-        weights = Weights(bundle.weights['load_stalls'], bundle.weights['batch_efficiency'])
-        routing = (bundle.policy.get('routing', DEFAULT_ROUTER), weights)
-        if routing != self.routing:
-            self.router = ROUTERS[routing[0]](weights)
-            self.routing = routing
+        self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
 
     def choose(self, request: RoutingRequest, targets: tuple[TargetEntry, ...], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
--- a/tamarackfield/entry/tests/test_bad_input.py
+++ b/tamarackfield/entry/tests/test_bad_input.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 
 import pytest
 
@@ -13,6 +14,7 @@
 AUTH = b'Authorization: Bearer key-clinic\r\n'
 CLOSE = b'Connection: close\r\n'
 GOOD = {'model': 'draft@v1', 'messages': [{'role': 'user', 'content': 'hi'}], 'max_tokens': 1}
+CONNECTIONS_AT_ONCE = 20
 NINES = b'9' * 9000
 NOISE = b'a' * 150_000
 GOOD_BODY = json.dumps(GOOD).encode()
@@ -186,6 +188,30 @@
     await assert_unharmed(cluster)
 
 
+def damage(raw, rng):
+    """Return a request with some bytes removed, doubled or replaced."""
+    damaged = raw
+    for _ in range(rng.randint(1, 4)):
+        place = rng.randrange(len(damaged))
+        size = rng.randint(0, 6)
+        replacement = rng.choice((b'', rng.randbytes(3), b'\r\n', damaged[:size], b'\x00'))
+        damaged = b''.join((damaged[:place], replacement, damaged[place + size :]))
+    return damaged
+
+
+async def test_damaged_requests_leave_the_process_unharmed(cluster):
+    rng = random.Random(7)
+    requests = [damage(post(GOOD_BODY), rng) for _ in range(200)]
+    statuses = set()
+    for start in range(0, len(requests), CONNECTIONS_AT_ONCE):
+        batch = requests[start : start + CONNECTIONS_AT_ONCE]
+        answers = await asyncio.gather(*(exchange_raw(cluster.ports['entry-1'], raw) for raw in batch))
+        statuses.update(answer.status for answer in answers)
+    assert statuses <= {200, 400, 401, 404, 408, 413, 501}
+    assert len(statuses) > 3
+    await assert_unharmed(cluster)
+
+
 async def test_operators_interface_refuses_a_bad_sequence_number(cluster):
     address = (HOST, cluster.ports['entry-1-operations'])
     for since in ('x', '-1', '9' * 5000, '%ff'):
