--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -110,6 +110,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.router: Router = ROUTERS[DEFAULT_ROUTER](Weights())
         self.routing: tuple[str, Weights] = (DEFAULT_ROUTER, Weights())
+        self.speeds: dict[str, float] = {}
         self.ring = Ring({})
         self.allowed: dict[int, tuple[tuple[TargetEntry, ...], frozenset[str]]] = {}
         self.index = HolderIndex()
@@ -155,7 +156,10 @@
                 self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
         self.allowed.clear()
-        self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
+        speeds = {name: target.speed for name, target in bundle.targets.items()}
+        if speeds != self.speeds:
+            self.speeds = speeds
+            self.ring = Ring(speeds)
 
     def choose(self, request: RoutingRequest, targets: tuple[TargetEntry, ...], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
