Drive the worker and a model engine through lost and late orders as a state machine

The engine of the model carries an order out at any time after it was sent, also when its sender gave up on it; both kinds of engines.

--- /dev/null
+++ b/tamarackfield/sidecar/tests/test_orders_machine.py
@@ -0,0 +1,266 @@
+"""State machine of a worker and its engine: lost and late orders, restarts and pauses.
+
+The engine of this model carries an order out at any time after it was sent, also when its sender
+has given up on it; an engine that ignores fencing numbers does so for `ORDER_HORIZON` at most.
+"""
+
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tamarackfield.core import Application
+from tamarackfield.observe import AuditTrail, Metrics
+from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
+from tamarackfield.sidecar.engine import EngineError, EngineStatus
+from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, OrderDone, OrderFailed, StatusRead
+from tamarackfield.sidecar.jobs import Dispatch, Job, Load, Unload
+from tamarackfield.sidecar.scheduler import Scheduler
+from tamarackfield.sidecar.worker import ORDER_HORIZON, TargetWorker
+
+ADAPTERS = st.sampled_from(['a@1', 'b@1'])
+INDEXES = st.integers(0, 3)
+SLOTS = 1
+BATCH = 3
+#: Seconds by which every step moves time.
+STEP = 0.001
+
+
+@dataclass(slots=True)
+class SentOrder:
+    """An order on its way: whether the engine carried it out, and whether its sender still waits."""
+
+    order: Load | Unload
+    fence: int
+    issued_in: int
+    carried_out: bool = False
+    refused: bool = False
+    expires_at: float = float('inf')
+
+    @property
+    def waited_for(self):
+        return self.expires_at == float('inf')
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Drives the worker's events by hand, in any order."""
+
+    fencing = True
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.scheduler = Scheduler(SLOTS, BATCH, EVICTIONS['lru'], QUEUE_ORDERS['fifo'])
+        self.worker = TargetWorker(Application('test'), self.scheduler, object(), AuditTrail(), Metrics('test'))
+        self.ownership = self.worker.ownership
+        self.worker.may_act = self.worker.ready.is_set
+        self.incarnation = 1
+        self.resident = set()
+        self.running = {}
+        self.highest_fence = 0
+        self.orders = []
+        self.snapshots = []
+        self.next_id = 0
+
+    def post(self, event):
+        self.now += STEP
+        self.worker._apply(event, self.now)
+        for action in self.worker._decide(self.now):
+            match action:
+                case Dispatch(job_id):
+                    self.dispatch(job_id)
+                case Load() | Unload():
+                    under_way = {sent.order.adapter for sent in self.orders if sent.waited_for}
+                    assert action.adapter not in under_way
+                    self.orders.append(SentOrder(action, self.ownership.fence, self.worker.incarnation))
+
+    def dispatch(self, job_id):
+        adapter = self.scheduler.running[job_id].adapter
+        if adapter in self.resident:
+            self.running[job_id] = adapter
+        else:
+            self.worker._apply(Ended(job_id), self.now)
+            self.worker._apply(Doubted(), self.now)
+
+    def read_status(self):
+        return EngineStatus(
+            self.incarnation, frozenset(self.resident), len(self.running), self.highest_fence, fencing=self.fencing
+        )
+
+    def drop_expired(self):
+        self.orders = [sent for sent in self.orders if sent.expires_at > self.now]
+
+    @rule(adapter=ADAPTERS)
+    def arrive(self, adapter):
+        self.next_id += 1
+        job = Job(self.next_id, adapter, 'caller', 5, self.now, self.now + 1000)
+        self.post(Arrived(job, None))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, ORDER_HORIZON / 2, ORDER_HORIZON]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.drop_expired()
+
+    @rule(index=INDEXES)
+    def engine_carries_out_and_answers(self, index):
+        self.engine_carries_out(index)
+        self.engine_answers(index)
+
+    @rule(index=INDEXES)
+    def engine_carries_out(self, index):
+        pending = [sent for sent in self.orders if not sent.carried_out]
+        if not pending:
+            return
+        sent = pending[index % len(pending)]
+        sent.carried_out = True
+        sent.refused = self.fencing and sent.fence < self.highest_fence
+        if sent.refused:
+            return
+        self.highest_fence = max(self.highest_fence, sent.fence)
+        adapter = sent.order.adapter
+        if isinstance(sent.order, Unload):
+            assert adapter not in self.running.values(), 'unloaded beneath a request'
+            self.resident.discard(adapter)
+        elif len(self.resident | {adapter}) > SLOTS:
+            sent.refused = True
+        else:
+            self.resident.add(adapter)
+
+    @rule(index=INDEXES)
+    def engine_answers(self, index):
+        answered = [sent for sent in self.orders if sent.carried_out and sent.waited_for]
+        if not answered:
+            return
+        sent = answered[index % len(answered)]
+        self.orders.remove(sent)
+        if sent.refused:
+            error = EngineError('refused', 'order', 'engine', answered=True)
+            self.post(OrderFailed(sent.order, sent.issued_in, error))
+        else:
+            self.post(OrderDone(sent.order, sent.issued_in, self.incarnation, 0.1))
+
+    @rule(index=INDEXES)
+    def answer_is_lost(self, index):
+        waited_for = [sent for sent in self.orders if sent.waited_for]
+        if not waited_for:
+            return
+        sent = waited_for[index % len(waited_for)]
+        sent.expires_at = self.now + ORDER_HORIZON
+        self.post(OrderFailed(sent.order, sent.issued_in, EngineError('cut', 'order', 'engine')))
+
+    @rule()
+    def claim_arrives(self):
+        fence = self.ownership.fence
+        if self.ownership.claim_wanted and fence >= self.highest_fence:
+            self.highest_fence = fence
+            self.post(Claimed(fence))
+
+    @rule()
+    def status_is_read(self):
+        asked_at = self.now
+        self.post(StatusRead(self.read_status(), asked_at))
+
+    @rule()
+    def claim_and_status(self):
+        self.claim_arrives()
+        self.status_is_read()
+
+    @rule()
+    def status_is_asked(self):
+        self.snapshots.append(StatusRead(self.read_status(), self.now))
+
+    @rule()
+    def late_status_arrives(self):
+        if self.snapshots:
+            self.post(self.snapshots.pop(0))
+
+    @rule(index=INDEXES)
+    def job_ends(self, index):
+        if self.running:
+            job_id = sorted(self.running)[index % len(self.running)]
+            self.running.pop(job_id)
+            self.post(Ended(job_id))
+
+    @rule()
+    def process_was_paused(self):
+        self.now += 2
+        self.drop_expired()
+        self.worker._after_pause(self.now)
+
+    @rule()
+    def engine_restarts_empty(self):
+        self.incarnation += 1
+        self.resident.clear()
+        self.highest_fence = 0
+        self.snapshots.clear()
+        broken = [sent for sent in self.orders if sent.waited_for]
+        self.orders.clear()
+        for sent in broken:
+            self.post(OrderFailed(sent.order, sent.issued_in, EngineError('cut', 'order', 'engine')))
+        for job_id in sorted(self.running):
+            self.running.pop(job_id)
+            self.post(Ended(job_id))
+
+    @invariant()
+    def adapters_in_use_are_resident(self):
+        assert set(self.running.values()) <= self.resident
+
+    @invariant()
+    def never_superseded_by_itself(self):
+        assert not self.ownership.superseded
+
+
+class IgnoringOrdersMachine(OrdersMachine):
+    """The same with an engine that ignores fencing numbers."""
+
+    fencing = False
+
+
+TestOrders = OrdersMachine.TestCase
+TestIgnoringOrders = IgnoringOrdersMachine.TestCase
+TestOrders.settings = settings(max_examples=150, stateful_step_count=60)
+TestIgnoringOrders.settings = TestOrders.settings
+
+
+def use_first_adapter_and_lose_its_unload(machine):
+    """Bring a machine to the moment at which an unload order got no answer and its adapter is wanted."""
+    machine.status_is_read()
+    machine.claim_and_status()
+    machine.arrive(adapter='a@1')
+    machine.engine_carries_out_and_answers(index=0)
+    assert list(machine.running.values()) == ['a@1']
+    machine.job_ends(index=0)
+    machine.arrive(adapter='b@1')
+    assert [sent.order for sent in machine.orders] == [Unload('a@1')]
+    machine.arrive(adapter='a@1')
+    machine.answer_is_lost(index=0)
+
+
+def test_lost_unload_bars_its_adapter_until_the_raised_number_is_claimed():
+    machine = OrdersMachine()
+    use_first_adapter_and_lose_its_unload(machine)
+    machine.status_is_read()
+    assert not machine.running
+    machine.claim_and_status()
+    assert list(machine.running.values()) == ['a@1']
+    machine.engine_carries_out(index=0)
+    assert machine.resident == {'a@1'}
+
+
+def test_lost_unload_bars_its_adapter_for_the_horizon_where_numbers_are_ignored():
+    machine = IgnoringOrdersMachine()
+    use_first_adapter_and_lose_its_unload(machine)
+    machine.claim_and_status()
+    assert not machine.running
+    machine.wait(seconds=ORDER_HORIZON)
+    machine.status_is_read()
+    assert list(machine.running.values()) == ['a@1']
+
+
+def test_lost_unload_that_took_effect_is_seen_by_reading_back():
+    machine = IgnoringOrdersMachine()
+    use_first_adapter_and_lose_its_unload(machine)
+    machine.engine_carries_out(index=0)
+    machine.claim_and_status()
+    assert 'a@1' not in machine.scheduler.table
