Take pacing by a share of the load budget out again; label the plots

A sidecar has two loads under way at once, as before; at nyabugogo that is up to 10 in transit against the store's 8 at full speed.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -23,8 +23,8 @@
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.processes import HOST
 
-_BASELINE = {'eviction': 'lru', 'queue': 'fifo', 'admission': 'all', 'loading': 'unpaced'}
-_FULL = {'routing': 'affine', 'eviction': 'lru', 'queue': 'fair', 'admission': 'deadline', 'loading': 'unpaced'}
+_BASELINE = {'eviction': 'lru', 'queue': 'fifo', 'admission': 'all'}
+_FULL = {'routing': 'affine', 'eviction': 'lru', 'queue': 'fair', 'admission': 'deadline'}
 #: Named sets of decision functions; ``NAME,queue=fair`` changes one of a set.
 POLICIES: dict[str, dict[str, str]] = {
     'round-robin': {**_BASELINE, 'routing': 'round-robin'},
--- a/benchmarks/load_plot.py
+++ b/benchmarks/load_plot.py
@@ -30,10 +30,10 @@
 def main(output: pathlib.Path, runs: tuple[pathlib.Path, ...]) -> None:
     """Draw policy and baseline side by side, one pair of bars for each run."""
     figures = [json.loads(path.read_text()) for path in runs]
-    figure, axes = pyplot.subplots(1, len(PANELS), figsize=(3 * len(PANELS), 3.5))
+    figure, axes = pyplot.subplots(1, len(PANELS), figsize=(3 * len(PANELS), 4))
     for axis, (title, read) in zip(axes, PANELS, strict=True):
         _draw(axis, title, read, figures)
-    axes[0].legend(fontsize='small')
+    axes[-1].legend(fontsize='small')
     figure.suptitle(figures[0]['deployment'])
     figure.tight_layout()
     figure.savefig(output, dpi=80)
@@ -43,10 +43,10 @@
     places = range(len(figures))
     for offset, side in ((0, 'policy'), (_BAR_WIDTH, 'baseline')):
         heights = [read(run[side]) for run in figures]
-        axis.bar([place + offset for place in places], heights, _BAR_WIDTH, label=figures[0][side]['name'])
+        axis.bar([place + offset for place in places], heights, _BAR_WIDTH, label=side)
     axis.set_title(title, fontsize='medium')
     axis.set_xticks([place + _BAR_WIDTH / 2 for place in places])
-    axis.set_xticklabels([f'{run["load"]}\nseed {run["seed"]}' for run in figures], fontsize='small')
+    axis.set_xticklabels([f'{run["load"]} {run["seed"]}' for run in figures], fontsize='small', rotation=60)
 
 
 if __name__ == '__main__':
--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -112,7 +112,6 @@
         'eviction': {'enum': ['lru']},
         'queue': {'enum': ['fair', 'fifo']},
         'admission': {'enum': ['all', 'deadline']},
-        'loading': {'enum': ['share', 'unpaced']},
     },
 }
 
--- a/tamarackfield/policy/__init__.py
+++ b/tamarackfield/policy/__init__.py
@@ -2,7 +2,6 @@
 
 from tamarackfield.policy.admission import ADMISSIONS, Admission, Backlog
 from tamarackfield.policy.affine import Weights
-from tamarackfield.policy.loading import LOADINGS, LoadBudget
 from tamarackfield.policy.placement import home_target, rendezvous_order
 from tamarackfield.policy.queueing import QUEUE_ORDERS, Waiting
 from tamarackfield.policy.retries import RetryBudget
@@ -14,13 +13,11 @@
 __all__ = [
     'ADMISSIONS',
     'EVICTIONS',
-    'LOADINGS',
     'QUEUE_ORDERS',
     'ROUTERS',
     'Admission',
     'Backlog',
     'FleetView',
-    'LoadBudget',
     'RetryBudget',
     'Ring',
     'Router',
--- a/tamarackfield/policy/tests/test_names.py
+++ b/tamarackfield/policy/tests/test_names.py
@@ -4,14 +4,13 @@
 
 from tamarackfield.bundle import find_bundle_problems
 from tamarackfield.bundle.schema import POLICY_SCHEMA
-from tamarackfield.policy import ADMISSIONS, EVICTIONS, LOADINGS, QUEUE_ORDERS, ROUTERS
+from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS, ROUTERS
 
 REGISTRIES = {
     'routing': ROUTERS,
     'eviction': EVICTIONS,
     'queue': QUEUE_ORDERS,
     'admission': ADMISSIONS,
-    'loading': LOADINGS,
 }
 
 
--- a/tamarackfield/sidecar/decisions.py
+++ b/tamarackfield/sidecar/decisions.py
@@ -1,16 +1,12 @@
 """The decision functions of a sidecar's scheduler, by their names in the bundle."""
 
 from tamarackfield.bundle import Bundle, TargetEntry
-from tamarackfield.policy import ADMISSIONS, EVICTIONS, LOADINGS, QUEUE_ORDERS, LoadBudget
+from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS
 from tamarackfield.policy.admission import DEFAULT_ADMISSION
-from tamarackfield.policy.loading import DEFAULT_LOADING
 from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
 from tamarackfield.policy.slots import DEFAULT_EVICTION
 from tamarackfield.sidecar.scheduler import Scheduler
 
-#: Loads that the weight store bears in transit if the bundle does not say.
-DEFAULT_IN_TRANSIT = 16
-
 
 def make_scheduler(bundle: Bundle, entry: TargetEntry) -> Scheduler:
     """Return an empty scheduler of a target, as the bundle wants it."""
@@ -23,11 +19,8 @@
 def follow_bundle(scheduler: Scheduler, bundle: Bundle, entry: TargetEntry) -> None:
     """Put a bundle's sizes and policy in force; what waits and runs is kept."""
     policy = bundle.policy
-    engines = sum(target.kind == 'engine' for target in bundle.targets.values())
-    budget = LoadBudget(int(bundle.weight_store.get('in_transit_limit', DEFAULT_IN_TRANSIT)), engines)
     scheduler.slots = entry.slots
     scheduler.batch = entry.batch
     scheduler.eviction = EVICTIONS[policy.get('eviction', DEFAULT_EVICTION)]
     scheduler.queue_order = QUEUE_ORDERS[policy.get('queue', DEFAULT_QUEUE_ORDER)]
     scheduler.admission = ADMISSIONS[policy.get('admission', DEFAULT_ADMISSION)]
-    scheduler.max_loads = LOADINGS[policy.get('loading', DEFAULT_LOADING)](budget)
--- a/tamarackfield/sidecar/scheduler.py
+++ b/tamarackfield/sidecar/scheduler.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass, field
 
 from tamarackfield.policy.admission import ADMISSIONS, DEFAULT_ADMISSION, Admission, Backlog
-from tamarackfield.policy.loading import UNPACED_LOADS
 from tamarackfield.policy.queueing import QueueOrder
 from tamarackfield.policy.slots import Eviction, SlotUse
 from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Slot, SlotState, Unload, stall_seconds
 
+#: Loads that a sidecar has under way at once.
+MAX_CONCURRENT_LOADS = 2
 #: Seconds after which a failed load is tried again.
 LOAD_RETRY_SECONDS = 0.5
 #: Wanted adapters that a load report names.
@@ -47,8 +48,6 @@
         Orders the waiting jobs.
     admission : Admission
         Decides which jobs are refused on arrival, or when their turn has come.
-    max_loads : int
-        Loads under way at once.
     load_seconds, service_seconds : float
         Smoothed time of a load and of a request, kept by the owner.
     """
@@ -58,7 +57,6 @@
     eviction: Eviction
     queue_order: QueueOrder
     admission: Admission = ADMISSIONS[DEFAULT_ADMISSION]
-    max_loads: int = UNPACED_LOADS
     load_seconds: float = 0.25
     service_seconds: float = 0.5
     refused: list[Refuse] = field(default_factory=list)
@@ -95,7 +93,7 @@
             batch=self.batch,
             ahead=min(len(self.waiting), turns),
             loads_ahead=loads_ahead,
-            concurrent_loads=self.max_loads,
+            concurrent_loads=MAX_CONCURRENT_LOADS,
             service_seconds=self.service_seconds,
             load_seconds=self.load_seconds,
         )
@@ -186,7 +184,7 @@
     def decide(self, now: float) -> list[Action]:
         """Return what to do now; the state already counts it as under way."""
         actions = self.expire(now)
-        if len(self.running) >= self.batch and self._count(SlotState.LOADING) >= self.max_loads:
+        if len(self.running) >= self.batch and self._count(SlotState.LOADING) >= MAX_CONCURRENT_LOADS:
             return actions
         ordered = self._ordered()
         actions.extend(self._dispatches(ordered, now))
@@ -231,7 +229,7 @@
     def _loads(self, ordered: list[Job], now: float) -> list[Action]:
         actions: list[Action] = []
         for adapter in missing_adapters(ordered, self.table):
-            if self._count(SlotState.LOADING) >= self.max_loads:
+            if self._count(SlotState.LOADING) >= MAX_CONCURRENT_LOADS:
                 break
             if self.load_again_at.get(adapter, 0) > now:
                 continue
