--- a/tamarackfield/cli/processes.py
+++ b/tamarackfield/cli/processes.py
@@ -86,6 +86,19 @@
     click.echo(json.dumps(_reached(commands.drain(address, token))))
 
 
+@click.command('declare-first-start')
+@click.argument('address', callback=_read_address)
+@click.option('--token', envvar='TAMARACKFIELD_TOKEN', required=True, help='Operators token.')
+def declare_first_start(address: str, token: str) -> None:
+    """Declare to a sidecar that no idempotency key ran before its process started.
+
+    Only for the first start of a deployment. After a restart a key may run twice if this is declared.
+
+    Example: tamarackfield declare-first-start 10.0.0.6:9001 --token "$TAMARACKFIELD_TOKEN"
+    """
+    click.echo(json.dumps(_reached(commands.declare_first_start(address, token))))
+
+
 @click.command()
 @click.argument('address', callback=_read_address)
 @click.option('--since', default=0, type=click.IntRange(min=0), help='Show changes after this sequence number.')
