--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -79,7 +79,8 @@
     def ring_order(self, adapter: str) -> Iterator[TargetView]:
         """Yield the targets in the ring order of an adapter."""
         if len(self.allowed) <= FEW_TARGETS:
-            speeds = {name: self.fleet.speeds.get(name, 1.0) for name in self.allowed}
+            links = self.fleet.links
+            speeds = {name: links[name].target.speed for name in self.allowed if name in links}
             return self._views(rendezvous_order(adapter, speeds))
         return self._views(self.fleet.ring.order(adapter))
 
@@ -110,6 +111,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.router: Router = ROUTERS[DEFAULT_ROUTER](Weights())
         self.routing: tuple[str, Weights] = (DEFAULT_ROUTER, Weights())
+        self.speeds: dict[str, float] = {}
         self.ring = Ring({})
         self.allowed: dict[int, tuple[tuple[TargetEntry, ...], frozenset[str]]] = {}
         self.index = HolderIndex()
@@ -155,7 +157,10 @@
                 self.links[name].on_residents = self.index.update
                 self.tasks[name] = self.application.spawn(self.links[name].run(), f'link-{name}')
         self.allowed.clear()
-        self.ring = Ring({name: target.speed for name, target in bundle.targets.items()})
+        speeds = {name: target.speed for name, target in bundle.targets.items()}
+        if speeds != self.speeds:
+            self.speeds = speeds
+            self.ring = Ring(speeds)
 
     def choose(self, request: RoutingRequest, targets: tuple[TargetEntry, ...], tried: set[str]) -> Link:
         """Choose the link over which a request goes.
