--- a/tamarackfield/cli/tests/test_programs.py
+++ b/tamarackfield/cli/tests/test_programs.py
@@ -171,3 +171,20 @@
     assert invoke('audit', '127.0.0.1:1', '--since', '-1')[0] == 2
     assert invoke('explain', '127.0.0.1:1')[0] == 2
     assert invoke('status', '127.0.0.1:1')[0] == 4
+
+
+def test_examples_of_commands_on_files_run_as_printed(settings, cluster, tmp_path, monkeypatch):
+    for number, name in ((6, 'bundle'), (7, 'bundle-7'), (8, 'bundle-8')):
+        (tmp_path / f'{name}.json').write_text(json.dumps({**cluster.document, 'number': number}))
+    monkeypatch.chdir(settings['entry'].parent)
+    commands = {' '.join(words): command for words, command in list_commands(main)}
+    order = ('bundle keygen', 'bundle verify', 'bundle sign', 'bundle diff', 'bundle show', 'check')
+    outputs = {}
+    for name in order:
+        example = commands[name].help.partition('Example: tamarackfield ')[2].splitlines()[0]
+        code, output = invoke(*example.split())
+        assert (name, code) == (name, 0)
+        outputs[name] = output
+    assert outputs['bundle diff'] == '$.number: 7 -> 8\n'
+    assert json.loads(outputs['bundle show'])['number'] == 6
+    assert len(list((tmp_path / 'published').rglob('*'))) > 1
