Let a target come back after a bundle removed it; close kept connections while draining; always stop

A sidecar whose target a bundle removed stayed draining for ever when a later bundle brought it back. An entry that drains went on with kept connections without telling callers. Ruled out: the server's own busy connections, which end after their answer once draining is set.

--- a/tamarackfield/core/application.py
+++ b/tamarackfield/core/application.py
@@ -7,6 +7,9 @@
 
 from loguru import logger
 
+#: Seconds after which a task that still runs is cancelled again.
+CANCEL_INTERVAL = 0.5
+
 Hook = Callable[[], Awaitable[None]]
 
 
@@ -91,8 +94,13 @@
         logger.bind(instance=self.name).info('stopping')
         for hook in reversed(self.stop_hooks):
             await hook()
-        remaining = list(self.tasks)
-        for task in remaining:
-            task.cancel()
-        await asyncio.gather(*remaining, return_exceptions=True)
+        await self._cancel_tasks()
         logger.bind(instance=self.name).info('stopped')
+
+    async def _cancel_tasks(self) -> None:
+        """Cancel until nothing runs; a task that swallowed a cancellation gets another one."""
+        remaining = set(self.tasks)
+        while remaining:
+            for task in remaining:
+                task.cancel()
+            _, remaining = await asyncio.wait(remaining, timeout=CANCEL_INTERVAL)
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -123,6 +123,7 @@
     async def stop(self) -> None:
         """Fail readiness, wait for the balancer, then finish what runs."""
         self.draining = True
+        self.server.retire()
         self.audit.record('drain', reason='shutdown')
         await asyncio.sleep(self.settings['drain_seconds'])
         await self.server.shutdown()
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -20,6 +20,9 @@
 
 #: Seconds in which entries hear that this process leaves, and what they sent before is still refused.
 DRAIN_LINGER = 0.5
+#: Reason of a drain that ends when the target is in a bundle again.
+REMOVED = 'removed from the bundle'
+
 SETTINGS_SCHEMA = program_schema(
     ('target', 'target_address', 'listen'),
     {
@@ -135,9 +138,11 @@
             return
         entry = bundle.targets.get(self.settings['target'])
         if entry is None:
-            self.peers.drain('removed from the bundle')
-            self.audit.record('drain', reason='removed from the bundle')
+            self.peers.drain(REMOVED)
+            self.audit.record('drain', reason=REMOVED)
             return
+        if self.peers.resume(REMOVED):
+            self.audit.record('resume', reason='in the bundle again')
         scheduler = self.peers.target.worker.scheduler
         follow_bundle(scheduler, bundle, entry)
 
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -111,6 +111,13 @@
             with contextlib.suppress(StreamClosedError, PeerBusyError):
                 stream.send(Draining(reason))
 
+    def resume(self, reason: str) -> bool:
+        """Take work again if the target was drained for this reason; return whether it was."""
+        resumed = self.draining == reason
+        if resumed:
+            self.draining = ''
+        return resumed
+
     async def wait_idle(self) -> None:
         """Wait until no request runs."""
         while self.runs or self.target.keyed.running:
--- a/tamarackfield/testing/tests/test_drain_promises.py
+++ b/tamarackfield/testing/tests/test_drain_promises.py
@@ -136,3 +136,43 @@
     assert await stopping == 0
     await cluster.start_one('engine-1-sidecar')
     assert (await complete_with_retries(port, FIRST)).whole
+
+
+async def test_target_removed_and_added_again_by_bundles_is_used(cluster):
+    entry = cluster.document['targets'].pop('engine-1')
+    await cluster.publish()
+
+    async def has_state(draining):
+        return (await cluster.status('engine-1-sidecar'))['draining'] == draining
+
+    await wait_until(lambda: has_state('removed from the bundle'), 'the sidecar leaves')
+    cluster.document['targets']['engine-1'] = entry
+    await cluster.publish()
+    await wait_until(lambda: has_state(''), 'the sidecar takes work again')
+    await cluster.wait_links()
+    await check_serves(cluster, 4)
+
+
+async def test_kept_connections_are_told_to_close_while_an_entry_drains(tmp_path):
+    cluster = Cluster(tmp_path, [TargetSpec('engine-1')], entries=1, bundle=make_bundle(('clinic',), (FIRST,)))
+    entry = cluster.processes['entry-1']
+    entry.settings['drain_seconds'] = 5
+    request = b'GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-clinic\r\n\r\n'
+    async with cluster:
+        reader, writer = await asyncio.open_connection(HOST, cluster.ports['entry-1'])
+        writer.write(request)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'connection: close' not in head.lower()
+        length = int(head.lower().partition(b'content-length: ')[2].partition(b'\r\n')[0])
+        await reader.readexactly(length)
+        entry.process.terminate()
+
+        async def drains():
+            return (await cluster.status('entry-1'))['draining']
+
+        await wait_until(drains, 'the entry drains')
+        writer.write(request)
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert b'\r\nconnection: close\r\n' in answer.lower()
+        writer.close()
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -12,6 +13,10 @@
 _REQUEST_ID_HEADER = 'X-Request-Id'
 
 
+def _never() -> bool:
+    return False
+
+
 class CallerGoneError(Exception):
     """The caller closed the connection, or does not read."""
 
@@ -27,9 +32,17 @@
         The connection.
     write_seconds : float
         Time that one write may wait for the caller to read.
+    retiring : callable
+        Tells whether the connection must close after this answer; asked when the head is sent.
     """
 
-    def __init__(self, connection: h11.Connection, writer: asyncio.StreamWriter, write_seconds: float) -> None:
+    def __init__(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        write_seconds: float,
+        retiring: Callable[[], bool] = _never,
+    ) -> None:
         """Start with nothing sent."""
         self.connection = connection
         self.writer = writer
@@ -40,9 +53,11 @@
         self.first_byte_at = 0.0
         self.finished = False
         self.close_after = False
+        self.retiring = retiring
 
     async def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send status and headers, with the request's id among them."""
+        self.close_after = self.close_after or self.retiring()
         if self.close_after:
             headers = [*headers, ('Connection', 'close')]
         if self.request_id:
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -50,6 +50,7 @@
         self.server: asyncio.Server | None = None
         self.busy: set[asyncio.Task[None]] = set()
         self.idle: set[asyncio.Task[None]] = set()
+        self.retiring = False
         self.draining = False
         self.port = 0
 
@@ -58,8 +59,13 @@
         self.server = await asyncio.start_server(self.accept, host, port, limit=READ_BYTES, ssl=context)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def retire(self) -> None:
+        """Close each connection after its next answer; new ones are still taken."""
+        self.retiring = True
+
     async def shutdown(self) -> None:
         """Stop listening, let running requests finish, close idle connections."""
+        self.retire()
         self.draining = True
         if self.server is not None:
             self.server.close()
@@ -146,14 +152,14 @@
         return not responder.close_after and states == {h11.DONE}
 
     def _make_responder(self) -> Responder:
-        responder = Responder(self.protocol, self.writer, self.server.limits.write_seconds)
+        server = self.server
+        responder = Responder(self.protocol, self.writer, server.limits.write_seconds, lambda: server.retiring)
         responder.request_id = choose_request_id('')
         return responder
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         responder.request_id = request.request_id
         responder.head_only = request.method == 'HEAD'
-        responder.close_after = self.server.draining
         work = asyncio.ensure_future(self._guard(request, responder))
         watch = asyncio.ensure_future(self.reader.read(1))
         await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
