End a sidecar that cannot listen; refuse names that end in a newline

A port taken between start and first bundle left a sidecar that reported itself ready and served nobody; the $ of Python's re matches before a newline. Before: test_port_taken_before_the_first_bundle_ends_the_sidecar and two cases of bad bundles fail. After: they pass. Conclusion: the process logs cannot_listen and exits, for the platform to replace.

--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -8,7 +8,7 @@
 LOWEST_PRIORITY = 9
 
 #: Form of every name in a bundle.
-NAME_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$'
+NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}\Z'
 
 _NAME = {'type': 'string', 'pattern': NAME_PATTERN}
 _NAMES = {'type': 'array', 'items': _NAME, 'uniqueItems': True}
@@ -37,7 +37,7 @@
     {
         'key_sha256': {
             'type': 'array',
-            'items': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'},
+            'items': {'type': 'string', 'pattern': r'^[0-9a-f]{64}\Z'},
             'description': 'SHA-256 of each accepted key, in hex',
         },
     },
--- a/tamarackfield/bundle/tests/test_validation.py
+++ b/tamarackfield/bundle/tests/test_validation.py
@@ -31,6 +31,8 @@
     ('callers.clinic.nonsense', 1, '$.callers.clinic'),
     ('callers.other', {'key_sha256': [HASH]}, '$.callers.other.key_sha256'),
     ('callers.bad name', {'key_sha256': []}, '$.callers'),
+    ('callers.bad\n', {'key_sha256': []}, '$.callers'),
+    ('callers.clinic.key_sha256', [f'{HASH}\n'], '$.callers.clinic.key_sha256[0]'),
     ('adapters.draft.versions', [], '$.adapters.draft.versions'),
     ('adapters.draft.versions.v1.model', 'other', '$.adapters.draft.versions.v1.model'),
     ('adapters.draft.versions.v1.size', 0, '$.adapters.draft.versions.v1.size'),
--- a/tamarackfield/observe/operations.py
+++ b/tamarackfield/observe/operations.py
@@ -22,7 +22,7 @@
         'listen': {**ADDRESS_SCHEMA, 'description': 'where operators connect'},
         'token_sha256': {
             'type': 'string',
-            'pattern': '^([0-9a-f]{64})?$',
+            'pattern': r'^([0-9a-f]{64})?\Z',
             'default': '',
             'description': 'SHA-256 of the token that changes need; empty refuses all changes',
         },
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Any
 
+from loguru import logger
+
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
@@ -77,7 +79,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the target takes new work through this sidecar."""
-        return self.peers is not None and self.peers.report().ready
+        return self.peers is not None and self.server is not None and self.peers.report().ready
 
     def status(self) -> dict[str, Any]:
         """Return the state of this process, ready for JSON."""
@@ -168,7 +170,12 @@
             return
         listen = self.settings['listen']
         context = server_context(self.settings['peer_security'])
-        self.server = await asyncio.start_server(self.peers.accept, listen['host'], listen['port'], ssl=context)
+        host, port = listen['host'], listen['port']
+        try:
+            self.server = await asyncio.start_server(self.peers.accept, host, port, ssl=context)
+        except OSError as exc:
+            logger.bind(step='listen', peer=f'{host}:{port}', error=repr(exc)).error('cannot_listen')
+            self.application.request_stop()
 
     def _hello(self) -> Hello:
         return Hello(
