--- /dev/null
+++ b/tamarackfield/testing/answers.py
@@ -0,0 +1,33 @@
+"""Documents in which the engine stand-in answers, in the shape of the OpenAI interface."""
+
+from typing import Any
+
+from tamarackfield.testing.batching import Sequence
+
+
+def whole_answer(sequence: Sequence, model: str) -> dict[str, Any]:
+    """Return the answer with all tokens of a sequence."""
+    text = ''.join(sequence.tokens)
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'length'}
+    choice |= {'message': {'role': 'assistant', 'content': text}} if sequence.chat else {'text': text}
+    return _document(sequence, model, choice, '')
+
+
+def token_event(sequence: Sequence, model: str, index: int) -> dict[str, Any]:
+    """Return the event with one token of a sequence."""
+    token = sequence.tokens[index]
+    reason = 'length' if index + 1 >= sequence.max_tokens else None
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': reason}
+    choice |= {'delta': {'content': token}} if sequence.chat else {'text': token}
+    return _document(sequence, model, choice, '.chunk' if sequence.chat else '')
+
+
+def _document(sequence: Sequence, model: str, choice: dict[str, Any], suffix: str) -> dict[str, Any]:
+    kind = 'chat.completion' if sequence.chat else 'text_completion'
+    return {
+        'id': sequence.request_id,
+        'object': f'{kind}{suffix}',
+        'created': 0,
+        'model': model,
+        'choices': [choice],
+    }
--- a/tamarackfield/testing/engine.py
+++ b/tamarackfield/testing/engine.py
@@ -11,6 +11,7 @@
 from tamarackfield.core import Application, new_incarnation
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.settings import split_address
+from tamarackfield.testing.answers import token_event, whole_answer
 from tamarackfield.testing.batching import Batcher, Sequence
 from tamarackfield.testing.standin import Standin, standin_schema
 from tamarackfield.web import ClientError, HttpRequest, Responder, fetch
@@ -237,7 +238,6 @@
         self.sequences.pop(sequence.request_id, None)
 
     async def _answer(self, sequence: Sequence, responder: Responder, *, stream: bool) -> None:
-        chat = sequence.chat
         if stream:
             await self._stream(sequence, responder, 0)
             return
@@ -245,10 +245,7 @@
             sequence.changed.clear()
             await sequence.changed.wait()
         self._check_whole(sequence, responder)
-        text = ''.join(sequence.tokens)
-        choice = {'index': 0, 'finish_reason': 'length'}
-        choice |= {'message': {'role': 'assistant', 'content': text}} if chat else {'text': text}
-        await responder.send_json(_OK, self._document(sequence, choice, chat=chat, stream=False))
+        await responder.send_json(_OK, whole_answer(sequence, self._model_of(sequence)))
 
     async def _resume(self, request: HttpRequest, responder: Responder) -> None:
         sequence = self.sequences.get(request.path.removeprefix('/v1/resume/'))
@@ -271,7 +268,6 @@
             raise ConnectionResetError('cancelled')
 
     async def _stream(self, sequence: Sequence, responder: Responder, sent: int) -> None:
-        chat = sequence.chat
         await responder.send_head(_OK, [('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked')])
         while sent < len(sequence.tokens) or not sequence.ended:
             if sent == self.faults['cut_stream_after']:
@@ -282,26 +278,15 @@
                 sequence.changed.clear()
                 await sequence.changed.wait()
                 continue
-            token = sequence.tokens[sent]
+            document = token_event(sequence, self._model_of(sequence), sent)
             sent += 1
-            reason = 'length' if sent >= sequence.max_tokens else None
-            choice = {'index': 0, 'finish_reason': reason}
-            choice |= {'delta': {'content': token}} if chat else {'text': token}
-            document = self._document(sequence, choice, chat=chat, stream=True)
             await responder.send_body(f'data: {json.dumps(document)}\n\n'.encode())
         self._check_whole(sequence, responder)
         await responder.send_body(b'data: [DONE]\n\n')
         await responder.finish()
 
-    def _document(self, sequence: Sequence, choice: dict[str, Any], *, chat: bool, stream: bool) -> dict[str, Any]:
-        kind = 'chat.completion' if chat else 'text_completion'
-        return {
-            'id': sequence.request_id,
-            'object': f'{kind}.chunk' if stream and chat else kind,
-            'created': 0,
-            'model': self.faults['wrong_adapter'] or sequence.adapter,
-            'choices': [choice],
-        }
+    def _model_of(self, sequence: Sequence) -> str:
+        return self.faults['wrong_adapter'] or sequence.adapter
 
 
 def build(settings: dict[str, Any]) -> Application:
