--- a/tamarackfield/testing/tests/test_drain_promises.py
+++ b/tamarackfield/testing/tests/test_drain_promises.py
@@ -176,3 +176,24 @@
         assert answer.startswith(b'HTTP/1.1 200')
         assert b'\r\nconnection: close\r\n' in answer.lower()
         writer.close()
+
+
+async def test_target_that_only_the_lagging_list_calls_leaving_gets_nothing_new(tmp_path):
+    targets = [TargetSpec(f'engine-{index}', options={'step_ms': 2}) for index in (1, 2)]
+    cluster = Cluster(tmp_path, targets, entries=2, bundle=make_bundle(('clinic',), (FIRST, SECOND)))
+    cluster.add_standin('instances', 'instances', {'lag': 0.5})
+    for entry in cluster.entry_names:
+        cluster.processes[entry].settings['instance_list'] = [f'{HOST}:{cluster.ports["instances"]}']
+
+    async def all_wrote_off():
+        statuses = [await cluster.status(entry) for entry in cluster.entry_names]
+        return all(status['written_off'] == ['engine-1'] for status in statuses)
+
+    async with cluster:
+        await check_serves(cluster, 4)
+        listed = {'engine-1': {'address': cluster.document['targets']['engine-1']['address'], 'state': 'leaving'}}
+        await cluster.control('instances', instances=listed)
+        await wait_until(all_wrote_off, 'both entries have read the list')
+        ran = await count_runs(cluster, 'engine-1')
+        await check_serves(cluster, 8)
+        assert await count_runs(cluster, 'engine-1') == ran
