--- a/tamarackfield/cli/tables.py
+++ b/tamarackfield/cli/tables.py
@@ -1,8 +1,11 @@
 """Text for a person on call: aligned tables and explanations."""
 
+import datetime
 from typing import Any
 
-_COLUMNS = ('ADDRESS', 'ROLE', 'INSTANCE', 'READY', 'DRAINING', 'BUNDLE', 'WORK')
+from tamarackfield.core.clock import MS_PER_SECOND
+
+_COLUMNS = ('ADDRESS', 'ROLE', 'INSTANCE', 'READY', 'DRAINING', 'BUNDLE', 'BEHIND', 'SINCE', 'FROM', 'WORK')
 
 
 def align(rows: list[tuple[str, ...]]) -> list[str]:
@@ -21,21 +24,39 @@
 def status_table(statuses: dict[str, Any]) -> list[str]:
     """Return the table of the states of processes by their addresses.
 
+    ``BEHIND`` counts the numbers to the highest bundle in the table, ``SINCE`` is the time in UTC
+    at which the bundle came in force, ``FROM`` who gave it.
+
     Examples
     --------
-    >>> status_table({'10.0.0.5:9001': {'error': 'connect: refused'}})[1]
-    '10.0.0.5:9001  -     -         -      -         -       unreachable: connect: refused'
+    >>> newest = {'role': 'entry', 'instance': 'e', 'bundle': 7, 'bundle_since_unix_ms': 0, 'bundle_source': 'peer'}
+    >>> table = status_table({'10.0.0.5:9001': {'error': 'refused'}, '10.0.0.6:9001': newest})
+    >>> table[1].split()
+    ['10.0.0.5:9001', '-', '-', '-', '-', '-', '-', '-', '-', 'unreachable:', 'refused']
+    >>> table[2].split()[5:9]
+    ['7', '0', '1970-01-01T00:00:00Z', 'peer']
     """
-    return align([_COLUMNS, *(_status_row(address, status) for address, status in statuses.items())])
+    newest = max((status.get('bundle', 0) for status in statuses.values()), default=0)
+    return align([_COLUMNS, *(_status_row(address, status, newest) for address, status in statuses.items())])
 
 
-def _status_row(address: str, status: dict[str, Any]) -> tuple[str, ...]:
+def _status_row(address: str, status: dict[str, Any], newest: int) -> tuple[str, ...]:
     error = status.get('error')
     if error is not None:
         blanks = ('-' for _ in _COLUMNS[2:])
         return (address, *blanks, f'unreachable: {error}')
     fields = (status.get(name, '-') for name in ('role', 'instance', 'ready', 'draining', 'bundle'))
-    return (address, *(_cell(field) for field in fields), _work(status))
+    behind = str(newest - status['bundle'])
+    origin = status['bundle_source'] or '-'
+    cells = [address, *(_cell(field) for field in fields), behind, _since(status), origin, _work(status)]
+    return tuple(cells)
+
+
+def _since(status: dict[str, Any]) -> str:
+    if not status['bundle']:
+        return '-'
+    moment = datetime.datetime.fromtimestamp(status['bundle_since_unix_ms'] / MS_PER_SECOND, datetime.UTC)
+    return moment.strftime('%Y-%m-%dT%H:%M:%SZ')
 
 
 def _cell(field: Any) -> str:
--- a/tamarackfield/cli/tests/test_operators.py
+++ b/tamarackfield/cli/tests/test_operators.py
@@ -42,9 +42,10 @@
     code, output, _ = await run('status', entry, sidecar, nobody)
     lines = output.splitlines()
     assert code == 4
-    assert lines[0].split() == ['ADDRESS', 'ROLE', 'INSTANCE', 'READY', 'DRAINING', 'BUNDLE', 'WORK']
-    assert lines[1].split()[:6] == [entry, 'entry', 'entry-1', 'yes', 'no', '1']
-    assert lines[2].split()[1:6] == ['sidecar', 'engine-1-sidecar', 'yes', 'no', '1']
+    columns = ['ADDRESS', 'ROLE', 'INSTANCE', 'READY', 'DRAINING', 'BUNDLE', 'BEHIND', 'SINCE', 'FROM', 'WORK']
+    assert lines[0].split() == columns
+    assert lines[1].split()[:7] == [entry, 'entry', 'entry-1', 'yes', 'no', '1', '0']
+    assert lines[2].split()[1:7] == ['sidecar', 'engine-1-sidecar', 'yes', 'no', '1', '0']
     assert 'unreachable: connect' in lines[3]
     code, output, _ = await run('status', entry, '--json')
     assert (code, json.loads(output)[entry]['role']) == (0, 'entry')
--- a/tamarackfield/testing/tests/test_bundles.py
+++ b/tamarackfield/testing/tests/test_bundles.py
@@ -259,3 +259,17 @@
 
 async def has_action(cluster, action):
     return action in await actions(cluster, 'entry-1')
+
+
+async def test_process_that_restarts_after_two_rotations_follows_the_chain(cluster):
+    for number in (2, 3):
+        private_key, public_key = generate_key()
+        cluster.document['signing_keys'] = [public_key]
+        await cluster.publish()
+        await wait_number(cluster, number)
+        cluster.private_key = private_key
+    await cluster.publish()
+    await wait_number(cluster, 4)
+    await cluster.restart('entry-2')
+    await wait_number(cluster, 4)
+    assert await accepted(cluster, 'entry-2') == [4]
