--- a/tamarackfield/testing/demo.py
+++ b/tamarackfield/testing/demo.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import signal
 import tempfile
 
 import click
@@ -35,10 +36,17 @@
         await _show_counts(cluster)
         if keep:
             click.echo(_curl_line(cluster))
-            await asyncio.Event().wait()
+            await _wait_for_signal()
     click.echo('all processes are stopped')
 
 
+async def _wait_for_signal() -> None:
+    stopping = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    await stopping.wait()
+
+
 def _headers() -> list[tuple[str, str]]:
     return [_JSON, ('Authorization', f'Bearer key-{_CALLER}')]
 
