Let an entry be ready only once its targets were reached or failed

Readiness asked only for a bundle. Ruled out: the sidecars, both were up. Before: test_entry_is_ready_only_when_it_can_route (streams slowed by 0.3 s) fails with no_target. After: it passes, as do the other drain, path and entry tests (40). The wait is bounded by 3 s.

--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -1,6 +1,7 @@
 """The entry's application object: what it starts and in which order it stops."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 from tamarackfield.bundle import Bundle, TargetEntry
@@ -22,6 +23,10 @@
 )
 
 
+#: Longest time that an entry waits at its start for the first report of each target, in seconds.
+FIRST_LINKS_SECONDS = 3.0
+
+
 class Entry:
     """Wires one entry together.
 
@@ -58,12 +63,13 @@
         )
         self.operations.pages['/explain'] = self.explain
         self.draining = False
+        self.linked = asyncio.Event()
         self.application.on_start(self.start)
         self.application.on_stop(self.stop)
 
     def is_ready(self) -> bool:
         """Tell whether this entry takes new work."""
-        return self.follower.ready.is_set() and not self.draining
+        return self.follower.ready.is_set() and self.linked.is_set() and not self.draining
 
     def explain(self, asked: dict[str, str]) -> dict[str, Any]:
         """Answer the page ``/explain``: by the id of a request, or by model and caller."""
@@ -112,6 +118,16 @@
     def _apply(self, bundle: Bundle) -> None:
         self.metrics.gauge('bundle_number', bundle.number)
         self.fleet.apply(bundle)
+        if not self.linked.is_set():
+            self.application.spawn(self._wait_links(), 'first-links')
+
+    async def _wait_links(self) -> None:
+        """Take work once each target of the first bundle was reached or failed, or after a bounded wait."""
+        attempts = [link.attempted.wait() for link in self.fleet.links.values()]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LINKS_SECONDS):
+                await asyncio.gather(*attempts)
+        self.linked.set()
 
     def _make_link(self, target: TargetEntry) -> Link:
         return Link(target, self._hello, self.context, lambda: self.metrics.count('late_frames'))
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -102,6 +102,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.request_ids = itertools.count(1)
         self.report: LoadReport | None = None
+        self.attempted = asyncio.Event()
         self.reported_at = 0.0
         self.draining = ''
         self.key_epoch: KeyEpoch | None = None
@@ -193,6 +194,7 @@
                 await self._serve(stream)
             except TamarackfieldError as exc:
                 logger.bind(peer=self.target.name, step=exc.step, error=exc.message).info('link_down')
+            self.attempted.set()
             await asyncio.sleep(pause * random.uniform(0.5, 1))
             pause = min(MAX_RECONNECT, pause * 2)
 
@@ -228,6 +230,7 @@
         match message:
             case LoadReport():
                 self.report = message
+                self.attempted.set()
                 self.reported_at = SYSTEM_CLOCK.monotonic()
                 self.unreported = 0
             case Holdings(residents, loading):
--- a/tamarackfield/testing/tests/test_drain_promises.py
+++ b/tamarackfield/testing/tests/test_drain_promises.py
@@ -197,3 +197,12 @@
         ran = await count_runs(cluster, 'engine-1')
         await check_serves(cluster, 8)
         assert await count_runs(cluster, 'engine-1') == ran
+
+
+async def test_entry_is_ready_only_when_it_can_route(tmp_path):
+    targets = [TargetSpec('engine-1', proxied=True)]
+    cluster = Cluster(tmp_path, targets, entries=1, bundle=make_bundle(('clinic',), (FIRST,)))
+    async with cluster:
+        await cluster.control('engine-1-proxy', delay=0.3)
+        await cluster.restart('entry-1')
+        assert (await complete(cluster.ports['entry-1'], FIRST)).whole
