Run on the users' platform: entries that call targets directly, sidecars that manage adapters

Cause: the product served its own interface only, all bytes through the sidecar. The same HTTP server, peer streams, routing policy and application object now carry a second edge: routes by host and prefix, raw pass-through, direct dispatch with the expected target, adapters loaded by the one sidecar of a target, configuration followed from a read-only store. The JSON schema library is out of the core package's import, so that a platform process does not load it.

--- a/benchmarks/fake_peers.py
+++ b/benchmarks/fake_peers.py
@@ -11,7 +11,8 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.ledger import Coverage, Ledger
-from tamarackfield.observe import AuditTrail, Metrics
+from tamarackfield.observe.audit import AuditTrail
+from tamarackfield.observe.metrics import Metrics
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
 from tamarackfield.sidecar.keyed import KeyedCalls
 from tamarackfield.sidecar.peers import PeerServer
--- a/benchmarks/spread_peer.py
+++ b/benchmarks/spread_peer.py
@@ -14,7 +14,7 @@
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.discovery import BundleFollower
-from tamarackfield.observe import AuditTrail
+from tamarackfield.observe.audit import AuditTrail
 from tamarackfield.observe.logs import configure_logs
 from tamarackfield.wire import Hello
 
--- a/tamarackfield/bundle/content.py
+++ b/tamarackfield/bundle/content.py
@@ -20,7 +20,8 @@
 from tamarackfield.bundle.signing import Envelope
 from tamarackfield.bundle.table import ShardTable
 from tamarackfield.bundle.validation import key_problems, target_problems
-from tamarackfield.core.settings import Problem, find_problems
+from tamarackfield.core import Problem
+from tamarackfield.core.settings import find_problems
 
 #: The section that is decoded on demand.
 TABLE_SECTION = 'adapters'
--- a/tamarackfield/bundle/facts.py
+++ b/tamarackfield/bundle/facts.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from tamarackfield.bundle.schema import BUNDLE_SCHEMA, LOWEST_PRIORITY, NAME_PATTERN
-from tamarackfield.core.settings import Problem, find_problems
+from tamarackfield.core import Problem
+from tamarackfield.core.settings import find_problems
 
 _NAME = re.compile(NAME_PATTERN)
 _GRANTED_SECTIONS = frozenset(('adapters', 'services'))
--- a/tamarackfield/bundle/model.py
+++ b/tamarackfield/bundle/model.py
@@ -7,7 +7,8 @@
 
 from tamarackfield.bundle.schema import BUNDLE_SCHEMA
 from tamarackfield.core.ids import AdapterRef
-from tamarackfield.core.settings import fill_defaults, split_address
+from tamarackfield.core.problems import split_address
+from tamarackfield.core.settings import fill_defaults
 
 #: Batch size and slot count of an engine that states none.
 DEFAULT_BATCH = 8
--- a/tamarackfield/bundle/validation.py
+++ b/tamarackfield/bundle/validation.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from tamarackfield.bundle.schema import BUNDLE_SCHEMA
-from tamarackfield.core.settings import Problem, find_problems, json_path
+from tamarackfield.core import Problem, json_path
+from tamarackfield.core.settings import find_problems
 
 
 def find_bundle_problems(document: Any) -> list[Problem]:
--- a/tamarackfield/cli/checks.py
+++ b/tamarackfield/cli/checks.py
@@ -8,7 +8,8 @@
 
 from tamarackfield.bundle import find_bundle_problems
 from tamarackfield.cli.exits import EXIT_BAD_INPUT, EXIT_PORT_IN_USE
-from tamarackfield.core import Problem, format_problems, load_settings
+from tamarackfield.core import Problem, format_problems
+from tamarackfield.core.settings import load_settings
 from tamarackfield.entry.app import SETTINGS_SCHEMA as ENTRY_SCHEMA
 from tamarackfield.observe.start import find_listen_problems, find_security_problems
 from tamarackfield.sidecar.app import SETTINGS_SCHEMA as SIDECAR_SCHEMA
--- a/tamarackfield/cli/processes.py
+++ b/tamarackfield/cli/processes.py
@@ -11,7 +11,7 @@
 from tamarackfield.cli import commands, queries
 from tamarackfield.cli.exits import EXIT_REFUSED, EXIT_UNREACHABLE, fail, json_flag
 from tamarackfield.cli.tables import explanation_lines, status_table
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 
 
 def _explain_options(command: Any) -> Any:
--- a/tamarackfield/cli/queries.py
+++ b/tamarackfield/cli/queries.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 from tamarackfield.web import ClientError, fetch_json
 
 #: Seconds that a process is waited for.
--- a/tamarackfield/cli/tests/test_pages.py
+++ b/tamarackfield/cli/tests/test_pages.py
@@ -4,7 +4,7 @@
 import pathlib
 
 from tamarackfield.cli.pages import PAGES
-from tamarackfield.observe import METRICS
+from tamarackfield.observe.metrics import METRICS
 
 ROOT = pathlib.Path(__file__).parents[3]
 DOCS = ROOT / 'docs'
--- a/tamarackfield/core/__init__.py
+++ b/tamarackfield/core/__init__.py
@@ -1,13 +1,14 @@
 """Identifiers, clocks, outcomes, typed errors, settings and the application object."""
 
 from tamarackfield.core.application import Application
-from tamarackfield.core.clock import SYSTEM_CLOCK, Clock, deadline_from_unix_ms, unix_ms_from_deadline
+from tamarackfield.core.clock import BOOT_CLOCK, SYSTEM_CLOCK, Clock, deadline_from_unix_ms, unix_ms_from_deadline
 from tamarackfield.core.errors import RequestError, TamarackfieldError
 from tamarackfield.core.ids import AdapterRef, new_incarnation, parse_adapter_ref
 from tamarackfield.core.outcome import Outcome
-from tamarackfield.core.settings import Problem, format_problems, load_settings
+from tamarackfield.core.problems import Problem, format_problems, json_path, split_address
 
 __all__ = [
+    'BOOT_CLOCK',
     'SYSTEM_CLOCK',
     'AdapterRef',
     'Application',
@@ -18,8 +19,9 @@
     'TamarackfieldError',
     'deadline_from_unix_ms',
     'format_problems',
-    'load_settings',
+    'json_path',
     'new_incarnation',
     'parse_adapter_ref',
+    'split_address',
     'unix_ms_from_deadline',
 ]
--- a/tamarackfield/core/clock.py
+++ b/tamarackfield/core/clock.py
@@ -31,6 +31,14 @@
 SYSTEM_CLOCK = Clock()
 
 
+def _boot_seconds() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+#: Its ``monotonic`` also counts the time that the machine was suspended.
+BOOT_CLOCK = Clock(monotonic=_boot_seconds)
+
+
 def deadline_from_unix_ms(unix_ms: int, clock: Clock = SYSTEM_CLOCK) -> float:
     """Convert a deadline that came from another process.
 
--- a/tamarackfield/core/errors.py
+++ b/tamarackfield/core/errors.py
@@ -44,8 +44,8 @@
         HTTP status for the caller.
     code : str
         Stable machine-readable code.
-    retry_after : int
-        Whole seconds after which the caller may come back; zero if coming back cannot help.
+    retry_after : float
+        Seconds after which the caller may come back; zero if coming back cannot help.
     """
 
     def __init__(  # noqa: WPS211 one argument for each field of the error that callers see
@@ -57,7 +57,7 @@
         outcome: Outcome = Outcome.NOT_RUN,
         status: int = 503,
         code: str = 'unavailable',
-        retry_after: int = 0,
+        retry_after: float = 0,
     ) -> None:
         """Keep everything that the caller is told."""
         super().__init__(message, step, peer)
--- a/tamarackfield/core/tests/test_settings.py
+++ b/tamarackfield/core/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import json
 
-from tamarackfield.core import load_settings
+from tamarackfield.core.settings import load_settings
 from tamarackfield.entry.app import SETTINGS_SCHEMA
 
 
--- a/tamarackfield/discovery/configuration.py
+++ b/tamarackfield/discovery/configuration.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tamarackfield.core.errors import TamarackfieldError
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 from tamarackfield.web import ClientError, fetch
 
 #: Seconds that a watch waits in the service before it answers "no change".
--- a/tamarackfield/discovery/instances.py
+++ b/tamarackfield/discovery/instances.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from tamarackfield.core import TamarackfieldError
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 from tamarackfield.web import fetch
 
 #: Seconds between two reads of the list.
--- a/tamarackfield/discovery/mesh.py
+++ b/tamarackfield/discovery/mesh.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, Application, TamarackfieldError
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 from tamarackfield.discovery.addresses import AddressBook
 from tamarackfield.wire import Hello, Message, PeerStream, StreamClosedError, connect
 from tamarackfield.wire.spreading import PeerSample
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -13,7 +13,10 @@
 from tamarackfield.entry.handlers import CallerInterface
 from tamarackfield.entry.links import Link
 from tamarackfield.entry.relay import Relay
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
+from tamarackfield.observe.audit import AuditTrail
+from tamarackfield.observe.metrics import Metrics, send_gauges
+from tamarackfield.observe.operations import Operations
+from tamarackfield.observe.settings import program_schema
 from tamarackfield.web import HTTP_SCHEMA, HttpLimits, HttpServer
 from tamarackfield.wire import Hello, client_context
 
--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -23,7 +23,8 @@
 from tamarackfield.entry.issuing import KEYS_PATH, send_issued_key
 from tamarackfield.entry.records import RequestRecords
 from tamarackfield.entry.relay import Relay
-from tamarackfield.observe import Metrics, answer_error, answer_health, error_document
+from tamarackfield.observe.metrics import Metrics
+from tamarackfield.observe.operations import answer_error, answer_health, error_document
 from tamarackfield.web import CallerGoneError, HttpRequest, Responder, internal_error
 
 _MS_PER_SECOND = 1000
--- a/tamarackfield/entry/main.py
+++ b/tamarackfield/entry/main.py
@@ -3,7 +3,7 @@
 import click
 
 from tamarackfield.entry.app import SETTINGS_SCHEMA, build
-from tamarackfield.observe import run_program
+from tamarackfield.observe.program import run_program
 
 
 @click.command()
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -11,7 +11,7 @@
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.keys import run_keyed
 from tamarackfield.entry.links import Exchange, Link
-from tamarackfield.observe import Metrics
+from tamarackfield.observe.metrics import Metrics
 from tamarackfield.policy import RetryBudget, RoutingRequest
 from tamarackfield.web import Responder
 from tamarackfield.wire import Chunk, End, Fail, Head, Message, Submit
--- /dev/null
+++ b/tamarackfield/gateway/fleet.py
@@ -0,0 +1,261 @@
+"""Targets with the links to their sidecars, and the choice of one for a call."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+from loguru import logger
+
+from tamarackfield.core import BOOT_CLOCK, Application
+from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.gateway.directory import Directory, Target
+from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.gateway.model import Address, Catalog, Engine, Versions
+from tamarackfield.policy import Ring, RoutingRequest, TargetView, Weights
+from tamarackfield.policy.affine import choose_by_cost
+from tamarackfield.policy.health import keep_enough
+from tamarackfield.policy.plain import choose_plain
+from tamarackfield.wire.grants import Facts
+from tamarackfield.wire.messages import Hello
+
+#: Share of the weight store's loads that all sidecars together may use.
+LOAD_SHARE = 0.8
+#: Kilobytes in a megabyte.
+KB_PER_MB = 1000
+_WEIGHTS = Weights()
+
+
+class Candidates:
+    """The usable targets of one choice, as the policy asks for them."""
+
+    def __init__(self, views: Sequence[TargetView], ring: Ring) -> None:
+        """Index the views by name."""
+        self.views = {view.name: view for view in views}
+        self.ring = ring
+
+    def all(self) -> Sequence[TargetView]:
+        """Return every target."""
+        return list(self.views.values())
+
+    def holders(self, adapter: str) -> Sequence[TargetView]:
+        """Return the targets that hold or load an adapter."""
+        return [view for view in self.views.values() if adapter in view.residents or adapter in view.loading]
+
+    def ring_order(self, adapter: str) -> Iterable[TargetView]:
+        """Yield the targets in the ring order of an adapter."""
+        return (self.views[name] for name in self.ring.order(adapter) if name in self.views)
+
+
+class Fleet:
+    """Every target that this entry may call.
+
+    Parameters
+    ----------
+    application : Application
+        Owns the tasks of the links.
+    directory : Directory
+        Targets by name.
+    versions : Versions
+        Newest version of each adapter.
+    hello : callable
+        Returns what this process says of itself to sidecars.
+    manager_port : int
+        Port on which the sidecar beside a target listens.
+    zone : str
+        Availability zone of this entry.
+    """
+
+    def __init__(  # noqa: WPS211 the parts of the fleet
+        self,
+        application: Application,
+        directory: Directory,
+        versions: Versions,
+        hello: Callable[[], Hello],
+        manager_port: int,
+        zone: str,
+    ) -> None:
+        """Start without links."""
+        self.application = application
+        self.directory = directory
+        self.versions = versions
+        self.hello = hello
+        self.manager_port = manager_port
+        self.zone = zone
+        self.rng = random.Random()  # noqa: S311 draws among near-ties
+        self.catalog: Catalog | None = None
+        self.links: dict[str, ManagerLink] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.rings: dict[frozenset[str], Ring] = {}
+
+    def sync(self) -> None:
+        """Open links to the sidecars of new targets, close those of targets that are gone."""
+        wanted = {target.record.address[0]: target for target in self._engines()}
+        for host in self.links.keys() - wanted.keys():
+            self.links.pop(host)
+            self.tasks.pop(host).cancel()
+        for host in wanted.keys() - self.links.keys():
+            self._open((host, self.manager_port))
+        for link in self.links.values():
+            link.tell_facts()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Bring the views of all targets up to date with what their sidecars said."""
+        for target in self._engines():
+            link = self.links.get(target.record.address[0])
+            if link is not None:
+                self._refresh_one(target, link)
+
+    def link_of(self, target: Target) -> ManagerLink | None:
+        """Return the link to the sidecar of a target if it can grant requests for this life of it."""
+        link = self.links.get(target.record.address[0])
+        if link is None or not link.is_up() or link.report is None:
+            return None
+        return link if link.report.incarnation == target.record.started_ms else None
+
+    def choose(self, service: str, adapter: str, allowed: Callable[[Target], bool], deadline: float) -> Target | None:
+        """Choose a target for a call.
+
+        Parameters
+        ----------
+        service : str
+            That serves the call.
+        adapter : str
+            ``model/adapter``, ``model``, or empty for a plain service.
+        allowed : callable
+            Tells whether the call may go to a target.
+        deadline : float
+            Of the call, in monotonic seconds.
+
+        Returns
+        -------
+        Target or None
+            None if no target can take the call now.
+        """
+        now = BOOT_CLOCK.monotonic()
+        listed = [target for target in self.directory.of_service(service) if allowed(target)]
+        usable = [target for target in listed if self._can_serve(target, adapter)]
+        sound = [usable[index] for index in keep_enough([target.health for target in usable], now)]
+        if not sound:
+            return None
+        views = [target.view for target in sound]
+        if adapter:
+            ring = self._ring(service)
+            request = RoutingRequest(adapter, self.zone, now, deadline)
+            view = choose_by_cost(request, Candidates(views, ring), self.rng, _WEIGHTS)
+        else:
+            view = choose_plain(views, self.zone, self.rng)
+        return next(target for target in sound if target.view is view)
+
+    def _can_serve(self, target: Target, adapter: str) -> bool:
+        if not adapter or adapter in target.view.residents:
+            return True
+        return self.link_of(target) is not None
+
+    def _engines(self) -> list[Target]:
+        if self.catalog is None:
+            return []
+        services = self.catalog.services
+        return [
+            target
+            for target in self.directory.targets.values()
+            if target.record.service in services and services[target.record.service].engine is not None
+        ]
+
+    def _ring(self, service: str) -> Ring:
+        names = frozenset(
+            target.record.name for target in self.directory.targets.values() if target.record.service == service
+        )
+        if names not in self.rings:
+            self.rings = {names: Ring(dict.fromkeys(names, 1.0))}
+        return self.rings[names]
+
+    def _open(self, address: Address) -> None:
+        host = address[0]
+        link = ManagerLink(address, self.hello, lambda: self._facts(host), lambda: self._refresh_host(host))
+        self.links[host] = link
+        self.tasks[host] = self.application.spawn(link.run(), f'sidecar-{host}')
+
+    def _facts(self, host: str) -> Facts | None:
+        """Return what the sidecar on a machine is told of its target."""
+        targets = [target for target in self._engines() if target.record.address[0] == host]
+        if not targets or self.catalog is None:
+            return None
+        record = max(targets, key=lambda target: target.record.started_ms).record
+        engine = self.catalog.services[record.service].engine
+        if engine is None:
+            return None
+        return make_facts(record.name, record.started_ms, self.catalog.version, engine, len(self._engines()))
+
+    def _refresh_host(self, host: str) -> None:
+        link = self.links.get(host)
+        if link is None:
+            return
+        for target in self._engines():
+            if target.record.address[0] == host:
+                self._refresh_one(target, link)
+
+    def _refresh_one(self, target: Target, link: ManagerLink) -> None:
+        view = target.view
+        report, holdings = link.report, link.holdings
+        if report is None or holdings is None or report.incarnation != target.record.started_ms:
+            view.residents = frozenset(self._current(target.record.holdings))
+            view.loading = frozenset()
+            return
+        view.batch = max(1, report.batch)
+        view.slots = report.slots
+        view.running = report.running
+        view.queued = report.queued
+        view.pinned = report.pinned
+        view.load_seconds = report.load_ms / MS_PER_SECOND
+        view.service_seconds = report.service_ms / MS_PER_SECOND
+        view.residents = frozenset(self._current(holdings.residents))
+        view.loading = frozenset(holdings.loading)
+        if link.reported_at != view.reported_at:
+            view.reported_at = link.reported_at
+            view.unreported = 0
+
+    def _current(self, holdings: Iterable[str]) -> Iterable[str]:
+        """Yield models, and the adapters that are in place with the newest version."""
+        for held in holdings:
+            adapter, _, version = held.partition('@')
+            if not version or int(version) >= self.versions.newest.get(adapter, 0):
+                yield adapter
+
+
+def make_facts(name: str, started_ms: int, revision: int, engine: Engine, targets: int) -> Facts:
+    """Build what a sidecar is told of its target.
+
+    Parameters
+    ----------
+    name : str
+        Of the target.
+    started_ms : int
+        Start of its present life.
+    revision : int
+        Version of the configuration.
+    engine : Engine
+        What the configuration says of its service.
+    targets : int
+        Model targets that share the weight store.
+
+    Returns
+    -------
+    Facts
+        With the least time between two loads of base models, so that all targets together stay
+        below what the weight store allows.
+    """
+    loads = max(engine.loads_per_second, 1 / MS_PER_SECOND)
+    logger.bind(target=name, started_ms=started_ms, version=revision).debug('facts')
+    return Facts(
+        revision=revision,
+        target=name,
+        started_ms=started_ms,
+        batch=engine.batch,
+        places=engine.adapter_places,
+        memory_kb=int(engine.weight_mb * KB_PER_MB),
+        models=[model.name for model in engine.models],
+        model_kb=[int(model.weight_mb * KB_PER_MB) for model in engine.models],
+        adapter_kb=[int(model.adapter_mb * KB_PER_MB) for model in engine.models],
+        load_gap_ms=int(MS_PER_SECOND * targets / loads / LOAD_SHARE),
+    )
--- /dev/null
+++ b/tamarackfield/gateway/links.py
@@ -0,0 +1,205 @@
+"""Streams from this entry to the sidecars that manage the adapters of its targets."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
+from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.gateway.model import Address
+from tamarackfield.gateway.replica import LEAST_SPREAD
+from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve
+from tamarackfield.wire.messages import Draining, Hello, Holdings, LoadReport, Message
+from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
+
+#: Shortest and longest pause between two attempts to connect, in seconds.
+MIN_RECONNECT = 0.1
+MAX_RECONNECT = 1.0
+#: Seconds beyond the time that a sidecar was given in which its answer is still awaited.
+ANSWER_MARGIN = 0.1
+
+Answer = Granted | Declined
+
+
+class ManagerLink:
+    """The stream to one sidecar; owned by one task.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Where the sidecar listens.
+    hello : callable
+        Returns what this process says of itself.
+    facts : callable
+        Returns what the sidecar is told of its target, None if that is not known.
+    on_change : callable
+        Called when a report or the holdings changed.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        hello: Callable[[], Hello],
+        facts: Callable[[], Facts | None],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Prepare a link that is not connected."""
+        self.address = address
+        self.hello = hello
+        self.facts = facts
+        self.on_change = on_change
+        self.stream: PeerStream | None = None
+        self.report: LoadReport | None = None
+        self.reported_at = 0.0
+        self.holdings: Holdings | None = None
+        self.pending: dict[int, asyncio.Future[Answer]] = {}
+        self.numbers = itertools.count(1)
+        self.told: Facts | None = None
+        self.draining = False
+
+    def is_up(self) -> bool:
+        """Tell whether the sidecar answers and can grant requests."""
+        return self.stream is not None and self.report is not None and self.report.ready and not self.draining
+
+    async def run(self) -> None:
+        """Stay connected for ever."""
+        pause = MIN_RECONNECT
+        while True:
+            try:
+                await self._serve()
+            except TamarackfieldError as exc:
+                if self.stream is not None:
+                    pause = MIN_RECONNECT
+                    logger.bind(sidecar=self._name(), step=exc.step, error=exc.message).warning('sidecar_lost')
+            finally:
+                self._drop()
+            await asyncio.sleep(pause * random.uniform(LEAST_SPREAD, 1))
+            pause = min(MAX_RECONNECT, 2 * pause)
+
+    def tell_facts(self) -> None:
+        """Send what is known of the target if that changed."""
+        facts = self.facts()
+        if self.stream is None or facts is None or facts == self.told:
+            return
+        self._send(facts)
+        self.told = facts
+
+    async def reserve(self, adapter: str, version: int, priority: int, left_seconds: float) -> tuple[int, Answer]:
+        """Ask for a place.
+
+        Parameters
+        ----------
+        adapter : str
+            ``model/adapter`` or ``model``.
+        version : int
+            Least version that will do, 0 for any.
+        priority : int
+            0 is the most urgent.
+        left_seconds : float
+            Time in which the place is of use.
+
+        Returns
+        -------
+        tuple
+            Number of the reservation, for `release`, and the answer.
+
+        Raises
+        ------
+        StreamClosedError
+            If the sidecar is lost or does not answer in time; nothing is reserved then.
+        """
+        number = next(self.numbers)
+        left_ms = max(1, round(left_seconds * MS_PER_SECOND))
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.pending[number] = answer
+        reply: Answer | None = None
+        try:
+            async with asyncio.timeout(left_seconds + ANSWER_MARGIN):
+                self._send(Reserve(number, adapter, version, priority, left_ms))
+                reply = await answer
+        except TimeoutError:
+            raise StreamClosedError('sidecar did not answer', step='reserve', peer=self._name()) from None
+        finally:
+            self.pending.pop(number, None)
+            if reply is None:
+                self.release(number)
+        return number, reply
+
+    def release(self, number: int) -> None:
+        """Give a place back, or stop waiting for it."""
+        if self.stream is None:
+            return
+        with contextlib.suppress(StreamClosedError, PeerBusyError):
+            self._send(Release(number))
+
+    def take(self, message: Message) -> None:
+        """Take in a message of the sidecar."""
+        match message:
+            case Granted() | Declined():
+                self._answer(message)
+            case LoadReport():
+                self._take_report(message)
+            case Holdings():
+                self.holdings = message
+                self.on_change()
+            case Draining(reason):
+                self.draining = True
+                logger.bind(sidecar=self._name(), reason=reason).info('sidecar_stopping')
+            case _:
+                logger.bind(sidecar=self._name(), kind=message.kind).debug('message_passed_over')
+
+    async def _serve(self) -> None:
+        stream = await connect(*self.address, None)
+        beat = None
+        try:
+            await stream.greet(self.hello())
+            self.stream = stream
+            beat = asyncio.create_task(stream.beat())
+            logger.bind(sidecar=self._name()).info('sidecar_connected')
+            self.tell_facts()
+            while True:
+                self.take(await stream.receive())
+        finally:
+            stream.abort()
+            if beat is not None:
+                beat.cancel()
+
+    def _take_report(self, report: LoadReport) -> None:
+        before = self.report
+        self.report = report
+        self.reported_at = BOOT_CLOCK.monotonic()
+        if before is None or before.ready != report.ready or before.incarnation != report.incarnation:
+            logger.bind(
+                sidecar=self._name(), ready=report.ready, started_ms=report.incarnation, running=report.running
+            ).info('sidecar_reports')
+        self.on_change()
+
+    def _answer(self, message: Answer) -> None:
+        future = self.pending.get(message.request_id)
+        if future is not None and not future.done():
+            future.set_result(message)
+        elif isinstance(message, Granted):
+            self.release(message.request_id)
+
+    def _send(self, message: Message) -> None:
+        if self.stream is None:
+            raise StreamClosedError('sidecar is not connected', step='send', peer=self._name())
+        self.stream.send(message)
+
+    def _drop(self) -> None:
+        self.stream = None
+        self.report = None
+        self.told = None
+        self.draining = False
+        for future in self.pending.values():
+            if not future.done():
+                error = StreamClosedError('sidecar is lost', step='reserve', peer=self._name())
+                future.set_exception(error)
+        self.on_change()
+
+    def _name(self) -> str:
+        return f'{self.address[0]}:{self.address[1]}'
--- /dev/null
+++ b/tamarackfield/gateway/tests/samples.py
@@ -0,0 +1,66 @@
+"""Small catalogs and targets for tests and examples."""
+
+from tamarackfield.gateway.directory import Target
+from tamarackfield.gateway.model import BaseModel, Call, Catalog, Engine, Limits, Route, Service, TargetRecord
+from tamarackfield.policy import TargetView
+
+ENGINE = Engine(8, 10_000, 4, 1000.0, 4.0, (BaseModel('base', 900.0, 10.0),))
+
+
+def make_route(prefix='/r/', service='plain', **changes):
+    """Return a route of an idempotent call."""
+    fields = {
+        'name': prefix.strip('/'),
+        'host': 'host.example',
+        'prefix': prefix,
+        'repeatable': True,
+        'streaming': False,
+        'resumable': False,
+        'timeout_seconds': 1.0,
+        'objective_seconds': 0.2,
+        'priority': 0,
+        'max_targets': 2,
+        'splits': ((service, 1.0),),
+    }
+    return Route(**(fields | changes))
+
+
+def make_catalog(*routes, version=1):
+    """Return a catalog with a plain service and a model service."""
+    services = {'plain': Service('plain', 100), 'models': Service('models', 100, ENGINE)}
+    return Catalog(version, routes, services, Limits(1_000_000, 3.0, 15.0))
+
+
+def make_target(name='t1', service='plain', **changes):
+    """Return a target that is ready."""
+    fields = {
+        'name': name,
+        'service': service,
+        'zone': 'zone-a',
+        'address': ('127.0.0.1', 9),
+        'batch': 8,
+        'draining': False,
+        'started_ms': 1,
+    }
+    return TargetRecord(**(fields | changes))
+
+
+def make_call(request_id='r1', **changes):
+    """Return a call with a second left at time zero."""
+    fields = {
+        'request_id': request_id,
+        'method': 'GET',
+        'target': '/r/x',
+        'host': 'host.example',
+        'headers': [],
+        'body': b'',
+        'received_at': 0.0,
+        'deadline': 1.0,
+    }
+    return Call(**(fields | changes))
+
+
+def make_target_state(name='t1', service='plain', **changes):
+    """Return a target with its view."""
+    record = make_target(name, service, **changes)
+    return Target(record, TargetView(record.name, record.zone, batch=record.batch))
--- /dev/null
+++ b/tamarackfield/manager/server.py
@@ -0,0 +1,175 @@
+"""Streams from entries: what they ask of the engine, and what they are told of it."""
+
+import asyncio
+import itertools
+
+from loguru import logger
+
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
+from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.manager.admission import Decline, Ticket
+from tamarackfield.manager.engine import EngineKeeper
+from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve
+from tamarackfield.wire.messages import Draining, Hello, Holdings, LoadReport, Message
+from tamarackfield.wire.reporting import report_changes
+from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError
+
+#: Seconds between two looks at what waits when nothing changes: time alone ends some waits.
+TICK_SECONDS = 0.05
+
+
+class ManagerServer:
+    """Serves the entries of one target.
+
+    Parameters
+    ----------
+    keeper : EngineKeeper
+        Of the target.
+    hello : Hello
+        What this process says of itself.
+    """
+
+    def __init__(self, keeper: EngineKeeper, hello: Hello) -> None:
+        """Start without streams."""
+        self.keeper = keeper
+        self.hello = hello
+        self.streams: set[PeerStream] = set()
+        self.by_number: dict[int, PeerStream] = {}
+        self.numbers = itertools.count(1)
+        self.draining = False
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Start to listen for entries."""
+        self.server = await asyncio.start_server(self.accept, host, port)
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one entry until its stream ends."""
+        stream = PeerStream(reader, writer)
+        number = next(self.numbers)
+        tasks = []
+        try:
+            await stream.greet(self.hello)
+            self.streams.add(stream)
+            self.by_number[number] = stream
+            logger.bind(entry=stream.peer).info('entry_connected')
+            tasks = [asyncio.create_task(stream.beat()), asyncio.create_task(report_changes(self, stream))]
+            while True:
+                self.take(number, await stream.receive())
+        except TamarackfieldError as exc:
+            logger.bind(entry=stream.peer, step=exc.step, error=exc.message).info('entry_disconnected')
+        finally:
+            self._forget(number, stream)
+            for task in tasks:
+                task.cancel()
+
+    def take(self, number: int, message: Message) -> None:
+        """Take in a message of an entry."""
+        now = BOOT_CLOCK.monotonic()
+        admission = self.keeper.admission
+        match message:
+            case Facts():
+                self.keeper.learn(message)
+            case Reserve():
+                admission.ask(_make_ticket(number, message, now))
+                self.keeper.changed.set()
+            case Release():
+                admission.release((number, message.request_id), now)
+                self.keeper.changed.set()
+            case _:
+                logger.bind(kind=message.kind).debug('message_passed_over')
+
+    async def drive(self) -> None:
+        """Decide again whenever something changed."""
+        keeper = self.keeper
+        while True:
+            await _wait(keeper.changed)
+            keeper.changed.clear()
+            plan = keeper.admission.plan(BOOT_CLOCK.monotonic())
+            for ticket in plan.grants:
+                self._tell_granted(ticket)
+            for decline in plan.declines:
+                self._tell_declined(decline)
+            await keeper.carry_out(plan if plan.orders else keeper.order_missing_model())
+
+    def report(self) -> LoadReport:
+        """Return how busy the engine is."""
+        admission = self.keeper.admission
+        residency = admission.residency
+        state = self.keeper.state
+        return LoadReport(
+            unix_ms=SYSTEM_CLOCK.unix_ms(),
+            incarnation=state.started_ms if state else 0,
+            ready=self.keeper.is_ready() and not self.draining,
+            batch=admission.batch,
+            running=len(admission.granted),
+            queued=len(admission.waiting),
+            slots=residency.places,
+            pinned=residency.count_pinned(),
+            load_ms=round(admission.load_seconds * MS_PER_SECOND),
+            service_ms=round(admission.run_seconds * MS_PER_SECOND),
+        )
+
+    def holdings(self) -> Holdings:
+        """Return the models and adapters in place, and what is on its way."""
+        admission = self.keeper.admission
+        residency = admission.residency
+        adapters = [f'{name}@{resident.version}' for name, resident in residency.residents.items()]
+        wanted = {ticket.adapter for ticket in admission.waiting.values()} - residency.residents.keys()
+        return Holdings(sorted({*admission.models, *adapters}), sorted({*residency.incoming, *wanted}))
+
+    def drain(self) -> None:
+        """Tell every entry that this process ends."""
+        self.draining = True
+        for stream in self.streams:
+            _send(stream, Draining('the sidecar stops'))
+
+    def _tell_granted(self, ticket: Ticket) -> None:
+        number, request_id = ticket.key
+        residency = self.keeper.admission.residency
+        resident = residency.residents.get(ticket.adapter)
+        version = resident.version if resident else 0
+        waited_ms = round((ticket.granted_at - ticket.asked_at) * MS_PER_SECOND)
+        _send(self.by_number.get(number), Granted(request_id, version, waited_ms))
+
+    def _tell_declined(self, decline: Decline) -> None:
+        number, request_id = decline.ticket.key
+        retry_ms = round(decline.retry_seconds * MS_PER_SECOND)
+        logger.bind(
+            adapter=decline.ticket.adapter,
+            code=decline.code,
+            waiting=len(self.keeper.admission.waiting),
+            granted=len(self.keeper.admission.granted),
+            retry_ms=retry_ms,
+        ).info('declined')
+        _send(self.by_number.get(number), Declined(request_id, decline.code, retry_ms))
+
+    def _forget(self, number: int, stream: PeerStream) -> None:
+        stream.abort()
+        self.streams.discard(stream)
+        self.by_number.pop(number, None)
+        self.keeper.admission.release_stream(number, BOOT_CLOCK.monotonic())
+        self.keeper.changed.set()
+
+
+def _make_ticket(number: int, message: Reserve, now: float) -> Ticket:
+    key = (number, message.request_id)
+    deadline = now + message.left_ms / MS_PER_SECOND
+    return Ticket(key, message.adapter, message.version, message.priority, now, deadline)
+
+
+def _send(stream: PeerStream | None, message: Message) -> None:
+    if stream is None:
+        return
+    try:
+        stream.send(message)
+    except (StreamClosedError, PeerBusyError) as exc:
+        logger.bind(entry=stream.peer, step=exc.step, error=exc.message).info('message_not_sent')
+
+
+async def _wait(event: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(TICK_SECONDS):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/tamarackfield/observe/logs.py
+++ b/tamarackfield/observe/logs.py
@@ -23,7 +23,8 @@
     return f'{key}={text}'
 
 
-def _format_record(record: Any) -> str:
+def format_record(record: Any) -> str:
+    """Return the loguru template of a record's line, whose pairs are put into the record."""
     pairs = [
         format_pair('time', record['time'].isoformat(timespec='milliseconds')),
         format_pair('level', record['level'].name.lower()),
@@ -49,4 +50,4 @@
     """
     logger.remove()
     logger.configure(extra={'instance': instance})
-    logger.add(sys.stderr, level=level, format=_format_record, backtrace=False, diagnose=False)
+    logger.add(sys.stderr, level=level, format=format_record, backtrace=False, diagnose=False)
--- a/tamarackfield/observe/program.py
+++ b/tamarackfield/observe/program.py
@@ -8,7 +8,8 @@
 import click
 from result import Err
 
-from tamarackfield.core import Application, Problem, format_problems, load_settings
+from tamarackfield.core import Application, Problem, format_problems
+from tamarackfield.core.settings import load_settings
 from tamarackfield.observe.logs import configure_logs
 from tamarackfield.observe.start import find_listen_problems, find_security_problems
 
--- a/tamarackfield/observe/start.py
+++ b/tamarackfield/observe/start.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from tamarackfield.core.settings import ADDRESS_SCHEMA, Problem
+from tamarackfield.core import Problem
+from tamarackfield.core.settings import ADDRESS_SCHEMA
 from tamarackfield.wire.security import MUTUAL_TLS, server_context
 
 _Listener = tuple[str, str, int]
--- a/tamarackfield/observe/tests/test_metrics.py
+++ b/tamarackfield/observe/tests/test_metrics.py
@@ -4,7 +4,7 @@
 import pathlib
 import re
 
-from tamarackfield.observe import METRICS
+from tamarackfield.observe.metrics import METRICS
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.processes import HOST, wait_until
 from tamarackfield.web import fetch
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -7,9 +7,13 @@
 
 from tamarackfield.bundle import Bundle
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
-from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
+from tamarackfield.core.problems import split_address
+from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA
 from tamarackfield.discovery import BundleFollower
-from tamarackfield.observe import AuditTrail, Metrics, Operations, program_schema, send_gauges
+from tamarackfield.observe.audit import AuditTrail
+from tamarackfield.observe.metrics import Metrics, send_gauges
+from tamarackfield.observe.operations import Operations
+from tamarackfield.observe.settings import program_schema
 from tamarackfield.sidecar.decisions import follow_bundle, make_scheduler
 from tamarackfield.sidecar.dispatch import make_run_call
 from tamarackfield.sidecar.engine import EngineClient
--- a/tamarackfield/sidecar/main.py
+++ b/tamarackfield/sidecar/main.py
@@ -2,7 +2,7 @@
 
 import click
 
-from tamarackfield.observe import run_program
+from tamarackfield.observe.program import run_program
 from tamarackfield.sidecar.app import SETTINGS_SCHEMA, build
 
 
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -9,7 +9,7 @@
 from tamarackfield.core import RequestError, TamarackfieldError
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.reply import Reply
-from tamarackfield.sidecar.reports import make_holdings, make_report, report_changes
+from tamarackfield.sidecar.reports import make_holdings, make_report
 from tamarackfield.sidecar.runs import run_request
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.wire import (
@@ -26,6 +26,7 @@
     StreamClosedError,
     Submit,
 )
+from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.stream import PeerBusyError
 
 #: Longest time between two epochs for issuing keys, in seconds.
--- a/tamarackfield/sidecar/tests/test_orders_machine.py
+++ b/tamarackfield/sidecar/tests/test_orders_machine.py
@@ -11,7 +11,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tamarackfield.core import Application
-from tamarackfield.observe import AuditTrail, Metrics
+from tamarackfield.observe.audit import AuditTrail
+from tamarackfield.observe.metrics import Metrics
 from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
 from tamarackfield.sidecar.engine import EngineError, EngineStatus
 from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, OrderDone, OrderFailed, StatusRead
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -9,7 +9,8 @@
 from tamarackfield.core import SYSTEM_CLOCK, Application
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.errors import RequestError
-from tamarackfield.observe import AuditTrail, Metrics
+from tamarackfield.observe.audit import AuditTrail
+from tamarackfield.observe.metrics import Metrics
 from tamarackfield.sidecar.engine import EngineClient, EngineStatus
 from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, Event, OrderDone, OrderFailed, StatusRead
 from tamarackfield.sidecar.orders import give_order
--- a/tamarackfield/testing/engine.py
+++ b/tamarackfield/testing/engine.py
@@ -10,7 +10,7 @@
 
 from tamarackfield.core import Application, new_incarnation
 from tamarackfield.core.errors import refusal
-from tamarackfield.core.settings import split_address
+from tamarackfield.core.problems import split_address
 from tamarackfield.testing.answers import token_event, whole_answer
 from tamarackfield.testing.batching import Batcher, Sequence
 from tamarackfield.testing.standin import Standin, standin_schema
--- a/tamarackfield/testing/main.py
+++ b/tamarackfield/testing/main.py
@@ -2,7 +2,7 @@
 
 import click
 
-from tamarackfield.observe import run_program
+from tamarackfield.observe.program import run_program
 from tamarackfield.testing import configuration, engine, instances, proxy, service, weights
 
 KINDS = {
--- a/tamarackfield/testing/proxy.py
+++ b/tamarackfield/testing/proxy.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from tamarackfield.core import Application
-from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA, split_address
+from tamarackfield.core.problems import split_address
+from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA
 from tamarackfield.testing.frames import NO_FRAME_FAULTS, CutError, FrameFaults
 from tamarackfield.testing.standin import Standin, standin_schema
 
--- a/tamarackfield/testing/standin.py
+++ b/tamarackfield/testing/standin.py
@@ -6,7 +6,7 @@
 
 from tamarackfield.core import Application
 from tamarackfield.core.settings import ADDRESS_SCHEMA
-from tamarackfield.observe import answer_error
+from tamarackfield.observe.operations import answer_error
 from tamarackfield.web import HttpRequest, HttpServer, Responder
 
 #: Path on which tests set faults and read witnesses.
--- a/tamarackfield/web/reading.py
+++ b/tamarackfield/web/reading.py
@@ -6,15 +6,16 @@
 
 import h11
 
-from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.core.clock import SYSTEM_CLOCK, Clock
 from tamarackfield.web.limits import HttpLimits
 from tamarackfield.web.request import (
     MAX_HEAD_BYTES,
+    REQUEST_ID_HEADER,
     HttpRequest,
     bad_request,
+    build_request,
     check_framing,
     check_size,
-    choose_request_id,
     server_busy,
     stated_length,
 )
@@ -66,6 +67,10 @@
         Sizes and times.
     budget : BodyBudget
         Shared by all connections of the server.
+    clock : Clock
+        Stamps requests with their time of arrival.
+    id_header : str
+        Header that carries the id of a request.
     """
 
     def __init__(
@@ -74,8 +79,12 @@
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
         budget: BodyBudget,
+        clock: Clock = SYSTEM_CLOCK,
+        id_header: str = REQUEST_ID_HEADER,
     ) -> None:
         """Start with nothing read."""
+        self.clock = clock
+        self.id_name = id_header.lower()
         self.reader = reader
         self.writer = writer
         self.limits = limits
@@ -107,13 +116,10 @@
         head = await self._read_head(expires_at)
         if head is None:
             return None
-        received_at = SYSTEM_CLOCK.monotonic()
+        received_at = self.clock.monotonic()
         self._hold(stated_length(head, self.limits.max_body_bytes))
         body = await self._read_body(expires_at)
-        path, _, query = head.target.decode('ascii').partition('?')
-        headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
-        request_id = choose_request_id(headers.get('x-request-id', ''))
-        return HttpRequest(head.method.decode('ascii'), path, query, headers, body, received_at, request_id)
+        return build_request(head, body, received_at, self.id_name)
 
     def release(self) -> None:
         """Count the body of the last request as dropped."""
--- a/tamarackfield/web/request.py
+++ b/tamarackfield/web/request.py
@@ -2,13 +2,15 @@
 
 import re
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import h11
 
 from tamarackfield.core.errors import RequestError
 
+#: Header that carries the id of a request on the product's own interface.
+REQUEST_ID_HEADER = 'X-Request-Id'
 #: Largest request head, in bytes.
 MAX_HEAD_BYTES = 16_384
 _MAX_LENGTH_DIGITS = 15
@@ -40,7 +42,11 @@
     received_at : float
         Monotonic seconds at which the head was read.
     request_id : str
-        The caller's own ``X-Request-Id`` if it is well-formed, else a generated one.
+        The caller's own id if it is well-formed, else a generated one.
+    target : str
+        Path and query exactly as they were sent.
+    raw_headers : list of pairs of bytes
+        Every header line in its order, names as they were sent.
     """
 
     method: str
@@ -50,6 +56,37 @@
     body: bytes
     received_at: float
     request_id: str = ''
+    target: str = ''
+    raw_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+
+
+def build_request(head: h11.Request, body: bytes, received_at: float, id_name: str) -> HttpRequest:
+    """Build a request from its parts.
+
+    Parameters
+    ----------
+    head : h11.Request
+        Accepted by h11.
+    body : bytes
+        Whole body.
+    received_at : float
+        Monotonic seconds.
+    id_name : str
+        Header that carries the id, in lower case.
+
+    Returns
+    -------
+    HttpRequest
+        With an id of its own if the caller's is missing or malformed.
+    """
+    target = head.target.decode('ascii')
+    path, _, query = target.partition('?')
+    headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
+    request_id = choose_request_id(headers.get(id_name, ''))
+    raw_headers = list(head.headers.raw_items())
+    return HttpRequest(
+        head.method.decode('ascii'), path, query, headers, body, received_at, request_id, target, raw_headers
+    )
 
 
 def check_framing(head: bytes) -> None:
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -8,9 +8,9 @@
 import h11
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.web.request import REQUEST_ID_HEADER
 
 _JSON_TYPE = ('Content-Type', 'application/json')
-_REQUEST_ID_HEADER = 'X-Request-Id'
 
 
 def _never() -> bool:
@@ -34,6 +34,8 @@
         Time that one write may wait for the caller to read.
     retiring : callable
         Tells whether the connection must close after this answer; asked when the head is sent.
+    id_header : str
+        Header that carries the id of the request.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         writer: asyncio.StreamWriter,
         write_seconds: float,
         retiring: Callable[[], bool] = _never,
+        id_header: str = REQUEST_ID_HEADER,
     ) -> None:
         """Start with nothing sent."""
+        self.id_header = id_header
         self.connection = connection
         self.writer = writer
         self.write_seconds = write_seconds
@@ -61,8 +65,8 @@
         if self.close_after:
             headers = [*headers, ('Connection', 'close')]
         if self.request_id:
-            kept = [pair for pair in headers if pair[0].lower() != _REQUEST_ID_HEADER.lower()]
-            headers = [*kept, (_REQUEST_ID_HEADER, self.request_id)]
+            kept = [pair for pair in headers if pair[0].lower() != self.id_header.lower()]
+            headers = [*kept, (self.id_header, self.request_id)]
         head = h11.Response(status_code=status, headers=headers)
         self.started = True
         await self._write(head)
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -10,13 +10,16 @@
 import h11
 from loguru import logger
 
+from tamarackfield.core.clock import SYSTEM_CLOCK, Clock
 from tamarackfield.core.errors import RequestError
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.web.limits import DEFAULT_LIMITS, HttpLimits
 from tamarackfield.web.reading import READ_BYTES, BodyBudget, RequestReader
-from tamarackfield.web.request import HttpRequest, choose_request_id, server_busy
+from tamarackfield.web.request import REQUEST_ID_HEADER, HttpRequest, choose_request_id, server_busy
 from tamarackfield.web.responder import CallerGoneError, Responder
 
+#: New connections that may wait to be accepted; those of a burst arrive together.
+LISTEN_BACKLOG = 512
 #: Seconds that a caller is given to read a refusal before its connection is closed.
 LINGER_SECONDS = 1.0
 
@@ -34,6 +37,10 @@
         Coroutine function that answers a request that ended in a `RequestError`.
     limits : HttpLimits
         Sizes and times.
+    clock : Clock
+        Stamps requests with their time of arrival.
+    id_header : str
+        Header that carries the id of a request, both ways.
     """
 
     def __init__(
@@ -41,8 +48,12 @@
         handler: Handler,
         on_error: Callable[[RequestError, Responder], Awaitable[None]],
         limits: HttpLimits = DEFAULT_LIMITS,
+        clock: Clock = SYSTEM_CLOCK,
+        id_header: str = REQUEST_ID_HEADER,
     ) -> None:
         """Prepare a server that does not listen yet."""
+        self.clock = clock
+        self.id_header = id_header
         self.handler = handler
         self.on_error = on_error
         self.limits = limits
@@ -56,7 +67,9 @@
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
         """Start to listen; ``port`` 0 takes a free one, which is then in ``self.port``."""
-        self.server = await asyncio.start_server(self.accept, host, port, limit=READ_BYTES, ssl=context)
+        self.server = await asyncio.start_server(
+            self.accept, host, port, limit=READ_BYTES, ssl=context, backlog=LISTEN_BACKLOG
+        )
         self.port = self.server.sockets[0].getsockname()[1]
 
     def retire(self) -> None:
@@ -108,7 +121,7 @@
         self.server = server
         self.reader = reader
         self.writer = writer
-        self.requests = RequestReader(reader, writer, server.limits, server.budget)
+        self.requests = RequestReader(reader, writer, server.limits, server.budget, server.clock, server.id_header)
         self.protocol = self.requests.protocol
 
     async def begin(self, opened: int) -> None:
@@ -153,7 +166,13 @@
 
     def _make_responder(self) -> Responder:
         server = self.server
-        responder = Responder(self.protocol, self.writer, server.limits.write_seconds, lambda: server.retiring)
+        responder = Responder(
+            self.protocol,
+            self.writer,
+            server.limits.write_seconds,
+            lambda: server.retiring,
+            server.id_header,
+        )
         responder.request_id = choose_request_id('')
         return responder
 
--- a/tamarackfield/web/tests/test_server.py
+++ b/tamarackfield/web/tests/test_server.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarackfield.observe import answer_error
+from tamarackfield.observe.operations import answer_error
 from tamarackfield.web import HttpLimits, HttpServer
 
 LIMITS = HttpLimits(max_body_bytes=500, max_buffered_bytes=500, idle_seconds=5, request_seconds=5)
--- a/tamarackfield/wire/codec.py
+++ b/tamarackfield/wire/codec.py
@@ -8,6 +8,7 @@
 import msgpack
 
 from tamarackfield.core.errors import TamarackfieldError
+from tamarackfield.wire.grants import GRANT_TYPES
 from tamarackfield.wire.messages import MESSAGE_TYPES, Message
 from tamarackfield.wire.spreading import SPREADING_TYPES
 
@@ -15,7 +16,7 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Integers in messages are not negative and fit into this many bits.
 _INTEGER_BITS = 63
-_TYPES_BY_KIND = {**MESSAGE_TYPES, **SPREADING_TYPES}
+_TYPES_BY_KIND = {**MESSAGE_TYPES, **SPREADING_TYPES, **GRANT_TYPES}
 
 Check = Callable[[object], bool]
 
--- a/tamarackfield/sidecar/tests/test_reports.py
+++ b/tamarackfield/wire/tests/test_reporting.py
@@ -1,6 +1,6 @@
 """Reports say what changed, and stay below the byte limit however many entries there are."""
 
-from tamarackfield.sidecar.reports import (
+from tamarackfield.wire.reporting import (
     REPORT_BYTES,
     REPORT_BYTES_PER_SECOND,
     Sent,
