Stand-ins of the platform, and tests of the whole path and its faults with the real programs

Found by the tests and mended: an answer to an earlier request on a kept connection broke the answer to the present one if that had a body (the parser was moved past the request without its body). Ruled out: a reset by transport.abort() in the stand-in is seen as a clean end, so it did not test what it said; the stand-in now resets.

--- /dev/null
+++ b/tamarackfield/testing/platform_site.py
@@ -0,0 +1,259 @@
+"""A small site of the users' platform: stand-ins in this process, the system's programs beside it.
+
+Each site has loopback addresses of its own, so that tests side by side do not meet.
+"""
+
+import asyncio
+import itertools
+import os
+import pathlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from tamarackfield.core.problems import split_address
+from tamarackfield.testing.platform_store import PlatformStore
+from tamarackfield.testing.platform_worker import PlatformWorker
+from tamarackfield.testing.ports import reserve_port
+from tamarackfield.testing.processes import ManagedProcess, wait_until
+from tamarackfield.web.client import Headers, fetch, open_request
+
+HOST_NAME = 'site.example'
+PLAIN = 'ledger'
+MODELS = 'drafts'
+MODEL = 'base'
+_MAX_OCTET = 250
+_numbers = itertools.count(1)
+
+
+def next_address() -> str:
+    """Return a loopback address that no other test process uses."""
+    number = next(_numbers)
+    process = os.getpid()
+    return f'127.{process % _MAX_OCTET + 1}.{process // _MAX_OCTET % _MAX_OCTET}.{number % _MAX_OCTET + 1}'
+
+
+def make_route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    route = {
+        'name': prefix.strip('/'),
+        'hostname': HOST_NAME,
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 2000,
+        'target_latency_ms': 400,
+        'priority': 0,
+        'service': service,
+        'max_attempts': 2,
+    }
+    return route | changes
+
+
+def make_config(version: int = 1, routes: list[dict[str, Any]] | None = None) -> dict[str, Any]:
+    """Return a configuration with plain calls and streams."""
+    engine = {
+        'slots': 8,
+        'kv_capacity': 100_000,
+        'models': [{'name': MODEL, 'weights_mb': 900.0, 'load_time_s': 1, 'adapters': 100, 'adapter_size_mb': 10.0}],
+        'weights_mb': 1000.0,
+        'adapter_slots': 3,
+        'loads_per_s': 4,
+    }
+    standard = [
+        make_route('/look/', 'idempotent', PLAIN),
+        make_route('/file/', 'non_idempotent', PLAIN, max_attempts=1),
+        make_route('/draft/', 'streaming', MODELS, max_attempts=1),
+        make_route('/summary/', 'streaming', MODELS, resumable=True),
+    ]
+    return {
+        'version': version,
+        'routes': standard if routes is None else routes,
+        'services': [
+            {'name': PLAIN, 'health_path': '/healthz', 'max_conns': 100},
+            {'name': MODELS, 'health_path': '/healthz', 'max_conns': 100, 'engine': engine},
+        ],
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 1_000_000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15_000,
+        },
+    }
+
+
+class PlatformProcess(ManagedProcess):
+    """One program of the system on a machine of the site."""
+
+    def __init__(
+        self, role: str, settings: dict[str, Any], directory: pathlib.Path, health: tuple[str, int, str]
+    ) -> None:
+        """Describe a process that does not run yet."""
+        host, port, path = health
+        super().__init__(
+            settings['node'],
+            'tamarackfield.platform.main',
+            settings,
+            directory,
+            arguments=(role,),
+            health=(port, path),
+            host=host,
+            settings_variable='TAMARACKFIELD_SETTINGS',
+        )
+
+
+class Site:
+    """Stand-ins and programs of one test.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        For settings and logs.
+    """
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        """Start without machines."""
+        self.directory = directory
+        self.store = PlatformStore()
+        self.store_host = next_address()
+        self.store_port = 0
+        self.manager_port = reserve_port()
+        self.workers: dict[str, PlatformWorker] = {}
+        self.entries: list[PlatformProcess] = []
+        self.sidecars: dict[str, PlatformProcess] = {}
+        self.seeds: list[str] = []
+        self.request_ids = itertools.count(1)
+
+    async def start(self, config: dict[str, Any] | None = None) -> None:
+        """Start the store with a configuration."""
+        await self.store.server.listen(self.store_host, 0)
+        self.store_port = self.store.server.port
+        self.store.put('op/config', make_config() if config is None else config)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for process in (*self.entries, *self.sidecars.values()):
+            await process.kill()
+        for worker in self.workers.values():
+            await worker.stop()
+        await self.store.server.close()
+
+    async def add_worker(self, name: str, service: str = PLAIN, **changes: Any) -> PlatformWorker:
+        """Start a worker and list it."""
+        model = MODEL if service == MODELS else ''
+        worker = PlatformWorker(name, service, next_address(), reserve_port(), model=model)
+        for field, setting in changes.items():
+            setattr(worker, field, setting)
+        await worker.start()
+        self.workers[name] = worker
+        self.list_worker(worker)
+        return worker
+
+    def list_worker(self, worker: PlatformWorker) -> None:
+        """Write a worker's entry."""
+        self.store.put(f'servers/{worker.name}', worker.entry())
+
+    async def add_sidecar(self, worker: PlatformWorker) -> PlatformProcess:
+        """Start the program beside a worker."""
+        settings = self._settings(f'side-{worker.name}', worker.host)
+        settings |= {'listen': {}, 'app': f'{worker.host}:{worker.port}', 'service': worker.service}
+        process = PlatformProcess('sidecar', settings, self.directory, (worker.host, 9464, '/metrics'))
+        self.sidecars[worker.name] = process
+        await process.start()
+        await process.wait_ready()
+        return process
+
+    async def add_entry(self, wait: bool = True) -> PlatformProcess:
+        """Start an entry."""
+        host = next_address()
+        settings = self._settings(f'front-{len(self.entries) + 1}', host)
+        ports = {name: f'{host}:{reserve_port()}' for name in ('front', 'ready', 'control')}
+        settings['listen'] = ports
+        self.seeds.append(ports['control'])
+        settings['seeds'] = list(self.seeds[:3])
+        process = PlatformProcess(
+            'entry', settings, self.directory, (host, int(ports['ready'].split(':')[1]), '/v1/ready')
+        )
+        self.entries.append(process)
+        await process.start()
+        if wait:
+            await process.wait_ready()
+        return process
+
+    async def wait_sidecars(self, entry: PlatformProcess) -> None:
+        """Wait until every sidecar has told an entry that it can grant requests."""
+
+        async def linked() -> bool:
+            ready = [
+                line for line in entry.log().splitlines() if 'event=sidecar_reports' in line and 'ready=True' in line
+            ]
+            return len(ready) >= len(self.sidecars)
+
+        await wait_until(linked, 'sidecars are linked')
+
+    async def call(
+        self,
+        path: str,
+        method: str = 'GET',
+        body: bytes = b'',
+        headers: Headers | None = None,
+        entry: int = 0,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Make one request of a client and return the whole answer."""
+        return await fetch(self.address(entry), method, path, body, self.headers(headers))
+
+    def stream(self, path: str, headers: Headers | None = None, entry: int = 0):
+        """Open one request of a client whose answer is read step by step."""
+        return open_request(self.address(entry), 'POST', path, b'prompt', self.headers(headers))
+
+    def headers(self, headers: Headers | None) -> Headers:
+        """Return the headers of a client, with a new id unless one is given."""
+        given = headers or []
+        names = {name.lower() for name, _ in given}
+        given = [('Host', HOST_NAME), *given]
+        if 'tamarackfield-request-id' not in names:
+            given = [('Tamarackfield-Request-Id', f'r{next(self.request_ids)}'), *given]
+        if 'tamarackfield-deadline-ms' not in names:
+            given = [('Tamarackfield-Deadline-Ms', '2000'), *given]
+        return given
+
+    def address(self, entry: int) -> tuple[str, int]:
+        """Return where clients reach an entry."""
+        listen = self.entries[entry].settings['listen']
+        return split_address(listen['front'])
+
+    def runs(self, request_id: str) -> int:
+        """Return how often workers began a request."""
+        begun = [run.request_id for worker in self.workers.values() for run in worker.runs]
+        return begun.count(request_id)
+
+    def _settings(self, node: str, host: str) -> dict[str, Any]:
+        return {
+            'node': node,
+            'zone': 'zone-a',
+            'region': 'region-a',
+            'ip': host,
+            'port_range': [self.manager_port, self.manager_port + 10],
+            'seeds': [],
+            'limits': {'max_fds': 1000},
+            'bounds': {'retry_budget_ratio': 0.2, 'budget_extra': 50, 'drain_ms': 2000, 'grace_s': 8},
+            'provider': {'address': f'{self.store_host}:{self.store_port}'},
+            'a_field_of_a_later_version': True,
+        }
+
+
+@asynccontextmanager
+async def running_site(directory: pathlib.Path, config: dict[str, Any] | None = None) -> AsyncIterator[Site]:
+    """Run a site with a store; whatever is added to it ends with it."""
+    site = Site(directory)
+    await site.start(config)
+    try:
+        yield site
+    finally:
+        await site.stop()
+
+
+async def read_events(response: Any) -> list[bytes]:
+    """Return the events of a stream; a stream that is cut raises `ClientError`."""
+    body = b''.join([chunk async for chunk in response.chunks()])
+    await asyncio.sleep(0)
+    return [event for event in body.split(b'\n\n') if event]
--- /dev/null
+++ b/tamarackfield/testing/platform_store.py
@@ -0,0 +1,121 @@
+"""Stand-in of the users' platform: its metadata store, with ranges, watches, compaction and refusals."""
+
+import asyncio
+import base64
+import itertools
+import json
+import urllib.parse
+from typing import Any
+
+from tamarackfield.web import HttpRequest, HttpServer, Responder
+from tamarackfield.web.text import answer_error
+
+#: Items of one page.
+PAGE_ITEMS = 50
+_MS = 1000
+
+
+class PlatformStore:
+    """Items, their history and the calls that read them; tests write with `put` and `delete`."""
+
+    def __init__(self) -> None:
+        """Start empty; revisions start above zero."""
+        self.items: dict[str, dict[str, Any]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.revisions = itertools.count(2)
+        self.revision = 1
+        self.compacted = 0
+        self.changed = asyncio.Event()
+        #: What callers meet: empty, or ``busy``, ``limited``, ``reset``, ``silent``.
+        self.trouble = ''
+        #: IP numbers of callers that meet it; empty for all.
+        self.troubled: set[str] = set()
+        self.calls: list[str] = []
+        self.server = HttpServer(self.handle, answer_error)
+
+    def put(self, key: str, document: Any) -> int:
+        """Write an item; bytes are taken as they are. Return its revision."""
+        content = document if isinstance(document, bytes) else json.dumps(document).encode()
+        text = base64.b64encode(content).decode()
+        return self._record(key, {'key': key, 'value': text, 'created': 1, 'lease': 0})
+
+    def delete(self, key: str) -> int:
+        """Delete an item and return the revision of that."""
+        return self._record(key, {'key': key, 'tombstone': True})
+
+    def lapse(self, prefix: str) -> list[tuple[str, bytes]]:
+        """Delete all items of a prefix, as leases that ran out do; return what they were."""
+        lapsed = [(key, base64.b64decode(item['value'])) for key, item in self.items.items() if key.startswith(prefix)]
+        for key, _ in lapsed:
+            self.delete(key)
+        return lapsed
+
+    def compact(self) -> None:
+        """Forget the history; watches that wait are told so."""
+        self.compacted = self.revision
+        self.history.clear()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one call of a process of the system."""
+        asked = dict(urllib.parse.parse_qsl(request.query, keep_blank_values=True))
+        self.calls.append(request.path)
+        address = responder.writer.get_extra_info('peername')[0]
+        if self.trouble and (not self.troubled or address in self.troubled):
+            await self._misbehave(responder)
+            return
+        if request.path == '/v1/kv-range':
+            await responder.send_json(200, self._range(asked))
+        elif request.path == '/v1/kv-watch':
+            await self._watch(asked, responder)
+        else:
+            await responder.send_json(404, {})
+
+    def _record(self, key: str, item: dict[str, Any]) -> int:
+        self.revision = next(self.revisions)
+        item['revision'] = self.revision
+        if item.get('tombstone'):
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+        self.history.append(item)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+    def _range(self, asked: dict[str, str]) -> dict[str, Any]:
+        prefix, after = asked['path_prefix'], asked.get('after', '')
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        listed = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        return {'items': listed, 'has_more': len(keys) > PAGE_ITEMS, 'at': self.revision}
+
+    async def _watch(self, asked: dict[str, str], responder: Responder) -> None:
+        after = int(asked['after'])
+        try:
+            async with asyncio.timeout(int(asked['wait_ms']) / _MS):
+                while not self._events(asked['path_prefix'], after) and after >= self.compacted:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass  # noqa: WPS420 an answer without events follows
+        if self.trouble == 'silent':
+            await asyncio.Event().wait()
+        if after < self.compacted:
+            await responder.send_json(410, {})
+            return
+        events = self._events(asked['path_prefix'], after)
+        await responder.send_json(200, {'events': events, 'at': self.revision})
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [item for item in self.history if item['key'].startswith(prefix) and item['revision'] > after]
+
+    async def _misbehave(self, responder: Responder) -> None:
+        match self.trouble:
+            case 'busy':
+                await responder.send_json(503, {})
+            case 'limited':
+                await responder.send_json(429, {})
+            case 'reset':
+                responder.writer.transport.abort()
+            case _:
+                await asyncio.Event().wait()
--- /dev/null
+++ b/tamarackfield/testing/platform_worker.py
@@ -0,0 +1,379 @@
+"""Stand-in of the users' platform: workers, plain ones and those that run models.
+
+What each worker ran is kept, so that tests can check promises from what workers saw. Faults are
+set as plain attributes.
+"""
+
+import asyncio
+import itertools
+import json
+import socket
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+Headers = dict[str, str]
+_TRANSFER_SECONDS = 0.02
+_MAX_INCOMING = 4
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that a worker began."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class Faults:
+    """How a worker misbehaves towards the next requests.
+
+    Parameters
+    ----------
+    kind : str
+        Empty, or ``errors``, ``shed``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
+        ``unframed_reset``, ``garbage``, ``cut``, ``unsigned``, ``encoded``.
+    left : int
+        Requests that it still strikes.
+    """
+
+    kind: str = ''
+    left: int = 0
+
+    def take(self) -> str:
+        """Return the fault of this request."""
+        if self.left <= 0:
+            return ''
+        self.left -= 1
+        return self.kind
+
+
+class PlatformWorker:
+    """A worker at one address.
+
+    Parameters
+    ----------
+    name, service, host, port
+        As its entry in the store says.
+    model : str
+        Base model that it runs, empty for a plain worker.
+    """
+
+    def __init__(  # noqa: WPS211 the parts of its entry
+        self, name: str, service: str, host: str, port: int, model: str = ''
+    ) -> None:
+        """Start without having run anything."""
+        self.name = name
+        self.service = service
+        self.host = host
+        self.port = port
+        self.model = model
+        self.born = 1_700_000_000_000
+        self.adapter_slots = 3
+        self.state = 'ready'
+        self.models = [model] if model else []
+        self.adapters: dict[str, int] = {}
+        self.incoming: dict[str, int] = {}
+        self.sequence = 0
+        self.highest_fence = 0
+        self.orders: list[dict[str, Any]] = []
+        self.running: set[str] = set()
+        self.runs: list[Run] = []
+        self.refused: list[tuple[str, int]] = []
+        self.faults = Faults()
+        self.events = 5
+        self.event_seconds = 0.005
+        self.cut_after = 0
+        self.crashed = ''
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def entry(self) -> dict[str, Any]:
+        """Return its entry in the store."""
+        document = {
+            'service': self.service,
+            'address': f'{self.host}:{self.port}',
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': 8,
+            'state': self.state,
+            'seq': self.sequence,
+            'cold_ms': 0,
+            'born': self.born,
+        }
+        if self.model:
+            document['models'] = self.held()
+        return document
+
+    def held(self) -> list[dict[str, Any]]:
+        """Return its models and adapters."""
+        adapters = [f'{name}@{version}' for name, version in self.adapters.items()]
+        return [{'name': model, 'version': 1, 'adapters': adapters} for model in self.models]
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self.accept, self.host, self.port)
+
+    async def stop(self) -> None:
+        """End without a word."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self) -> None:
+        """End, and begin a new life under the same id with nothing kept."""
+        await self.stop()
+        self.born += 1000
+        self.sequence = 0
+        self.highest_fence = 0
+        self.adapters.clear()
+        self.incoming.clear()
+        self.models.clear()
+        await self.start()
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.writers.add(writer)
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request = await _read_request(protocol, reader)
+                if request is None:
+                    return
+                await self._answer(protocol, writer, *request)
+                if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+                    return
+                protocol.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            return
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, protocol: h11.Connection, writer: asyncio.StreamWriter, head: h11.Request, body: bytes
+    ) -> None:
+        headers = {name.decode(): text.decode() for name, text in head.headers}
+        target = head.target.decode()
+        if target == '/v1/report':
+            await _send(protocol, writer, 200, self.report())
+        elif target == '/v1/order':
+            status = self.order(headers, json.loads(body))
+            await _send(protocol, writer, status, {})
+        else:
+            await self._serve(
+                protocol,
+                writer,
+                Run(headers.get('tamarackfield-request-id', ''), head.method.decode(), target, headers, body),
+            )
+
+    def report(self) -> dict[str, Any]:
+        """Return what it says of itself."""
+        return {
+            'stage': 'colocated',
+            'models': self.held(),
+            'busy': False,
+            'seq': self.sequence,
+            'queued': 0,
+            'running': len(self.running),
+            'kv_used': 0,
+            'kv_total': 1000,
+            'handles': 0,
+            'incoming': [f'{self.model}/{name}@{version}' for name, version in self.incoming.items()],
+            'state': self.state,
+            'born': self.born,
+        }
+
+    def order(self, headers: Headers, order: dict[str, Any]) -> int:
+        """Take an order and return the status of the answer."""
+        expected = headers.get('tamarackfield-expect-instance', self.name)
+        if expected != self.name:
+            return 421
+        if 'holder' not in order or 'fencing_token' not in order:
+            return 400
+        if order['fencing_token'] < self.highest_fence:
+            return 412
+        if order.get('expected', self.sequence) != self.sequence:
+            return 409
+        self.highest_fence = order['fencing_token']
+        self.orders.append(order)
+        return self._carry_out(order)
+
+    def _carry_out(self, order: dict[str, Any]) -> int:
+        adapter = order.get('adapter')
+        if adapter is None:
+            self.sequence += 1
+            asyncio.get_running_loop().call_later(_TRANSFER_SECONDS, self.models.append, order['model'])
+            return 202
+        if order['operation'] == 'unload':
+            self.sequence += 1
+            self.adapters.pop(adapter, None)
+            return 200
+        return 400 if adapter.startswith('no-') else self._load(adapter, order)
+
+    def _load(self, adapter: str, order: dict[str, Any]) -> int:
+        version = order.get('version') or 1
+        if self.adapters.get(adapter) == version:
+            return 200
+        if len({*self.adapters, *self.incoming, adapter}) > self.adapter_slots:
+            self.crashed = f'ordered to load {adapter} with {self.adapters} and {self.incoming}'
+            return 500
+        if len(self.incoming) >= _MAX_INCOMING:
+            return 409
+        self.sequence += 1
+        self.incoming[adapter] = version
+        asyncio.get_running_loop().call_later(_TRANSFER_SECONDS, self._arrive, adapter)
+        return 202
+
+    def _arrive(self, adapter: str) -> None:
+        version = self.incoming.pop(adapter, None)
+        if version is not None:
+            self.adapters[adapter] = version
+
+    async def _serve(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run) -> None:
+        refusal = self._refusal(run.headers)
+        fault = self.faults.take()
+        if fault == 'shed' or refusal:
+            status = refusal or 503
+            self.refused.append((run.request_id, status))
+            extra = [] if status == 421 else [('Tamarackfield-Not-Executed', '1')]
+            await _send(protocol, writer, status, None, [*_echo(run), *extra])
+            return
+        self.runs.append(run)
+        self.running.add(run.request_id)
+        try:
+            await self._run(protocol, writer, run, fault)
+        finally:
+            self.running.discard(run.request_id)
+
+    def _refusal(self, headers: Headers) -> int:
+        expected = headers.get('tamarackfield-expect-instance', self.name)
+        if expected != self.name:
+            return 421
+        named = headers.get('tamarackfield-model')
+        if named is None or not self.model:
+            return 0
+        model, _, adapter = named.partition('/')
+        if model not in self.models or (adapter and adapter not in self.adapters):
+            return 421
+        wanted = headers.get('tamarackfield-expect-version')
+        return 421 if adapter and wanted and int(wanted) != self.adapters[adapter] else 0
+
+    async def _run(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+        if fault == 'hang':
+            await writer.wait_closed()
+        await asyncio.sleep(self.event_seconds)
+        if fault == 'reset_after_run':
+            _reset(writer)
+            return
+        if fault == 'garbage':
+            writer.write(b'\x00\x01 this is no answer\r\n\r\n')
+            writer.close()
+            return
+        if fault == 'errors':
+            await _send(protocol, writer, 500, {'error': 'failed'}, [*_echo(run), _SIGNATURE])
+            run.finished = True
+            return
+        if self.model:
+            await self._stream(protocol, writer, run)
+        else:
+            await self._reply(protocol, writer, run, fault)
+
+    async def _reply(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+        body = f'{self.name} ran {run.request_id}'.encode()
+        run.finished = True
+        if fault == 'extra':
+            writer.write(_raw_answer('another-request', b'not for you'))
+        if fault in {'unframed', 'unframed_reset'}:
+            writer.write(_raw_answer(run.request_id, body, framed=False))
+            await writer.drain()
+            if fault == 'unframed_reset':
+                _reset(writer)
+            writer.close()
+            return
+        if fault == 'cut':
+            writer.write(_raw_answer(run.request_id, body)[:-3])
+            writer.close()
+            return
+        signature = [] if fault == 'unsigned' else [_SIGNATURE]
+        encoding = [('Content-Encoding', 'gzip')] if fault == 'encoded' else []
+        await _send(protocol, writer, 200, body, [*_echo(run), *signature, *encoding])
+
+    async def _stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run) -> None:
+        lines = [*_echo(run), _SIGNATURE, ('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked')]
+        writer.write(protocol.send(h11.Response(status_code=200, headers=lines)))
+        first = int(run.headers.get('last-event-id', '0')) + 1
+        for number in itertools.count(first):
+            if number > self.events:
+                break
+            writer.write(protocol.send(h11.Data(data=f'id: {number}\ndata: event {number}\n\n'.encode())))
+            await writer.drain()
+            await asyncio.sleep(self.event_seconds)
+            if number == self.cut_after:
+                writer.write(protocol.send(h11.Data(data=b'id: 99\ndata: ha')))
+                await writer.drain()
+                writer.transport.abort()
+                return
+        run.finished = True
+        writer.write(protocol.send(h11.EndOfMessage()))
+        await writer.drain()
+
+
+_SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset in place of its end."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+def _echo(run: Run) -> list[tuple[str, str]]:
+    return [('Tamarackfield-Request-Id', run.request_id)]
+
+
+def _raw_answer(request_id: str, body: bytes, framed: bool = True) -> bytes:
+    length = f'Content-Length: {len(body)}\r\n' if framed else ''
+    marks = f'Tamarackfield-Request-Id: {request_id}\r\nTamarackfield-Server-Signature: signed\r\n'
+    return f'HTTP/1.1 200 OK\r\n{marks}{length}\r\n'.encode() + body
+
+
+async def _send(
+    protocol: h11.Connection,
+    writer: asyncio.StreamWriter,
+    status: int,
+    content: Any,
+    headers: list[tuple[str, str]] | None = None,
+) -> None:
+    if not isinstance(content, bytes):
+        content = b'' if content is None else json.dumps(content).encode()
+    lines = [*(headers or []), ('Content-Length', str(len(content)))]
+    writer.write(protocol.send(h11.Response(status_code=status, headers=lines)))
+    writer.write(protocol.send(h11.Data(data=content)) + protocol.send(h11.EndOfMessage()))
+    await writer.drain()
+
+
+async def _read_request(protocol: h11.Connection, reader: asyncio.StreamReader) -> tuple[h11.Request, bytes] | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, bytes(body)
+        else:
+            return None
--- a/tamarackfield/testing/processes.py
+++ b/tamarackfield/testing/processes.py
@@ -39,6 +39,10 @@
         Before ``--settings``.
     health : tuple
         Port and path that answer with status 200 once it is ready.
+    host : str
+        IP number of the health page.
+    settings_variable : str
+        Environment variable that names its settings file; empty for the option ``--settings``.
     """
 
     def __init__(  # noqa: WPS211 a process is described by all of these
@@ -50,6 +54,8 @@
         *,
         arguments: tuple[str, ...] = (),
         health: tuple[int, str],
+        host: str = HOST,
+        settings_variable: str = '',
     ) -> None:
         """Describe a process that does not run yet."""
         self.name = name
@@ -58,6 +64,8 @@
         self.directory = directory
         self.arguments = arguments
         self.health = health
+        self.host = host
+        self.settings_variable = settings_variable
         self.log_path = directory / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
 
@@ -65,14 +73,19 @@
         """Start the process without waiting until it is ready."""
         settings_path = self.directory / f'{self.name}.json'
         settings_path.write_text(json.dumps(self.settings, indent=2))
-        command = (sys.executable, '-m', self.module, *self.arguments, '--settings', str(settings_path))
+        command = [sys.executable, '-m', self.module, *self.arguments]
+        environment = dict(os.environ)
+        if self.settings_variable:
+            environment[self.settings_variable] = str(settings_path)
+        else:
+            command += ['--settings', str(settings_path)]
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command,
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
-                env=os.environ,
+                env=environment,
             )
 
     async def wait_ready(self) -> None:
@@ -88,11 +101,25 @@
         while SYSTEM_CLOCK.monotonic() < expires_at:
             if self.process is None or self.process.returncode is not None:
                 break
-            if await _answers(port, path):
+            if await _answers(self.host, port, path):
                 return
             await asyncio.sleep(_POLL_SECONDS)
         raise ProcessFailedError(f'{self.name} is not ready:\n{self.tail()}')
 
+    async def wait_log(self, text: str, times: int = 1) -> None:
+        """Wait until a text stands in its log.
+
+        Raises
+        ------
+        ProcessFailedError
+            If it does not come in time.
+        """
+
+        async def written() -> bool:
+            return self.log().count(text) >= times
+
+        await wait_until(written, f'{text!r} in the log of {self.name}')
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal."""
         self.process.send_signal(number)
@@ -136,10 +163,10 @@
         return '\n'.join(self.log().splitlines()[-lines:])
 
 
-async def _answers(port: int, path: str) -> bool:
+async def _answers(host: str, port: int, path: str) -> bool:
     try:
         async with asyncio.timeout(2):
-            status, _, _ = await fetch((HOST, port), 'GET', path)
+            status, _, _ = await fetch((host, port), 'GET', path)
     except (ClientError, TimeoutError):
         return False
     return status == _OK
--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -122,7 +122,7 @@
     body : bytes
         Whole body.
     headers : list of pairs, optional
-        Besides Host, Content-Length and Connection.
+        Besides Content-Length and Connection; Host is the peer unless it stands here.
 
     Yields
     ------
@@ -220,7 +220,9 @@
     body: bytes,
 ) -> bytes:
     method, path = request_line
-    fixed = [('Host', peer), ('Content-Length', str(len(body))), ('Connection', 'close')]
+    fixed = [('Content-Length', str(len(body))), ('Connection', 'close')]
+    if all(name.lower() != 'host' for name, _ in headers):
+        fixed.append(('Host', peer))
     head = protocol.send(h11.Request(method=method, target=path, headers=[*fixed, *headers]))
     content = protocol.send(h11.Data(data=body)) if body else b''
     return head + content + protocol.send(h11.EndOfMessage())
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -62,6 +62,7 @@
         self.transport: Any = None
         self.parser = h11.Connection(h11.CLIENT)
         self.request: h11.Request | None = None
+        self.body = b''
         self.waiter: asyncio.Future[None] | None = None
         self.busy = False
         self.failure = ''
@@ -129,8 +130,9 @@
             raise ClientError('connection had ended', 'send', self.peer, sent=False)
         self.busy = True
         self.request = request
+        self.body = body
         self.exchanges += 1
-        self.transport.write(self._encode(body))
+        self.transport.write(self._encode())
 
     async def receive(self) -> Any:
         """Return the next h11 event of the answer.
@@ -169,8 +171,7 @@
         if self.parser.their_state is not h11.DONE or closed:
             raise self._broken('the answer of another request ended the connection')
         self.parser = h11.Connection(h11.CLIENT)
-        self.parser.send(self.request)
-        self.parser.send(h11.EndOfMessage())
+        self._encode()
         if left:
             self.parser.receive_data(left)
 
@@ -185,9 +186,10 @@
         self.released_at = SYSTEM_CLOCK.monotonic()
         return True
 
-    def _encode(self, body: bytes) -> bytes:
+    def _encode(self) -> bytes:
+        """Move the parser past the request; return its bytes."""
         head = self.parser.send(self.request)
-        content = self.parser.send(h11.Data(data=body)) if body else b''
+        content = self.parser.send(h11.Data(data=self.body)) if self.body else b''
         return head + content + self.parser.send(h11.EndOfMessage())
 
     async def _wait(self) -> None:
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -87,6 +87,14 @@
         while self.busy:
             await asyncio.wait(self.busy)
 
+    async def close(self) -> None:
+        """Stop listening and end every connection at once."""
+        self.draining = True
+        if self.server is not None:
+            self.server.close()
+        for task in (*self.idle, *self.busy):
+            task.cancel()
+
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
         task = asyncio.current_task()
