Share the retry allowance by the entries that sidecars count; drop targets whose address a later one has

After the loss of all machines requests went to entries of dead workers whose address a new life had, and were refused with 421. Ruled out: taking the whole allowance per entry (entries cannot see each other's retries).

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -19,7 +19,7 @@
 from tamarackfield.gateway.replica import Follower, Item, Replica, StoreReader
 from tamarackfield.gateway.settings import GatewaySettings
 from tamarackfield.observe.series import Series
-from tamarackfield.policy import RetryBudget
+from tamarackfield.policy.shared_retries import SharedRetries
 from tamarackfield.web import HttpLimits, HttpRequest, HttpServer, Responder
 from tamarackfield.web.pool import ConnectionPool
 from tamarackfield.web.text import answer_error, send_text
@@ -92,7 +92,7 @@
         self.incarnation = new_incarnation()
         self.series = Series('tamarackfield')
         self.draining = False
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, SharedRetries] = {}
         directory = Directory()
         self.directory = directory
         self.configuration = Configuration(edge.decode, directory)
@@ -126,12 +126,14 @@
         listed = self.edge.instance_prefix in self.replica.complete
         return self.configuration.catalog is not None and listed and not self.draining
 
-    def budget_for(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service; it starts empty, so that restarts earn nothing."""
+    def budget_for(self, service: str) -> SharedRetries:
+        """Return the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RetryBudget(0.0, self.settings.retry_share, self.settings.retry_burst)
+            settings = self.settings
+            budget = SharedRetries(settings.retry_share, settings.retry_allowance, settings.retry_window_seconds)
             self.budgets[service] = budget
+        budget.entries = self.fleet.entries
         return budget
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -141,7 +143,8 @@
         self.fleet.manager_port = settings.manager_port
         for budget in self.budgets.values():
             budget.share = settings.retry_share
-            budget.most = settings.retry_burst
+            budget.allowance = settings.retry_allowance
+            budget.window_seconds = settings.retry_window_seconds
         logger.bind(changed=','.join(changed) or 'nothing').info('settings_reloaded')
 
     async def start(self) -> None:
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -64,9 +64,11 @@
         self.clock = clock
         self.targets: dict[str, Target] = {}
 
-    def put(self, record: TargetRecord) -> Target:
-        """Take in a listed target; a later life replaces an earlier one."""
+    def put(self, record: TargetRecord) -> Target | None:
+        """Take in a listed target; a later life, or a later target at its address, replaces an earlier one."""
         known = self.targets.get(record.name)
+        if known is None and self._is_superseded(record):
+            return None
         if known is not None and record.started_ms < known.record.started_ms:
             logger.bind(target=record.name, started_ms=record.started_ms).info('entry_of_earlier_life_passed_over')
             return known
@@ -111,9 +113,17 @@
         listed = [target for target in usable if not target.vanished_until]
         return listed or usable
 
+    def _is_superseded(self, record: TargetRecord) -> bool:
+        return any(
+            target.record.address == record.address and target.record.started_ms > record.started_ms
+            for target in self.targets.values()
+        )
+
     def _add(self, record: TargetRecord, before: Target | None) -> Target:
         if before is not None:
             self._drop(before, 'another life of it was listed')
+        for other in self._at_address(record):
+            self._drop(other, 'a later target has its address')
         view = TargetView(record.name, record.zone, batch=max(1, record.batch))
         target = Target(record, view)
         self.targets[record.name] = target
@@ -122,6 +132,14 @@
         )
         return target
 
+    def _at_address(self, record: TargetRecord) -> list[Target]:
+        """Return the earlier targets that were listed at the address of a new one."""
+        return [
+            target
+            for target in self.targets.values()
+            if target.record.address == record.address and target.record.started_ms < record.started_ms
+        ]
+
     def _renew(self, target: Target, record: TargetRecord) -> None:
         if target.record.draining:
             record.draining = True
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -35,8 +35,8 @@
 from tamarackfield.gateway.journey import Journey
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.model import AnswerHead
-from tamarackfield.policy import RetryBudget
 from tamarackfield.policy.plain import smooth_time
+from tamarackfield.policy.shared_retries import SharedRetries
 from tamarackfield.web import CallerGoneError, Responder
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import ConnectionPool
@@ -95,7 +95,7 @@
         fleet: Fleet,
         pool: ConnectionPool,
         dialect: Dialect,
-        budget_for: Callable[[str], RetryBudget],
+        budget_for: Callable[[str], SharedRetries],
     ) -> None:
         """Keep the parts."""
         self.fleet = fleet
@@ -114,8 +114,9 @@
         CallerGoneError
             If the caller left, or its stream was cut.
         """
-        self.budget_for(journey.service).earn()
-        left = journey.call.deadline - BOOT_CLOCK.monotonic()
+        now = BOOT_CLOCK.monotonic()
+        self.budget_for(journey.service).earn(now)
+        left = journey.call.deadline - now
         try:
             async with asyncio.timeout(left) as timeout:
                 self.timeouts[timeout] = journey.call.deadline
@@ -155,11 +156,12 @@
     def _choose(self, journey: Journey) -> Target | None:
         """Return the target of the next attempt, None if there is to be none."""
         route = journey.route
-        if journey.call.deadline - BOOT_CLOCK.monotonic() < LEAST_LEFT_SECONDS:
+        now = BOOT_CLOCK.monotonic()
+        if journey.call.deadline - now < LEAST_LEFT_SECONDS:
             return None
         if journey.in_doubt and not route.may_run_again:
             return None
-        if journey.arrivals and self.budget_for(journey.service).saved < 1:
+        if journey.arrivals and not self.budget_for(journey.service).may_spend(now):
             journey.notes.append('retry budget is spent')
             return None
         return self.fleet.choose(journey.service, journey.adapter_key(), journey.allows, journey.call.deadline)
@@ -233,8 +235,11 @@
             now = BOOT_CLOCK.monotonic()
             if not target.takes_work(now) or now + LEAST_LEFT_SECONDS > journey.call.deadline:
                 return False
-            if journey.arrivals and not self.budget_for(journey.service).spend():
+            budget = self.budget_for(journey.service)
+            if journey.arrivals and not budget.may_spend(now):
                 return False
+            if journey.arrivals:
+                budget.spend(now)
             journey.note_sent(target)
             return True
 
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -85,6 +85,7 @@
         self.catalog: Catalog | None = None
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.entries = 0
         self.rings: dict[frozenset[str], Ring] = {}
 
     def sync(self) -> None:
@@ -148,9 +149,15 @@
         return next(target for target in sound if target.view is view)
 
     def _can_serve(self, target: Target, adapter: str) -> bool:
-        if not adapter or adapter in target.view.residents:
+        if not adapter or self.link_of(target) is not None:
             return True
-        return self.link_of(target) is not None
+        return adapter in target.view.residents and not self._is_replaced(target)
+
+    def _is_replaced(self, target: Target) -> bool:
+        """Tell whether the sidecar sees another life of its target than the one that is listed."""
+        link = self.links.get(target.record.address[0])
+        report = None if link is None else link.report
+        return report is not None and report.incarnation != target.record.started_ms
 
     def _engines(self) -> list[Target]:
         if self.catalog is None:
@@ -202,6 +209,8 @@
             view.residents = frozenset(self._current(target.record.holdings))
             view.loading = frozenset()
             return
+        # Never counted down: an entry that is cut off from some sidecars must not take the part of others.
+        self.entries = max(self.entries, report.entries)
         view.batch = max(1, report.batch)
         view.slots = report.slots
         view.running = report.running
--- a/tamarackfield/gateway/settings.py
+++ b/tamarackfield/gateway/settings.py
@@ -27,8 +27,10 @@
         Where counters are served; 0 for nowhere.
     retry_share : float
         Attempts beyond the first that each request earns.
-    retry_burst : float
-        Most attempts beyond the first that this entry saves up.
+    retry_allowance : float
+        Attempts on top of that in one window, over all entries.
+    retry_window_seconds : float
+        Length of the window.
     leaving_seconds : float
         Time in which a target that is known to leave must get nothing new.
     grace_seconds : float
@@ -46,7 +48,8 @@
     manager_port: int
     metrics_port: int
     retry_share: float
-    retry_burst: float
+    retry_allowance: float
+    retry_window_seconds: float
     leaving_seconds: float
     grace_seconds: float
     max_connections: int
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -108,6 +108,7 @@
             pinned=residency.count_pinned(),
             load_ms=round(admission.load_seconds * MS_PER_SECOND),
             service_ms=round(admission.run_seconds * MS_PER_SECOND),
+            entries=len(self.streams),
         )
 
     def holdings(self) -> Holdings:
--- a/tamarackfield/platform/settings.py
+++ b/tamarackfield/platform/settings.py
@@ -20,9 +20,6 @@
 METRICS_PORT = 9464
 #: Share of the allowed retries that the entries use, so that clocks and windows may differ.
 RETRY_MARGIN = 0.8
-#: Attempts beyond the first that one entry may save up; all entries together stay below the
-#: platform's allowance, which grows with the deployment.
-RETRY_BURST = 2.0
 #: Share of a machine's descriptors that clients' connections may take; the rest is for workers,
 #: the store, peers and files.
 CLIENT_DESCRIPTOR_SHARE = 0.6
@@ -106,7 +103,8 @@
         manager_port=reader.read(int, 'port_range', 0),
         metrics_port=METRICS_PORT,
         retry_share=reader.read(_retry_share, 'bounds', 'retry_budget_ratio'),
-        retry_burst=RETRY_BURST,
+        retry_allowance=reader.read(_retry_allowance, 'bounds', 'budget_extra'),
+        retry_window_seconds=reader.read(float, 'bounds', 'budget_window_s'),
         leaving_seconds=reader.read(_seconds, 'bounds', 'drain_ms'),
         grace_seconds=reader.read(float, 'bounds', 'grace_s'),
         max_connections=reader.read(_client_connections, 'limits', 'max_fds'),
@@ -141,6 +139,10 @@
     return float(ratio) * RETRY_MARGIN
 
 
+def _retry_allowance(extra: Any) -> float:
+    return float(extra) * RETRY_MARGIN
+
+
 def _client_connections(descriptors: Any) -> int:
     return int(descriptors * CLIENT_DESCRIPTOR_SHARE)
 
--- a/tamarackfield/policy/retries.py
+++ b/tamarackfield/policy/retries.py
@@ -12,15 +12,6 @@
 class RetryBudget:
     """Retries that are left.
 
-    Parameters
-    ----------
-    saved : float
-        Retries that may be made now.
-    share : float
-        Retries earned by each request.
-    most : float
-        Most retries that can be saved up.
-
     Examples
     --------
     >>> budget = RetryBudget(saved=1.0)
@@ -33,12 +24,10 @@
     """
 
     saved: float = MAX_SAVED
-    share: float = RETRY_SHARE
-    most: float = MAX_SAVED
 
     def earn(self) -> None:
         """Count one first attempt."""
-        self.saved = min(self.most, self.saved + self.share)
+        self.saved = min(MAX_SAVED, self.saved + RETRY_SHARE)
 
     def spend(self) -> bool:
         """Take one retry, or return False if none is left."""
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -126,7 +126,7 @@
 
     def report(self) -> LoadReport:
         """Return how busy the target is as of now."""
-        return make_report(self.target.worker, self.draining)
+        return make_report(self.target.worker, self.draining, len(self.streams))
 
     def holdings(self) -> Holdings:
         """Return the adapters that the target holds, loads or has requests waiting for."""
--- a/tamarackfield/sidecar/reports.py
+++ b/tamarackfield/sidecar/reports.py
@@ -15,7 +15,7 @@
     return Holdings(sorted(residents), sorted({*loading, *scheduler.wanted()}))
 
 
-def make_report(worker: TargetWorker, draining: str) -> LoadReport:
+def make_report(worker: TargetWorker, draining: str, entries: int) -> LoadReport:
     """Return how busy a target is as of now."""
     scheduler = worker.scheduler
     return LoadReport(
@@ -29,4 +29,5 @@
         pinned=sum(slot.pins > 0 for slot in scheduler.table.values()),
         load_ms=round(worker.load_seconds * MS_PER_SECOND),
         service_ms=round(worker.service_seconds * MS_PER_SECOND),
+        entries=entries,
     )
--- a/tamarackfield/testing/platform_site.py
+++ b/tamarackfield/testing/platform_site.py
@@ -40,7 +40,7 @@
         'hostname': HOST_NAME,
         'path_prefix': prefix,
         'kind': kind,
-        'timeout_ms': 2000,
+        'timeout_ms': 20_000,
         'target_latency_ms': 400,
         'priority': 0,
         'service': service,
@@ -213,7 +213,7 @@
         if 'tamarackfield-request-id' not in names:
             given = [('Tamarackfield-Request-Id', f'r{next(self.request_ids)}'), *given]
         if 'tamarackfield-deadline-ms' not in names:
-            given = [('Tamarackfield-Deadline-Ms', '2000'), *given]
+            given = [('Tamarackfield-Deadline-Ms', '20000'), *given]
         return given
 
     def address(self, entry: int) -> tuple[str, int]:
@@ -235,7 +235,13 @@
             'port_range': [self.manager_port, self.manager_port + 10],
             'seeds': [],
             'limits': {'max_fds': 1000},
-            'bounds': {'retry_budget_ratio': 0.2, 'budget_extra': 50, 'drain_ms': 2000, 'grace_s': 8},
+            'bounds': {
+                'retry_budget_ratio': 0.2,
+                'budget_extra': 50,
+                'budget_window_s': 10,
+                'drain_ms': 2000,
+                'grace_s': 8,
+            },
             'provider': {'address': f'{self.store_host}:{self.store_port}'},
             'a_field_of_a_later_version': True,
         }
--- a/tamarackfield/wire/messages.py
+++ b/tamarackfield/wire/messages.py
@@ -136,7 +136,8 @@
     """State of a target as its sidecar sees it.
 
     ``running``, ``queued`` and ``batch`` count requests, ``slots`` and ``pinned`` adapters;
-    ``load_ms`` is the smoothed time of a load, ``service_ms`` that of a request.
+    ``load_ms`` is the smoothed time of a load, ``service_ms`` that of a request; ``entries`` counts
+    the entries that are connected to the sender.
     """
 
     kind = 11
@@ -150,6 +151,7 @@
     pinned: int
     load_ms: int
     service_ms: int
+    entries: int
 
 
 @dataclass(frozen=True, slots=True)
