--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import LEAST_SPREAD
@@ -22,6 +22,11 @@
 #: Seconds beyond the time that a sidecar was given in which its answer is still awaited.
 ANSWER_MARGIN = 0.1
 
+#: Seconds without a byte after which a sidecar counts as silent: its heartbeats come every half second.
+SILENT_SECONDS = 0.8
+#: Seconds between two looks at whether a sidecar that was asked has gone silent.
+SILENCE_CHECK_SECONDS = 0.1
+
 Answer = Granted | Declined
 
 
@@ -63,7 +68,11 @@
 
     def is_up(self) -> bool:
         """Tell whether the sidecar answers and can grant requests."""
-        return self.stream is not None and self.report is not None and self.report.ready and not self.draining
+        return self.report is not None and self.report.ready and not self.draining and not self.is_silent()
+
+    def is_silent(self) -> bool:
+        """Tell whether nothing was heard from the sidecar for longer than between two heartbeats."""
+        return self.stream is None or SYSTEM_CLOCK.monotonic() - self.stream.last_heard > SILENT_SECONDS
 
     async def run(self) -> None:
         """Stay connected for ever."""
@@ -120,7 +129,7 @@
         try:
             async with asyncio.timeout(left_seconds + ANSWER_MARGIN):
                 self._send(Reserve(number, adapter, version, priority, left_ms))
-                reply = await answer
+                reply = await self._await_answer(answer)
         except TimeoutError:
             raise StreamClosedError('sidecar did not answer', step='reserve', peer=self._name()) from None
         finally:
@@ -178,6 +187,14 @@
             ).info('sidecar_reports')
         self.on_change()
 
+    async def _await_answer(self, answer: asyncio.Future[Answer]) -> Answer:
+        """Wait for as long as the sidecar is heard."""
+        while not answer.done():
+            await asyncio.wait((answer,), timeout=SILENCE_CHECK_SECONDS)
+            if not answer.done() and self.is_silent():
+                raise StreamClosedError('sidecar is silent', step='reserve', peer=self._name())
+        return answer.result()
+
     def _answer(self, message: Answer) -> None:
         future = self.pending.get(message.request_id)
         if future is not None and not future.done():
--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -232,6 +232,21 @@
     assert len(worker.orders) == 1
 
 
+async def test_frozen_sidecar_does_not_hold_requests(model):
+    other = await model.add_worker('m2', MODELS)
+    await model.add_sidecar(other)
+    await model.entries[0].wait_log('ready=True', 2)
+    model.sidecars['m1'].send(signal.SIGSTOP)
+    try:
+        for number in range(6):
+            async with model.stream('/draft/x', [('Tamarackfield-Model', f'base/b{number}')]) as response:
+                assert response.status == 200
+                await read_events(response)
+    finally:
+        model.sidecars['m1'].send(signal.SIGCONT)
+    assert len(other.runs) == 6
+
+
 async def test_restarted_sidecar_takes_over_with_a_fencing_number_not_below_the_last(model):
     async with model.stream('/draft/x', [ADAPTER]) as response:
         await read_events(response)
