Serve first who can still be in time; suspect machines that fell silent; explain a request from logs

Waiting: under more loads than the engines do, requests were served by age, so that all became late together. Those that can still be in time go first now, adapters that many wait for before those of one. Machines: a machine whose sidecar fell silent gets nothing until it is heard; one whose sidecar only ended (connection refused) goes on serving what it holds. Logs: one line for each choice of a target and each grant, with ages; tamarackfield explain-log.

--- a/tamarackfield/cli/main.py
+++ b/tamarackfield/cli/main.py
@@ -1,12 +1,17 @@
 """Command ``tamarackfield``: checks, bundles, status, explain, drain and audit for operators."""
 
+import itertools
+import sys
+from typing import TextIO
+
 import click
 from result import Err
 
 from tamarackfield.cli import checks
 from tamarackfield.cli.bundles import bundle
-from tamarackfield.cli.exits import fail
+from tamarackfield.cli.exits import EXIT_REFUSED, fail
 from tamarackfield.cli.processes import audit, declare_first_start, drain, explain, status
+from tamarackfield.cli.stories import tell_story
 
 
 @click.group()
@@ -32,6 +37,24 @@
     click.echo(f'{path}: good {checked.ok_value}')
 
 
+@main.command('explain-log')
+@click.argument('request_id')
+@click.argument('logs', nargs=-1, type=click.File('r', errors='replace'))
+def explain_log(request_id: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell the story of one request from the logs of any number of processes.
+
+    LOGS are files, or - for standard input, which is read if none is named.
+
+    Example: tamarackfield explain-log 9c41d07be2a35f68 entry-1.log sidecar-3.log
+    """
+    sources = logs or (sys.stdin,)
+    story = tell_story(itertools.chain.from_iterable(sources), request_id)
+    if not story:
+        fail(f'no line names request {request_id}', EXIT_REFUSED)
+    for line in story:
+        click.echo(line)
+
+
 main.add_command(bundle)
 main.add_command(status)
 main.add_command(explain)
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -33,7 +33,7 @@
 )
 from tamarackfield.gateway.fleet import Fleet
 from tamarackfield.gateway.journey import Journey
-from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.gateway.links import ManagerLink, Wish
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.policy.plain import smooth_time
 from tamarackfield.policy.shared_retries import SharedRetries
@@ -142,6 +142,7 @@
             target = self._choose(journey)
             if target is None:
                 break
+            _tell_choice(journey, target)
             result = await self._attempt(journey, target, responder)
             answer = self._conclude(journey, target, result)
             if isinstance(result, Streamed):
@@ -211,11 +212,8 @@
         link = self.fleet.link_of(target)
         if link is None:
             return None
-        adapter = journey.adapter_key()
-        version = self.fleet.versions.newest.get(adapter, 0)
-        left = journey.call.deadline - BOOT_CLOCK.monotonic()
         try:
-            number, answer = await link.reserve(adapter, version, journey.route.priority, left)
+            number, answer = await link.reserve(self._make_wish(journey))
         except (StreamClosedError, PeerBusyError) as exc:
             return NotRun(f'sidecar: {exc.message}', sent=False)
         if isinstance(answer, Declined):
@@ -226,6 +224,15 @@
         journey.waited_seconds += answer.waited_ms / MS_PER_SECOND
         return None
 
+    def _make_wish(self, journey: Journey) -> Wish:
+        call = journey.call
+        route = journey.route
+        now = BOOT_CLOCK.monotonic()
+        adapter = journey.adapter_key()
+        version = self.fleet.versions.newest.get(adapter, 0)
+        aim = call.received_at + route.objective_seconds - now
+        return Wish(call.request_id, adapter, version, route.priority, call.deadline - now, aim)
+
     async def _run(self, journey: Journey, exchange: Exchange, place: Place, responder: Responder) -> Result:
         target = exchange.target
         terms = CallTerms(journey.route.priority, place.version, journey.last_event)
@@ -351,6 +358,25 @@
     await responder.finish()
 
 
+def _tell_choice(journey: Journey, target: Target) -> None:
+    """Log the choice of a target with what it was made from."""
+    now = BOOT_CLOCK.monotonic()
+    view = target.view
+    logger.bind(
+        request_id=journey.call.request_id,
+        target=target.record.name,
+        attempt=journey.arrivals + 1,
+        version=journey.version,
+        listed_age_ms=round((now - target.listed_at) * MS_PER_SECOND),
+        report_age_ms=round((now - view.reported_at) * MS_PER_SECOND) if view.reported_at else '',
+        running=view.running,
+        outstanding=view.outstanding,
+        holds=journey.adapter_key() in view.residents,
+        failing=round(target.health.failing, 2),
+        left_ms=round((journey.call.deadline - now) * MS_PER_SECOND),
+    ).info('chosen')
+
+
 def _count_ended(target: Target) -> None:
     target.view.outstanding -= 1
     target.health.cancel()
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -151,6 +151,9 @@
     def _can_serve(self, target: Target, adapter: str) -> bool:
         if not adapter or self.link_of(target) is not None:
             return True
+        link = self.links.get(target.record.address[0])
+        if link is not None and link.is_machine_suspect():
+            return False
         return adapter in target.view.residents and not self._is_replaced(target)
 
     def _is_replaced(self, target: Target) -> bool:
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -30,6 +31,34 @@
 Answer = Granted | Declined
 
 
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """A place that a request needs.
+
+    Parameters
+    ----------
+    label : str
+        The caller's id of the request, for logs.
+    adapter : str
+        ``model/adapter`` or ``model``.
+    version : int
+        Least version that will do, 0 for any.
+    priority : int
+        0 is the most urgent.
+    left_seconds : float
+        Time in which the place is of use.
+    aim_seconds : float
+        Time in which the run should begin to be in time; not above zero if that has passed.
+    """
+
+    label: str
+    adapter: str
+    version: int
+    priority: int
+    left_seconds: float
+    aim_seconds: float
+
+
 class ManagerLink:
     """The stream to one sidecar; owned by one task.
 
@@ -65,6 +94,7 @@
         self.numbers = itertools.count(1)
         self.told: Facts | None = None
         self.draining = False
+        self.unreachable = False
 
     def is_up(self) -> bool:
         """Tell whether the sidecar answers and can grant requests."""
@@ -74,6 +104,10 @@
         """Tell whether nothing was heard from the sidecar for longer than between two heartbeats."""
         return self.stream is None or SYSTEM_CLOCK.monotonic() - self.stream.last_heard > SILENT_SECONDS
 
+    def is_machine_suspect(self) -> bool:
+        """Tell whether the machine of the target does not answer, and not only the process on it."""
+        return self.unreachable or (self.stream is not None and self.is_silent())
+
     async def run(self) -> None:
         """Stay connected for ever."""
         pause = MIN_RECONNECT
@@ -81,9 +115,8 @@
             try:
                 await self._serve()
             except TamarackfieldError as exc:
-                if self.stream is not None:
-                    pause = MIN_RECONNECT
-                    logger.bind(sidecar=self._name(), step=exc.step, error=exc.message).warning('sidecar_lost')
+                self._note_loss(exc)
+                pause = pause if self.stream is None else MIN_RECONNECT
             finally:
                 self._drop()
             await asyncio.sleep(pause * random.uniform(LEAST_SPREAD, 1))
@@ -97,19 +130,13 @@
         self._send(facts)
         self.told = facts
 
-    async def reserve(self, adapter: str, version: int, priority: int, left_seconds: float) -> tuple[int, Answer]:
+    async def reserve(self, wish: Wish) -> tuple[int, Answer]:
         """Ask for a place.
 
         Parameters
         ----------
-        adapter : str
-            ``model/adapter`` or ``model``.
-        version : int
-            Least version that will do, 0 for any.
-        priority : int
-            0 is the most urgent.
-        left_seconds : float
-            Time in which the place is of use.
+        wish : Wish
+            What is asked for.
 
         Returns
         -------
@@ -122,13 +149,12 @@
             If the sidecar is lost or does not answer in time; nothing is reserved then.
         """
         number = next(self.numbers)
-        left_ms = max(1, round(left_seconds * MS_PER_SECOND))
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.pending[number] = answer
         reply: Answer | None = None
         try:
-            async with asyncio.timeout(left_seconds + ANSWER_MARGIN):
-                self._send(Reserve(number, adapter, version, priority, left_ms))
+            async with asyncio.timeout(wish.left_seconds + ANSWER_MARGIN):
+                self._send(_make_reserve(number, wish))
                 reply = await self._await_answer(answer)
         except TimeoutError:
             raise StreamClosedError('sidecar did not answer', step='reserve', peer=self._name()) from None
@@ -161,15 +187,22 @@
             case _:
                 logger.bind(sidecar=self._name(), kind=message.kind).debug('message_passed_over')
 
+    def _note_loss(self, exc: TamarackfieldError) -> None:
+        """Tell a process that ended, whose machine refuses connections, from a machine that is gone."""
+        refused = isinstance(exc.__cause__, ConnectionError)
+        suspect = not refused and (self.stream is None or self.stream.silent)
+        if self.stream is not None or suspect != self.unreachable:
+            bound = logger.bind(sidecar=self._name(), step=exc.step, error=exc.message, machine_suspect=suspect)
+            bound.warning('sidecar_lost')
+        self.unreachable = suspect
+
     async def _serve(self) -> None:
         stream = await connect(*self.address, None)
         beat = None
         try:
             await stream.greet(self.hello())
-            self.stream = stream
+            self._begin(stream)
             beat = asyncio.create_task(stream.beat())
-            logger.bind(sidecar=self._name()).info('sidecar_connected')
-            self.tell_facts()
             while True:
                 self.take(await stream.receive())
         finally:
@@ -177,6 +210,12 @@
             if beat is not None:
                 beat.cancel()
 
+    def _begin(self, stream: PeerStream) -> None:
+        self.stream = stream
+        self.unreachable = False
+        logger.bind(sidecar=self._name()).info('sidecar_connected')
+        self.tell_facts()
+
     def _take_report(self, report: LoadReport) -> None:
         before = self.report
         self.report = report
@@ -220,3 +259,15 @@
 
     def _name(self) -> str:
         return f'{self.address[0]}:{self.address[1]}'
+
+
+def _make_reserve(number: int, wish: Wish) -> Reserve:
+    return Reserve(
+        request_id=number,
+        label=wish.label,
+        adapter=wish.adapter,
+        version=wish.version,
+        priority=wish.priority,
+        left_ms=max(1, round(wish.left_seconds * MS_PER_SECOND)),
+        aim_ms=max(0, round(wish.aim_seconds * MS_PER_SECOND)),
+    )
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -1,12 +1,15 @@
 """Grants places in the batch of one engine: a state machine without I/O.
 
 Load pattern: several entries send requests for many adapters to one engine at once. Requests wait
-here, where their order is known, and not in the engine's own queue. One that cannot begin in time
+here, where their order is known, and not in the engine's own queue. Under more load than can be
+served in time, those that can still be in time go first, and those that are late already wait for
+room, so that a crowd does not make every request late. One that cannot begin in time
 is declined as soon as that is known, so that its entry can try another target. Nothing waits for a
 place that is free.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
@@ -21,6 +24,10 @@
 SMOOTHING = 0.1
 #: Seconds of waiting that one step of priority is worth, so that less urgent requests do not starve.
 PRIORITY_SECONDS = 0.3
+#: Seconds of waiting that each further request for the same adapter is worth: one load serves all.
+SHARED_SECONDS = 0.2
+#: Most further requests that count.
+MOST_SHARED = 10
 #: Shortest time to come back that is told, in seconds.
 LEAST_RETRY_SECONDS = 0.1
 
@@ -44,6 +51,10 @@
         0 is the most urgent.
     asked_at, deadline : float
         Monotonic seconds.
+    aim_at : float
+        Monotonic seconds at which the run should begin to be in time for its caller.
+    label : str
+        The caller's id of the request.
     granted_at : float
         Monotonic seconds, 0 while it waits.
     """
@@ -54,6 +65,8 @@
     priority: int
     asked_at: float
     deadline: float
+    aim_at: float
+    label: str = ''
     granted_at: float = 0.0
 
 
@@ -166,7 +179,7 @@
             Granted and declined tickets are no longer waiting; orders count as given.
         """
         plan = Plan()
-        queue = sorted(self.waiting.values(), key=_by_urgency)
+        queue = sorted(self.waiting.values(), key=self._make_urgency(now))
         wanted = frozenset(ticket.adapter for ticket in queue)
         ahead = 0
         for ticket in queue:
@@ -189,6 +202,22 @@
         beyond = self.occupied() + ahead + 1 - self.batch
         return max(0, beyond) * self.run_seconds / self.batch
 
+    def _make_urgency(self, now: float) -> Callable[[Ticket], tuple[bool, float]]:
+        """Return the order of waiting.
+
+        Those that can be in time go before those that cannot; within both, by age and priority, and
+        earlier the more wait for the same adapter.
+        """
+        demand = Counter(ticket.adapter for ticket in self.waiting.values())
+
+        def urgency(ticket: Ticket) -> tuple[bool, float]:
+            shared = min(demand[ticket.adapter] - 1, MOST_SHARED)
+            age = ticket.asked_at + ticket.priority * PRIORITY_SECONDS - shared * SHARED_SECONDS
+            begins_at = now if self._is_in_place(ticket) else now + self.load_seconds
+            return begins_at > ticket.aim_at, age
+
+        return urgency
+
     def _refusal(self, ticket: Ticket, ahead: int, now: float) -> str:
         if not self.reachable:
             return 'target_away'
@@ -231,7 +260,3 @@
         if order is not None:
             self.ordered.append(order)
             plan.orders.append(order)
-
-
-def _by_urgency(ticket: Ticket) -> float:
-    return ticket.asked_at + ticket.priority * PRIORITY_SECONDS
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -131,12 +131,21 @@
         resident = residency.residents.get(ticket.adapter)
         version = resident.version if resident else 0
         waited_ms = round((ticket.granted_at - ticket.asked_at) * MS_PER_SECOND)
+        logger.bind(
+            request_id=ticket.label,
+            adapter=ticket.adapter,
+            version=version,
+            waited_ms=waited_ms,
+            granted=len(self.keeper.admission.granted),
+            state_age_ms=round((ticket.granted_at - self.keeper.read_at) * MS_PER_SECOND),
+        ).info('granted')
         _send(self.by_number.get(number), Granted(request_id, version, waited_ms))
 
     def _tell_declined(self, decline: Decline) -> None:
         number, request_id = decline.ticket.key
         retry_ms = round(decline.retry_seconds * MS_PER_SECOND)
         logger.bind(
+            request_id=decline.ticket.label,
             adapter=decline.ticket.adapter,
             code=decline.code,
             waiting=len(self.keeper.admission.waiting),
@@ -156,7 +165,8 @@
 def _make_ticket(number: int, message: Reserve, now: float) -> Ticket:
     key = (number, message.request_id)
     deadline = now + message.left_ms / MS_PER_SECOND
-    return Ticket(key, message.adapter, message.version, message.priority, now, deadline)
+    aim_at = now + message.aim_ms / MS_PER_SECOND
+    return Ticket(key, message.adapter, message.version, message.priority, now, deadline, aim_at, message.label)
 
 
 def _send(stream: PeerStream | None, message: Message) -> None:
--- a/tamarackfield/manager/tests/test_admission_machine.py
+++ b/tamarackfield/manager/tests/test_admission_machine.py
@@ -34,7 +34,7 @@
     def ask(self, adapter, stream, priority, left):
         key = (stream, next(self.numbers))
         self.asked.add(key)
-        self.admission.ask(Ticket(key, adapter, 0, priority, self.now, self.now + left))
+        self.admission.ask(Ticket(key, adapter, 0, priority, self.now, self.now + left, self.now + left / 4))
         self.decide()
 
     @rule(data=st.data())
--- a/tamarackfield/wire/grants.py
+++ b/tamarackfield/wire/grants.py
@@ -33,15 +33,19 @@
     """An entry asks for a place in the batch, with an adapter kept in place.
 
     ``adapter`` is ``model/adapter`` or only ``model``; ``version`` is the least that will do, 0 for
-    any. ``left_ms`` is the time in which the place is of use.
+    any. ``left_ms`` is the time in which the place is of use, ``aim_ms`` that in which the run should
+    begin to be in time for its caller; ``label`` is the caller's id of the
+    request, for logs.
     """
 
     kind = 61
     request_id: int
+    label: str
     adapter: str
     version: int
     priority: int
     left_ms: int
+    aim_ms: int
 
 
 @dataclass(frozen=True, slots=True)
