--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -74,6 +74,11 @@
         if self.link is not None:
             self.link.release(self.number)
 
+    def start(self) -> None:
+        """Note that the answer began."""
+        if self.link is not None:
+            self.link.start(self.number)
+
 
 class Dispatcher:
     """Serves calls.
@@ -231,7 +236,7 @@
         adapter = journey.adapter_key()
         version = self.fleet.versions.newest.get(adapter, 0)
         aim = call.received_at + route.objective_seconds - now
-        return Wish(call.request_id, adapter, version, route.priority, call.deadline - now, aim)
+        return Wish(call.request_id, adapter, version, route.priority, call.deadline - now, aim, call.prompt_tokens)
 
     async def _run(self, journey: Journey, exchange: Exchange, place: Place, responder: Responder) -> Result:
         target = exchange.target
@@ -253,19 +258,20 @@
         try:
             if not await exchange.send(terms, reuse, may_send):
                 return NotRun('target left or the deadline passed before the call was sent', sent=False)
-            return await self._receive(journey, exchange, responder)
+            return await self._receive(journey, exchange, place, responder)
         except ClientError as exc:
             if not exc.sent:
                 _judge_target(target, succeeded=False)
                 return NotRun(exc.message, sent=False)
             return MaybeRan(exc.message)
 
-    async def _receive(self, journey: Journey, exchange: Exchange, responder: Responder) -> Result:
+    async def _receive(self, journey: Journey, exchange: Exchange, place: Place, responder: Responder) -> Result:
         try:
             async with asyncio.timeout(self._silence_limit(journey, exchange.target)):
                 head = await exchange.read_head()
         except TimeoutError:
             return MaybeRan('target is silent')
+        place.start()
         target = exchange.target
         if head.answered_by not in {'', target.record.name}:
             target.leaving = True
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -13,7 +13,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import LEAST_SPREAD
-from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve
+from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve, Started
 from tamarackfield.wire.messages import Draining, Hello, Holdings, LoadReport, Message
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
 
@@ -49,6 +49,8 @@
         Time in which the place is of use.
     aim_seconds : float
         Time in which the run should begin to be in time; not above zero if that has passed.
+    tokens : int
+        Length of the prompt.
     """
 
     label: str
@@ -57,6 +59,7 @@
     priority: int
     left_seconds: float
     aim_seconds: float
+    tokens: int
 
 
 class ManagerLink:
@@ -164,12 +167,13 @@
                 self.release(number)
         return number, reply
 
+    def start(self, number: int) -> None:
+        """Tell that the first event arrived."""
+        self._tell(Started(number))
+
     def release(self, number: int) -> None:
         """Give a place back, or stop waiting for it."""
-        if self.stream is None:
-            return
-        with contextlib.suppress(StreamClosedError, PeerBusyError):
-            self._send(Release(number))
+        self._tell(Release(number))
 
     def take(self, message: Message) -> None:
         """Take in a message of the sidecar."""
@@ -241,6 +245,12 @@
         elif isinstance(message, Granted):
             self.release(message.request_id)
 
+    def _tell(self, message: Message) -> None:
+        """Send what is of no use to a sidecar that is lost."""
+        if self.stream is not None:
+            with contextlib.suppress(StreamClosedError, PeerBusyError):
+                self._send(message)
+
     def _send(self, message: Message) -> None:
         if self.stream is None:
             raise StreamClosedError('sidecar is not connected', step='send', peer=self._name())
@@ -270,4 +280,5 @@
         priority=wish.priority,
         left_ms=max(1, round(wish.left_seconds * MS_PER_SECOND)),
         aim_ms=max(0, round(wish.aim_seconds * MS_PER_SECOND)),
+        tokens=wish.tokens,
     )
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from tamarackfield.policy.prompts import PromptPacing
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
 
 #: Share of the time that a request has left that it may spend waiting here; the rest is for its run.
@@ -53,6 +54,8 @@
         Monotonic seconds.
     aim_at : float
         Monotonic seconds at which the run should begin to be in time for its caller.
+    tokens : int
+        Length of the prompt.
     label : str
         The caller's id of the request.
     granted_at : float
@@ -66,6 +69,7 @@
     asked_at: float
     deadline: float
     aim_at: float
+    tokens: int = 0
     label: str = ''
     granted_at: float = 0.0
 
@@ -118,6 +122,7 @@
         self.seen_running = 0
         self.reachable = False
         self.leaving = False
+        self.prompts = PromptPacing()
         self.run_seconds = FIRST_RUN_SECONDS
         self.load_seconds = FIRST_LOAD_SECONDS
 
@@ -128,11 +133,16 @@
     def release(self, key: TicketKey, now: float) -> None:
         """Note that a request ended, was sent or not."""
         self.waiting.pop(key, None)
+        self.prompts.drop(key)
         ticket = self.granted.pop(key, None)
         if ticket is not None:
             self.residency.unpin(ticket.adapter, now)
             self.run_seconds += SMOOTHING * (now - ticket.granted_at - self.run_seconds)
 
+    def start(self, key: TicketKey, now: float) -> None:
+        """Note that the first event of a request arrived."""
+        self.prompts.finish(key, now)
+
     def release_stream(self, stream: int, now: float) -> None:
         """Note that a stream ended, with every request on it."""
         ended = [key for key in (*self.waiting, *self.granted) if key[0] == stream]
@@ -143,6 +153,7 @@
         """Begin with another life of the engine, which holds nothing of before."""
         self.residency = Residency(self.residency.places)
         self.granted.clear()
+        self.prompts.reading.clear()
         self.seen_running = 0
         self.ordered.clear()
         self.refused.clear()
@@ -186,7 +197,7 @@
             code = self._refusal(ticket, ahead, now)
             if code:
                 self._decline(plan, ticket, code, ahead)
-            elif self._is_in_place(ticket) and self.occupied() < self.batch:
+            elif self._has_room(ticket, now):
                 self._grant(plan, ticket, now)
             else:
                 ahead += 1
@@ -231,6 +242,10 @@
             return 'too_late'
         return 'full' if now + self.expected_wait(ahead) > wait_until else ''
 
+    def _has_room(self, ticket: Ticket, now: float) -> bool:
+        free = self._is_in_place(ticket) and self.occupied() < self.batch
+        return free and self.prompts.may_give(ticket.tokens, now)
+
     def _is_in_place(self, ticket: Ticket) -> bool:
         if '/' not in ticket.adapter:
             return ticket.adapter in self.models
@@ -241,6 +256,7 @@
         self.waiting.pop(ticket.key)
         ticket.granted_at = now
         self.granted[ticket.key] = ticket
+        self.prompts.give(ticket.key, ticket.tokens, now)
         if '/' in ticket.adapter:
             self.residency.pin(ticket.adapter, now)
         plan.grants.append(ticket)
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -9,7 +9,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.admission import Decline, Ticket
 from tamarackfield.manager.engine import EngineKeeper
-from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve
+from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve, Started
 from tamarackfield.wire.messages import Draining, Hello, Holdings, LoadReport, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError
@@ -73,6 +73,9 @@
             case Reserve():
                 admission.ask(_make_ticket(number, message, now))
                 self.keeper.changed.set()
+            case Started():
+                admission.start((number, message.request_id), now)
+                self.keeper.changed.set()
             case Release():
                 admission.release((number, message.request_id), now)
                 self.keeper.changed.set()
@@ -166,7 +169,9 @@
     key = (number, message.request_id)
     deadline = now + message.left_ms / MS_PER_SECOND
     aim_at = now + message.aim_ms / MS_PER_SECOND
-    return Ticket(key, message.adapter, message.version, message.priority, now, deadline, aim_at, message.label)
+    return Ticket(
+        key, message.adapter, message.version, message.priority, now, deadline, aim_at, message.tokens, message.label
+    )
 
 
 def _send(stream: PeerStream | None, message: Message) -> None:
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -112,3 +112,19 @@
     assert 5 * in_time > 2
     assert in_time > 2 * in_time_by_age
     assert 10 * served > 9 * served_by_age
+
+
+def test_heap_of_prompts_is_handed_over_no_faster_than_it_is_read():
+    admission = make_admission(batch=100)
+    for number in range(20):
+        admission.ask(Ticket((1, number), 'm', 0, 0, 100.0, 110.0, 101.0, tokens=1500))
+    now = 100.0
+    largest = 0
+    granted = 0
+    while granted < 20:
+        plan = admission.plan(now)
+        granted += len(plan.grants)
+        largest = max(largest, sum(prompt.tokens for prompt in admission.prompts.reading.values()))
+        now += 0.04
+        admission.start(next(iter(admission.prompts.reading)), now)
+    assert largest <= 4500
--- /dev/null
+++ b/tamarackfield/policy/prompts.py
@@ -0,0 +1,95 @@
+"""How many prompt tokens one engine is given to read at the same time.
+
+Load pattern: many requests become ready for one engine at once, when an adapter arrives or places
+become free. An engine reads prompts between the tokens of the requests that it runs, so a heap of
+prompts makes every stream of the engine pause for as long as the heap takes to read. Prompts are
+handed over no faster than the engine reads them, a little ahead so that it never waits for one.
+"""
+
+from dataclasses import dataclass, field
+
+#: Seconds of reading that an engine is given ahead; half of the shortest pause between events that
+#: callers notice.
+AHEAD_SECONDS = 0.15
+#: Seconds that reading a token takes until it was seen; engines of the size that is served read 20
+#: to 40 tokens in a millisecond.
+FIRST_TOKEN_SECONDS = 0.00004
+#: Weight of the newest reading in the smoothed time.
+SMOOTHING = 0.2
+#: Least prompt, in tokens, from which the time of a token is learned.
+LEAST_TOKENS = 200
+#: Seconds after which a prompt counts as read although no first event was told.
+LONGEST_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class Prompt:
+    """A prompt that was handed over.
+
+    Parameters
+    ----------
+    tokens : int
+        Its length.
+    given_at : float
+        Monotonic seconds.
+    alone : bool
+        Whether no other prompt was being read then.
+    """
+
+    tokens: int
+    given_at: float
+    alone: bool
+
+
+@dataclass(slots=True)
+class PromptPacing:
+    """Prompts that one engine is reading.
+
+    Parameters
+    ----------
+    reading : dict
+        By the key of their request.
+    token_seconds : float
+        Smoothed time of one token.
+
+    Examples
+    --------
+    >>> pacing = PromptPacing()
+    >>> pacing.may_give(10_000, now=5.0)
+    True
+    >>> pacing.give(1, 10_000, now=5.0)
+    >>> pacing.may_give(100, now=5.0)
+    False
+    >>> pacing.finish(1, now=5.4)
+    >>> pacing.may_give(100, now=5.4)
+    True
+    """
+
+    reading: dict[object, Prompt] = field(default_factory=dict)
+    token_seconds: float = FIRST_TOKEN_SECONDS
+
+    def may_give(self, tokens: int, now: float) -> bool:
+        """Tell whether one more prompt may be handed over; one alone always may."""
+        self._forget_old(now)
+        backlog = sum(prompt.tokens for prompt in self.reading.values())
+        return not backlog or (backlog + tokens) * self.token_seconds <= AHEAD_SECONDS
+
+    def give(self, key: object, tokens: int, now: float) -> None:
+        """Note that a prompt was handed over."""
+        self.reading[key] = Prompt(tokens, now, not self.reading)
+
+    def finish(self, key: object, now: float) -> None:
+        """Note that a prompt was read."""
+        prompt = self.reading.pop(key, None)
+        if prompt is not None and prompt.alone and prompt.tokens >= LEAST_TOKENS:
+            seconds = (now - prompt.given_at) / prompt.tokens
+            self.token_seconds += SMOOTHING * (seconds - self.token_seconds)
+
+    def drop(self, key: object) -> None:
+        """Note that a request ended before its prompt was read."""
+        self.reading.pop(key, None)
+
+    def _forget_old(self, now: float) -> None:
+        old = [key for key, prompt in self.reading.items() if now - prompt.given_at > LONGEST_SECONDS]
+        for key in old:
+            self.reading.pop(key)
--- a/tamarackfield/wire/grants.py
+++ b/tamarackfield/wire/grants.py
@@ -34,7 +34,7 @@
 
     ``adapter`` is ``model/adapter`` or only ``model``; ``version`` is the least that will do, 0 for
     any. ``left_ms`` is the time in which the place is of use, ``aim_ms`` that in which the run should
-    begin to be in time for its caller; ``label`` is the caller's id of the
+    begin to be in time for its caller; ``tokens`` is the length of its prompt; ``label`` is the caller's id of the
     request, for logs.
     """
 
@@ -46,6 +46,7 @@
     priority: int
     left_ms: int
     aim_ms: int
+    tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,14 @@
     retry_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Started(Message):
+    """The first event of the request arrived: its prompt was read."""
+
+    kind = 67
+    request_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class Release(Message):
     """The request has ended, or its place is no longer wanted."""
@@ -107,5 +116,6 @@
 
 #: Message types of this module by kind.
 GRANT_TYPES = {
-    message_type.kind: message_type for message_type in (Facts, Reserve, Granted, Declined, Release, AskItems, Items)
+    message_type.kind: message_type
+    for message_type in (Facts, Reserve, Granted, Declined, Started, Release, AskItems, Items)
 }
