--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -15,6 +15,10 @@
 from tamarackfield.policy.health import TargetHealth
 
 
+#: Connections to a target until it is known how many it accepts and how many entries share them.
+DEFAULT_MAX_OPEN = 32
+
+
 @dataclass(slots=True)
 class Target:
     """One life of a target.
@@ -33,6 +37,10 @@
         Monotonic seconds at which a vanished target counts as gone; 0 if it is listed.
     gone : bool
         Whether it gets no request any more.
+    leaving : bool
+        Whether this entry saw that it leaves, or that its address has another target.
+    max_open : int
+        Most connections that this entry opens to it; a target resets those beyond what it accepts.
     """
 
     record: TargetRecord
@@ -42,6 +50,7 @@
     vanished_until: float = 0.0
     gone: bool = False
     leaving: bool = False
+    max_open: int = DEFAULT_MAX_OPEN
 
     def takes_work(self, now: float) -> bool:
         """Tell whether new requests may be sent to it."""
@@ -49,6 +58,10 @@
             return False
         return not self.vanished_until or now < self.vanished_until
 
+    def has_room(self) -> bool:
+        """Tell whether one more connection may be opened to it."""
+        return self.view.outstanding < self.max_open
+
 
 class Directory:
     """Targets by name.
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -188,7 +188,7 @@
         if connection is None:
             return
         if connection.busy:
-            self.pool.release(self.target.record.address, connection)
+            self.pool.release(self.target.record.address, connection, self.target.max_open)
         else:
             connection.fail('not used')
 
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -22,6 +22,12 @@
 LOAD_SHARE = 0.8
 #: Kilobytes in a megabyte.
 KB_PER_MB = 1000
+#: Share of a target's connections that all entries together take; the rest is for those that end late.
+CONNECTION_SHARE = 0.8
+#: Entries that are assumed to share a target's connections while fewer were counted.
+LEAST_ENTRIES = 4
+#: Connections to a target that an entry may always open.
+LEAST_OPEN = 4
 _WEIGHTS = Weights()
 
 
@@ -102,10 +108,9 @@
 
     def refresh(self) -> None:
         """Bring the views of all targets up to date with what their sidecars said."""
+        self._share_connections()
         for target in self._engines():
-            link = self.links.get(target.record.address[0])
-            if link is not None:
-                self._refresh_one(target, link)
+            self._refresh_one(target, self.links.get(target.record.address[0]))
 
     def link_of(self, target: Target) -> ManagerLink | None:
         """Return the link to the sidecar of a target if it can grant requests for this life of it."""
@@ -134,7 +139,7 @@
             None if no target can take the call now.
         """
         now = BOOT_CLOCK.monotonic()
-        listed = [target for target in self.directory.of_service(service) if allowed(target)]
+        listed = [target for target in self.directory.of_service(service) if allowed(target) and target.has_room()]
         usable = [target for target in listed if self._can_serve(target, adapter)]
         sound = [usable[index] for index in keep_enough([target.health for target in usable], now)]
         if not sound:
@@ -148,6 +153,15 @@
             view = choose_plain(views, self.zone, self.rng)
         return next(target for target in sound if target.view is view)
 
+    def _share_connections(self) -> None:
+        """Take this entry's part of the connections that each target accepts, with room for those that end late."""
+        services = self.catalog.services if self.catalog else {}
+        share = CONNECTION_SHARE / max(self.entries, LEAST_ENTRIES)
+        for target in self.directory.targets.values():
+            service = services.get(target.record.service)
+            if service is not None and service.max_connections:
+                target.max_open = max(LEAST_OPEN, int(service.max_connections * share))
+
     def _can_serve(self, target: Target, adapter: str) -> bool:
         if not adapter or self.link_of(target) is not None:
             return True
@@ -205,9 +219,10 @@
             if target.record.address[0] == host:
                 self._refresh_one(target, link)
 
-    def _refresh_one(self, target: Target, link: ManagerLink) -> None:
+    def _refresh_one(self, target: Target, link: ManagerLink | None) -> None:
         view = target.view
-        report, holdings = link.report, link.holdings
+        report = None if link is None else link.report
+        holdings = None if link is None else link.holdings
         if report is None or holdings is None or report.incarnation != target.record.started_ms:
             view.residents = frozenset(self._current(target.record.holdings))
             view.loading = frozenset()
@@ -223,7 +238,7 @@
         view.service_seconds = report.service_ms / MS_PER_SECOND
         view.residents = frozenset(self._current(holdings.residents))
         view.loading = frozenset(holdings.loading)
-        if link.reported_at != view.reported_at:
+        if link is not None and link.reported_at != view.reported_at:
             view.reported_at = link.reported_at
             view.unreported = 0
 
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.core.clock import BOOT_CLOCK
 from tamarackfield.web.client import ClientError
 
 #: Milliseconds after which sent data without acknowledgement breaks a connection; a third of the
@@ -183,7 +183,7 @@
             return False
         self.parser.start_next_cycle()
         self.busy = False
-        self.released_at = SYSTEM_CLOCK.monotonic()
+        self.released_at = BOOT_CLOCK.monotonic()
         return True
 
     def _encode(self) -> bytes:
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections import deque
 
-from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.core.clock import BOOT_CLOCK
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 
@@ -21,7 +21,10 @@
 
 
 class ConnectionPool:
-    """Connections by address; the one that was used last is handed out first."""
+    """Connections by address; the one that was used last is handed out first.
+
+    Idle times count suspensions of the machine: a target may have closed its side meanwhile.
+    """
 
     def __init__(self) -> None:
         """Start with no connection."""
@@ -56,18 +59,18 @@
         self.opened += 1
         return await open_connection(address)
 
-    def release(self, address: Address, connection: TargetConnection) -> None:
-        """Take a connection back; it is closed unless it can serve another exchange."""
+    def release(self, address: Address, connection: TargetConnection, max_idle: int = MAX_IDLE) -> None:
+        """Take a connection back; it is closed unless it can serve another exchange and few are idle."""
         if not connection.release():
             return
         waiting = self.idle.setdefault(address, deque())
         waiting.append(connection)
-        if len(waiting) > MAX_IDLE:
+        if len(waiting) > max_idle:
             waiting.popleft().fail('too many idle connections')
 
     def prune(self) -> None:
         """Close what has been idle for too long or has ended."""
-        now = SYSTEM_CLOCK.monotonic()
+        now = BOOT_CLOCK.monotonic()
         for address, waiting in list(self.idle.items()):
             kept = deque(connection for connection in waiting if _is_usable(connection, now, KEEP_SECONDS))
             for connection in waiting:
@@ -86,7 +89,7 @@
 
     def _take_idle(self, address: Address, max_idle_seconds: float) -> TargetConnection | None:
         waiting = self.idle.get(address, ())
-        now = SYSTEM_CLOCK.monotonic()
+        now = BOOT_CLOCK.monotonic()
         while waiting:
             connection = waiting.pop()
             if _is_usable(connection, now, max_idle_seconds):
--- a/tamarackfield/wire/codec.py
+++ b/tamarackfield/wire/codec.py
@@ -8,15 +8,13 @@
 import msgpack
 
 from tamarackfield.core.errors import TamarackfieldError
-from tamarackfield.wire.grants import GRANT_TYPES
 from tamarackfield.wire.messages import MESSAGE_TYPES, Message
-from tamarackfield.wire.spreading import SPREADING_TYPES
 
 #: Largest frame that is accepted, in bytes; a larger one ends the stream.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 #: Integers in messages are not negative and fit into this many bits.
 _INTEGER_BITS = 63
-_TYPES_BY_KIND = {**MESSAGE_TYPES, **SPREADING_TYPES, **GRANT_TYPES}
+_TYPES_BY_KIND = dict(MESSAGE_TYPES)
 
 Check = Callable[[object], bool]
 
@@ -25,6 +23,17 @@
     """A peer sent bytes that are not a known, well-typed message."""
 
 
+def register_types(types: dict[int, type[Message]]) -> None:
+    """Let messages of another module be decoded; a process knows only those of the modules that it loads.
+
+    Parameters
+    ----------
+    types : dict
+        Message types by kind, which no other type may have.
+    """
+    _TYPES_BY_KIND.update(types)
+
+
 def encode(message: Message) -> bytes:
     """Return the bytes of one frame.
 
--- a/tamarackfield/wire/grants.py
+++ b/tamarackfield/wire/grants.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from tamarackfield.wire.codec import register_types
 from tamarackfield.wire.messages import Message
 
 
@@ -119,3 +120,5 @@
     message_type.kind: message_type
     for message_type in (Facts, Reserve, Granted, Declined, Started, Release, AskItems, Items)
 }
+
+register_types(GRANT_TYPES)
--- a/tamarackfield/wire/spreading.py
+++ b/tamarackfield/wire/spreading.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from tamarackfield.wire.codec import register_types
 from tamarackfield.wire.messages import Message
 
 
@@ -94,3 +95,5 @@
         PeerSample,
     )
 }
+
+register_types(SPREADING_TYPES)
