--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Application, RequestError, new_incarnation
+from tamarackfield.gateway.attempts import Attempts
 from tamarackfield.gateway.callers import CallerInterface, CallReader
 from tamarackfield.gateway.configuration import Configuration, Decoded
 from tamarackfield.gateway.directory import Directory
@@ -100,7 +101,8 @@
             self.application, directory, self.configuration.versions, self.hello, settings.manager_port, settings.zone
         )
         self.pool = ConnectionPool()
-        self.dispatcher = Dispatcher(self.fleet, self.pool, edge.dialect, self.budget_for)
+        attempts = Attempts(self.fleet, self.pool, edge.dialect, self.budget_for)
+        self.dispatcher = Dispatcher(self.fleet, attempts, self.budget_for)
         self.interface = CallerInterface(
             self.configuration,
             self.dispatcher,
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.admission import Admission, ModelOrder, Plan
 from tamarackfield.manager.model import EngineClient, EngineState, OrderResult, OrderTerms
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
@@ -123,7 +124,7 @@
             adapter=getattr(order, 'adapter', getattr(order, 'model', '')),
             sequence=state.sequence,
             fencing=fencing,
-            state_age_ms=round((now - self.read_at) * 1000),
+            state_age_ms=round((now - self.read_at) * MS_PER_SECOND),
             result=result.value,
         ).info('order')
         self._learn_result(order, result, fencing)
@@ -154,7 +155,7 @@
         if result is OrderResult.FENCED:
             self.fencing_floor = 2 * fencing
         if isinstance(order, ModelOrder) and result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
-            self.next_model_load = BOOT_CLOCK.monotonic() + self.facts.load_gap_ms / 1000
+            self.next_model_load = BOOT_CLOCK.monotonic() + self.facts.load_gap_ms / MS_PER_SECOND
         if isinstance(order, LoadOrder):
             self.loads += result is OrderResult.ACCEPTED
             if result is OrderResult.REFUSED:
--- a/tamarackfield/observe/bounded.py
+++ b/tamarackfield/observe/bounded.py
@@ -10,9 +10,7 @@
 from collections import Counter
 from typing import Any
 
-from loguru import logger
-
-from tamarackfield.observe.logs import format_pair, format_record
+from tamarackfield.observe.logs import format_pair, install_sink
 
 #: Lines of one kind of event that are written in a second; more than the requests that one entry
 #: finishes in a second at its design load.
@@ -46,7 +44,7 @@
         """Write one line, or count it as left out."""
         second = int(time.monotonic())
         if second != self.second:
-            self._begin_second(second)
+            self.begin_second(second)
         event = message.record['message']
         self.written[event] += 1
         if self.written[event] > self.lines_per_second:
@@ -54,7 +52,8 @@
             return
         self._write(str(message), event)
 
-    def _begin_second(self, second: int) -> None:
+    def begin_second(self, second: int) -> None:
+        """Start to count anew, and tell what was left out."""
         self.second = second
         self.written.clear()
         counts = dict(self.left_out)
@@ -86,7 +85,4 @@
     level : str
         Least severe level that is written, such as ``INFO``.
     """
-    logger.remove()
-    logger.configure(extra={'instance': instance})
-    sink = BoundedSink(sys.stdout.fileno())
-    logger.add(sink, level=level, format=format_record, backtrace=False, diagnose=False)
+    install_sink(BoundedSink(sys.stdout.fileno()), instance, level)
--- a/tamarackfield/observe/logs.py
+++ b/tamarackfield/observe/logs.py
@@ -48,6 +48,19 @@
     level : str
         Least severe level that is written, such as ``INFO``.
     """
+    install_sink(sys.stderr, instance, level)
+
+
+def install_sink(sink: Any, instance: str, level: str) -> None:
+    """Send this process's log to one sink and nowhere else.
+
+    Parameters
+    ----------
+    sink : object
+        A stream, or a callable that takes loguru's messages.
+    instance, level : str
+        As in `configure_logs`.
+    """
     logger.remove()
     logger.configure(extra={'instance': instance})
-    logger.add(sys.stderr, level=level, format=format_record, backtrace=False, diagnose=False)
+    logger.add(sink, level=level, format=format_record, backtrace=False, diagnose=False)
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -3,6 +3,7 @@
 import math
 from http import HTTPStatus
 
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import CallTerms
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
@@ -19,7 +20,6 @@
 #: The worker states that it did not run the request.
 _NOT_EXECUTED = b'tamarackfield-not-executed'
 _INSTANCE = b'tamarackfield-instance-id'
-_MS = 1000
 #: Highest number of a priority header, the least urgent.
 _LEAST_URGENT = 9
 _MAX_DIGITS = 15
@@ -85,7 +85,7 @@
         headers=[line for line in request.raw_headers if line[0].lower() not in dropped],
         body=request.body,
         received_at=request.received_at,
-        deadline=math.inf if deadline_ms is None else request.received_at + deadline_ms / _MS,
+        deadline=math.inf if deadline_ms is None else request.received_at + deadline_ms / MS_PER_SECOND,
         model=model,
         adapter=adapter,
         prompt_tokens=_read_number(prompt) or 0,
@@ -101,7 +101,7 @@
         """Return the header lines of a request; a worker other than the one that is meant refuses it."""
         lines = [
             *call.headers,
-            (b'Tamarackfield-Deadline-Ms', str(max(1, int(left_seconds * _MS))).encode()),
+            (b'Tamarackfield-Deadline-Ms', str(max(1, int(left_seconds * MS_PER_SECOND))).encode()),
             (b'Tamarackfield-Expect-Instance', target.record.name.encode()),
         ]
         if call.model:
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.problems import split_address
 from tamarackfield.gateway.configuration import AdapterVersion, Decoded, TargetGone, Unreadable
 from tamarackfield.gateway.model import BaseModel, Catalog, Engine, Limits, Route, Service, TargetRecord
@@ -16,7 +17,6 @@
 MALFORMED = (AttributeError, LookupError, TypeError, ValueError, RecursionError)
 _CONFIG_KEY = 'op/config'
 _VERSION_PREFIX = 'op/version/'
-_MS = 1000
 _STATES = frozenset(('ready', 'draining'))
 _KINDS = frozenset(('idempotent', 'non_idempotent', 'streaming'))
 
@@ -65,8 +65,8 @@
         services={service['name']: _decode_service(service) for service in document['services']},
         limits=Limits(
             body_bytes=int(limits['max_body_bytes']),
-            header_seconds=limits['header_timeout_ms'] / _MS,
-            idle_seconds=limits['idle_timeout_ms'] / _MS,
+            header_seconds=limits['header_timeout_ms'] / MS_PER_SECOND,
+            idle_seconds=limits['idle_timeout_ms'] / MS_PER_SECOND,
         ),
     )
 
@@ -84,8 +84,8 @@
         repeatable=kind == 'idempotent',
         streaming=kind == 'streaming',
         resumable=bool(route.get('resumable')),
-        timeout_seconds=route['timeout_ms'] / _MS,
-        objective_seconds=route.get('target_latency_ms', route['timeout_ms']) / _MS,
+        timeout_seconds=route['timeout_ms'] / MS_PER_SECOND,
+        objective_seconds=route.get('target_latency_ms', route['timeout_ms']) / MS_PER_SECOND,
         priority=int(route.get('priority', 0)),
         # Counts the workers that a request may be sent to, not the sends.
         max_targets=max(1, int(route.get('max_attempts', 1))),
--- a/tamarackfield/platform/settings.py
+++ b/tamarackfield/platform/settings.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from tamarackfield.core import Problem
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.problems import json_path, split_address
 from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.settings import GatewaySettings
@@ -23,7 +24,6 @@
 #: Share of a machine's descriptors that clients' connections may take; the rest is for workers,
 #: the store, peers and files.
 CLIENT_DESCRIPTOR_SHARE = 0.6
-_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +132,7 @@
 
 
 def _seconds(milliseconds: Any) -> float:
-    return float(milliseconds) / _MS
+    return float(milliseconds) / MS_PER_SECOND
 
 
 def _retry_share(ratio: Any) -> float:
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
 from tamarackfield.platform.items import MALFORMED
@@ -17,7 +18,6 @@
 READ_SECONDS = 1.0
 #: Seconds beyond the time of a watch in which its answer must come.
 WATCH_MARGIN_SECONDS = 0.8
-_MS_PER_SECOND = 1000
 _OK = 200
 #: The history behind the revision that was asked for is gone.
 _GONE = 410
@@ -61,7 +61,7 @@
         HistoryLostError
             If it no longer has all changes since then.
         """
-        wait_ms = int(wait_seconds * _MS_PER_SECOND)
+        wait_ms = int(wait_seconds * MS_PER_SECOND)
         query = {'path_prefix': prefix, 'after': str(after_revision), 'wait_ms': str(wait_ms)}
         document = await self._get('kv-watch', query, wait_seconds + WATCH_MARGIN_SECONDS)
         return _read_page(document, 'events')
