Log why a caller counts as gone

The logs hold no answer_cut and no lost link, so the entry took its caller for gone; why is not in the logs, as that line was written at level debug only. Not traced; open.

--- a/tamarackfield/entry/handlers.py
+++ b/tamarackfield/entry/handlers.py
@@ -90,7 +90,8 @@
             await self._run(call, request, responder)
         except RequestError as exc:
             await self._fail(exc, call, responder)
-        except CallerGoneError:
+        except CallerGoneError as exc:
+            logger.bind(request_id=request.request_id, caller=call.caller, error=str(exc)).info('caller_gone')
             record.end('cut', 'the caller left before its answer was whole')
             raise
         finally:
