Share knowledge of the store's trouble between the followers

Cause: each prefix has a follower with a watch of its own, and each judged the store by its own calls. When the follower of the configuration met the trouble first, the deletions of lapsed instances reached the other one over its open watch as if the store were sound, and live targets were dropped at once.

Ruled out: load; the order of the two watches decides, at any load.

The contacts of all followers now belong to the replica.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -209,7 +209,7 @@
             'targets_listed': lambda: len(self.directory.targets),
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'store_revision': lambda: self.replica.revision,
-            'store_down': lambda: sum(follower.contact.down for follower in self.followers),
+            'store_down': lambda: sum(contact.down for contact in self.replica.contacts),
         }
         for name, read in gauges.items():
             self.series.gauge(name, read)
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -94,7 +94,7 @@
 
     def _items(self) -> Items:
         known = list(self.replica.items.values())
-        answered_at = min(follower.contact.answered_at for follower in self.followers)
+        answered_at = min(contact.answered_at for contact in self.replica.contacts)
         age_ms = round((SYSTEM_CLOCK.monotonic() - answered_at) * MS_PER_SECOND)
         return Items(
             revision=self.replica.revision,
@@ -108,8 +108,7 @@
 
     def _is_store_away(self) -> bool:
         now = SYSTEM_CLOCK.monotonic()
-        contacts = (follower.contact for follower in self.followers)
-        return any(contact.down and now > contact.trouble_from + AWAY_SECONDS for contact in contacts)
+        return any(contact.down and now > contact.trouble_from + AWAY_SECONDS for contact in self.replica.contacts)
 
     def _take_one(self, item: Item) -> None:
         for follower in self.followers:
--- a/tamarackfield/gateway/replica.py
+++ b/tamarackfield/gateway/replica.py
@@ -110,6 +110,10 @@
             self.down = True
         return lost
 
+    def is_unsettled(self, now: float) -> bool:
+        """Tell whether the store fails, or did so within the time in which lapsed items come back."""
+        return self.down or (self.trouble_until > 0 and now < self.trouble_until + SETTLE_SECONDS)
+
 
 @dataclass(slots=True)
 class Replica:
@@ -125,6 +129,8 @@
         Revision as of which the items of a prefix are known whole, by prefix.
     revision : int
         Newest revision that was seen.
+    contacts : list of Contact
+        One for each follower that keeps this copy up to date.
 
     Examples
     --------
@@ -139,6 +145,7 @@
     deleted: dict[str, int] = field(default_factory=dict)
     complete: dict[str, int] = field(default_factory=dict)
     revision: int = 0
+    contacts: list[Contact] = field(default_factory=list)
 
     def apply(self, item: Item) -> bool:
         """Take in a change; return whether it is newer than what was known of its key."""
@@ -154,6 +161,10 @@
             self.items[item.key] = item
         return True
 
+    def is_unsettled(self, now: float) -> bool:
+        """Tell whether the store failed for any follower within the time in which lapsed items come back."""
+        return any(contact.is_unsettled(now) for contact in self.contacts)
+
     def note_complete(self, prefix: str, revision: int) -> None:
         """Note that the items of a prefix are known whole as of a revision."""
         self.complete[prefix] = max(revision, self.complete.get(prefix, 0))
@@ -213,6 +224,7 @@
         self.rest_seconds = rest_seconds
         self.clock = clock
         self.contact = Contact()
+        replica.contacts.append(self.contact)
         self.position = 0
         self.pause = FIRST_PAUSE
 
@@ -230,14 +242,7 @@
     def take(self, item: Item) -> None:
         """Take in a change from the store or a peer."""
         if self.replica.apply(item):
-            self.listener(item, self.is_unsettled())
-
-    def is_unsettled(self) -> bool:
-        """Tell whether the store failed within the time in which lapsed items come back."""
-        contact = self.contact
-        if contact.down:
-            return True
-        return bool(contact.trouble_until) and self.clock.monotonic() < contact.trouble_until + SETTLE_SECONDS
+            self.listener(item, self.replica.is_unsettled(self.clock.monotonic()))
 
     async def _step(self) -> None:
         if self.position:
