Bound how long a refused adapter is barred; learn the time of a load; apply changes once

An adapter that the engine refused once was declined until the engine's next life. The refusal now carries a deadline, and the caller is told when it ends. The time of a load was a constant that was reported as if measured; it is learned from when the adapter arrives. Items of one page are applied together instead of one by one. An order without an answer logs the error. Fields that nothing read are gone.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -93,6 +93,7 @@
         self.incarnation = new_incarnation()
         self.series = Series('tamarackfield')
         self.draining = False
+        self.changed = asyncio.Event()
         self.budgets: dict[str, SharedRetries] = {}
         directory = Directory()
         self.directory = directory
@@ -158,7 +159,8 @@
             await self.metrics_server.listen(settings.listen[0], settings.metrics_port)
         if settings.peer_listen is not None:
             await self.peers.listen(*settings.peer_listen)
-        self.configuration.on_change(self._apply)
+        self.configuration.on_change(self.changed.set)
+        self.application.spawn(self._apply_changes(), 'changes')
         for follower in self.followers:
             self.application.spawn(follower.run(), f'follow-{follower.prefix}')
         self.application.spawn(self.peers.run(), 'peers')
@@ -214,6 +216,13 @@
         for name, read in gauges.items():
             self.series.gauge(name, read)
 
+    async def _apply_changes(self) -> None:
+        """Apply what changed; items that arrive together are applied once."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            self._apply()
+
     def _apply(self) -> None:
         catalog = self.configuration.catalog
         if catalog is not None and catalog is not self.fleet.catalog:
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -5,7 +5,6 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.matching import RouteTable
 from tamarackfield.gateway.model import Catalog, TargetRecord, Versions
@@ -55,7 +54,6 @@
         self.versions = Versions()
         self.catalog: Catalog | None = None
         self.routes: RouteTable | None = None
-        self.applied_at = 0.0
         self.listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -94,7 +92,6 @@
             return
         self.catalog = catalog
         self.routes = RouteTable(catalog)
-        self.applied_at = BOOT_CLOCK.monotonic()
         logger.bind(version=catalog.version, routes=len(catalog.routes), services=len(catalog.services)).info(
             'configuration_in_force'
         )
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -109,7 +109,6 @@
         self.target = target
         self.connection: TargetConnection | None = None
         self.sent_at = 0.0
-        self.fresh = False
 
     async def send(self, terms: CallTerms, reuse_seconds: float, may_send: Callable[[], bool]) -> bool:
         """Send the call; return False if it may no longer be sent, after a connection was found.
@@ -121,7 +120,6 @@
         """
         connection = await self.pool.acquire(self.target.record.address, reuse_seconds)
         self.connection = connection
-        self.fresh = connection.exchanges == 0
         if not may_send():
             return False
         call = self.call
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -227,8 +227,10 @@
             view.residents = frozenset(self._current(target.record.holdings))
             view.loading = frozenset()
             return
-        # Never counted down: an entry that is cut off from some sidecars must not take the part of others.
-        self.entries = max(self.entries, report.entries)
+        if report.entries > self.entries:
+            # Never counted down: an entry that is cut off from some sidecars must not take the part of others.
+            self.entries = report.entries
+            self._share_connections()
         view.batch = max(1, report.batch)
         view.slots = report.slots
         view.running = report.running
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -33,8 +33,6 @@
     ----------
     batch : int
         Requests that run at once.
-    kv_tokens : int
-        Tokens that fit into a target's memory.
     adapter_places : int
         Adapters that a target can hold, those on their way included.
     weight_mb : float
@@ -46,7 +44,6 @@
     """
 
     batch: int
-    kv_tokens: int
     adapter_places: int
     weight_mb: float
     loads_per_second: float
@@ -175,8 +172,8 @@
         Monotonic seconds, on the clock that counts suspensions.
     model, adapter : str
         Empty for a call to a plain service.
-    prompt_tokens, output_tokens : int
-        Sizes that the caller stated; 0 if it did not.
+    prompt_tokens : int
+        Length of the prompt that the caller stated; 0 if it did not.
     last_event : int
         Last event that the caller has; 0 at the start of a stream.
     """
@@ -192,7 +189,6 @@
     model: str = ''
     adapter: str = ''
     prompt_tokens: int = 0
-    output_tokens: int = 0
     last_event: int = 0
 
 
--- a/tamarackfield/gateway/tests/samples.py
+++ b/tamarackfield/gateway/tests/samples.py
@@ -4,7 +4,7 @@
 from tamarackfield.gateway.model import BaseModel, Call, Catalog, Engine, Limits, Route, Service, TargetRecord
 from tamarackfield.policy import TargetView
 
-ENGINE = Engine(8, 10_000, 4, 1000.0, 4.0, (BaseModel('base', 900.0, 10.0),))
+ENGINE = Engine(8, 4, 1000.0, 4.0, (BaseModel('base', 900.0, 10.0),))
 
 
 def make_route(prefix='/r/', service='plain', **changes):
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -90,6 +90,14 @@
     retry_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadRefusal:
+    """The engine refused to load an adapter up to a version; asked for again from ``until``, monotonic seconds."""
+
+    version: int
+    until: float
+
+
 @dataclass(slots=True)
 class Plan:
     """What is to be done now."""
@@ -118,7 +126,8 @@
         self.waiting: dict[TicketKey, Ticket] = {}
         self.granted: dict[TicketKey, Ticket] = {}
         self.ordered: list[Order | ModelOrder] = []
-        self.refused: dict[str, int] = {}
+        self.refused: dict[str, LoadRefusal] = {}
+        self.load_began: dict[str, float] = {}
         self.seen_running = 0
         self.reachable = False
         self.leaving = False
@@ -157,24 +166,30 @@
         self.seen_running = 0
         self.ordered.clear()
         self.refused.clear()
+        self.load_began.clear()
         self.models = frozenset()
 
-    def observe(self, models: Iterable[str], held: dict[str, int], incoming: Iterable[str]) -> None:
+    def observe(self, models: Iterable[str], held: dict[str, int], incoming: Iterable[str], now: float) -> None:
         """Take in what the engine says that it holds."""
         self.models = frozenset(models)
         self.residency.observe(held, incoming)
         self.reachable = True
+        for adapter in self.load_began.keys() - self.residency.incoming.keys():
+            seconds = now - self.load_began.pop(adapter)
+            if adapter in held:
+                self.load_seconds += SMOOTHING * (seconds - self.load_seconds)
 
-    def finish(self, order: Order | ModelOrder, accepted: bool) -> None:
+    def finish(self, order: Order | ModelOrder, accepted: bool, now: float) -> None:
         """Note how an order ended; what it changed is seen by `observe`."""
         if order in self.ordered:
             self.ordered.remove(order)
         if isinstance(order, LoadOrder) and accepted:
             self.residency.incoming[order.adapter] = order.version
+            self.load_began[order.adapter] = now
 
-    def refuse_adapter(self, adapter: str, version: int) -> None:
-        """Note that the engine refuses to load an adapter; requests for it are declined."""
-        self.refused[adapter] = version
+    def refuse_adapter(self, adapter: str, version: int, until: float) -> None:
+        """Note that the engine refuses to load an adapter; requests for it are declined until then."""
+        self.refused[adapter] = LoadRefusal(version, until)
 
     def plan(self, now: float) -> Plan:
         """Decide on every waiting request.
@@ -190,13 +205,14 @@
             Granted and declined tickets are no longer waiting; orders count as given.
         """
         plan = Plan()
+        self.refused = {adapter: refusal for adapter, refusal in self.refused.items() if now < refusal.until}
         queue = sorted(self.waiting.values(), key=self._make_urgency(now))
         wanted = frozenset(ticket.adapter for ticket in queue)
         ahead = 0
         for ticket in queue:
             code = self._refusal(ticket, ahead, now)
             if code:
-                self._decline(plan, ticket, code, ahead)
+                self._decline(plan, ticket, code, self._time_to_return(ticket, ahead, now))
             elif self._has_room(ticket, now):
                 self._grant(plan, ticket, now)
             else:
@@ -234,7 +250,7 @@
             return 'target_away'
         if self.leaving:
             return 'target_leaving'
-        if self.refused.get(ticket.adapter, -1) >= ticket.version:
+        if self._is_refused(ticket):
             return 'no_such_adapter'
         wait_until = ticket.asked_at + WAIT_SHARE * (ticket.deadline - ticket.asked_at)
         stall = 0.0 if self._is_in_place(ticket) else self.load_seconds
@@ -242,6 +258,16 @@
             return 'too_late'
         return 'full' if now + self.expected_wait(ahead) > wait_until else ''
 
+    def _is_refused(self, ticket: Ticket) -> bool:
+        refusal = self.refused.get(ticket.adapter)
+        return refusal is not None and refusal.version >= ticket.version
+
+    def _time_to_return(self, ticket: Ticket, ahead: int, now: float) -> float:
+        wait = self.expected_wait(ahead)
+        if self._is_refused(ticket):
+            wait = max(wait, self.refused[ticket.adapter].until - now)
+        return max(LEAST_RETRY_SECONDS, wait)
+
     def _has_room(self, ticket: Ticket, now: float) -> bool:
         free = self._is_in_place(ticket) and self.occupied() < self.batch
         return free and self.prompts.may_give(ticket.tokens, now)
@@ -261,10 +287,9 @@
             self.residency.pin(ticket.adapter, now)
         plan.grants.append(ticket)
 
-    def _decline(self, plan: Plan, ticket: Ticket, code: str, ahead: int) -> None:
+    def _decline(self, plan: Plan, ticket: Ticket, code: str, retry_seconds: float) -> None:
         self.waiting.pop(ticket.key)
-        retry = max(LEAST_RETRY_SECONDS, self.expected_wait(ahead))
-        plan.declines.append(Decline(ticket, code, retry))
+        plan.declines.append(Decline(ticket, code, retry_seconds))
 
     def _bring_nearer(self, plan: Plan, ticket: Ticket, wanted: frozenset[str]) -> None:
         if self._is_in_place(ticket) or self.ordered:
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -42,7 +42,6 @@
         self.failures = 0
         self.fencing_floor = 0
         self.next_model_load = 0.0
-        self.refused_until = 0.0
         self.loads = 0
         self.orders = 0
         self.changed = asyncio.Event()
@@ -91,7 +90,7 @@
         """Give the orders of a plan, one after another."""
         for order in plan.orders:
             accepted = await self._give(order)
-            self.admission.finish(order, accepted)
+            self.admission.finish(order, accepted, BOOT_CLOCK.monotonic())
         if plan.orders:
             await self.read()
             self.changed.set()
@@ -159,7 +158,8 @@
         if isinstance(order, LoadOrder):
             self.loads += result is OrderResult.ACCEPTED
             if result is OrderResult.REFUSED:
-                self.admission.refuse_adapter(order.adapter, order.version)
+                until = BOOT_CLOCK.monotonic() + REFUSED_SECONDS
+                self.admission.refuse_adapter(order.adapter, order.version, until)
 
     def _take(self, state: EngineState) -> None:
         before = self.state
@@ -173,7 +173,7 @@
             logger.bind(started_ms=state.started_ms).info('engine_leaving')
         self.state = state
         self.admission.leaving = state.leaving
-        self.admission.observe(state.models, state.held, state.incoming)
+        self.admission.observe(state.models, state.held, state.incoming, self.read_at)
         self.admission.seen_running = state.running + state.queued
         self.changed.set()
 
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -7,7 +7,7 @@
 def make_admission(batch=4, places=4):
     """Return an engine with its base model and nothing else in place."""
     admission = Admission(batch, places)
-    admission.observe(('m',), {}, ())
+    admission.observe(('m',), {}, (), 100.0)
     return admission
 
 
@@ -95,14 +95,14 @@
         held |= {adapter: 1 for adapter in done}
         for adapter in done:
             under_way.pop(adapter)
-        admission.observe(('m',), held, under_way)
+        admission.observe(('m',), held, under_way, now)
         plan = admission.plan(now)
         for ticket in plan.grants:
             served += 1
             in_time += now <= ticket.asked_at + 0.8
         for order in plan.orders:
             under_way[order.adapter] = now + 0.25
-            admission.finish(order, accepted=True)
+            admission.finish(order, accepted=True, now=now)
     return in_time / 120, served / 120
 
 
@@ -128,3 +128,33 @@
         now += 0.04
         admission.start(next(iter(admission.prompts.reading)), now)
     assert largest <= 4500
+
+
+def test_adapter_that_the_engine_refused_is_asked_for_again_after_a_while():
+    admission = make_admission()
+    admission.refuse_adapter('m/a', 0, 102.0)
+    ask(admission, 1, 'm/a')
+    declines = admission.plan(100.0).declines
+    assert [(decline.code, decline.retry_seconds) for decline in declines] == [('no_such_adapter', 2)]
+    ask(admission, 2, 'm/a', asked_at=102.0)
+    assert admission.plan(102.0).orders == [LoadOrder('m/a', 0)]
+
+
+def test_newer_version_of_an_adapter_that_the_engine_refused_is_asked_for_at_once():
+    admission = make_admission()
+    admission.refuse_adapter('m/a', 1, 102.0)
+    admission.ask(Ticket((1, 1), 'm/a', 2, 0, 100.0, 110.0, 101.0))
+    assert admission.plan(100.0).orders == [LoadOrder('m/a', 2)]
+
+
+def test_time_of_a_load_is_learned_from_when_the_adapter_arrives():
+    admission = make_admission()
+    for number in range(60):
+        now = 100.0 + number
+        ask(admission, number, f'm/{number}', asked_at=now)
+        order = admission.plan(now).orders[0]
+        admission.finish(order, accepted=True, now=now)
+        admission.observe(('m',), {f'm/{number}': 0}, (), now + 0.8)
+        admission.plan(now + 0.8)
+        admission.release((1, number), now + 0.9)
+    assert abs(admission.load_seconds - 0.8) < 0.05
--- a/tamarackfield/manager/tests/test_admission_machine.py
+++ b/tamarackfield/manager/tests/test_admission_machine.py
@@ -28,7 +28,7 @@
         self.ended = set()
         self.overrun = False
         self.evicted_in_use = False
-        self.admission.observe(self.models, dict(self.held), ())
+        self.admission.observe(self.models, dict(self.held), (), self.now)
 
     @rule(adapter=ADAPTERS, stream=st.integers(1, 2), priority=st.integers(0, 2), left=st.floats(0.1, 5))
     def ask(self, adapter, stream, priority, left):
@@ -81,7 +81,7 @@
         self.decide()
 
     def observe(self):
-        self.admission.observe(self.models, dict(self.held), tuple(self.incoming))
+        self.admission.observe(self.models, dict(self.held), tuple(self.incoming), self.now)
 
     def decide(self):
         plan = self.admission.plan(self.now)
@@ -92,7 +92,7 @@
         self.ended |= {decline.ticket.key for decline in plan.declines}
         for order in plan.orders:
             accepted = self.carry_out(order)
-            self.admission.finish(order, accepted)
+            self.admission.finish(order, accepted, self.now)
         if plan.orders:
             self.observe()
 
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -74,7 +74,8 @@
     headers = request.headers
     deadline_ms = _read_number(headers.get(_DEADLINE, ''))
     model, _, adapter = headers.get(_MODEL, '').partition('/')
-    prompt, _, output = headers.get(_TOKENS, '').partition(',')
+    # Tokens of the prompt, then those of the answer.
+    prompt = headers.get(_TOKENS, '').partition(',')[0]
     named = {token.strip().encode().lower() for token in headers.get('connection', '').split(',')}
     dropped = _HOP | _OURS | named | {_LAST_EVENT.encode()}
     return Call(
@@ -89,7 +90,6 @@
         model=model,
         adapter=adapter,
         prompt_tokens=_read_number(prompt) or 0,
-        output_tokens=_read_number(output) or 0,
         last_event=_read_number(headers.get(_LAST_EVENT, '')) or 0,
     )
 
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -3,6 +3,8 @@
 from http import HTTPStatus
 from typing import Any
 
+from loguru import logger
+
 from tamarackfield.core import TamarackfieldError
 from tamarackfield.gateway.model import Address
 from tamarackfield.manager.admission import ModelOrder
@@ -66,7 +68,8 @@
             status, _ = await call_json(
                 self.pool, self.address, 'POST', '/v1/order', document, headers, seconds=CALL_SECONDS
             )
-        except TamarackfieldError:
+        except TamarackfieldError as exc:
+            logger.bind(step=exc.step, error=exc.message).warning('order_not_answered')
             return OrderResult.UNKNOWN
         return _BY_STATUS.get(status, OrderResult.UNKNOWN)
 
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -110,7 +110,6 @@
     )
     return Engine(
         batch=int(engine['slots']),
-        kv_tokens=int(engine['kv_capacity']),
         adapter_places=int(engine.get('adapter_slots', 0)),
         weight_mb=float(engine['weights_mb']),
         loads_per_second=float(engine.get('loads_per_s', 1)),
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -68,7 +68,6 @@
         self.failure = ''
         self.ended = False
         self.unread = 0
-        self.exchanges = 0
         self.released_at = 0.0
         self.keep_seconds = 0.0
 
@@ -131,7 +130,6 @@
         self.busy = True
         self.request = request
         self.body = body
-        self.exchanges += 1
         self.transport.write(self._encode())
 
     async def receive(self) -> Any:
