--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -104,8 +104,10 @@
         kind = 'stream' if route.streaming else 'plain'
         self.series.count('requests', kind=kind, ending=ending.partition(' ')[0])
         self.series.observe('request', now - call.received_at, kind=kind)
-        if journey.first_event_at:
-            self.series.observe('first_event', journey.first_event_at - call.received_at)
+        first_event = journey.first_event_at - call.received_at if journey.first_event_at else 0.0
+        if first_event:
+            self.series.observe('first_event', first_event)
+            self.series.observe('longest_pause', journey.longest_pause)
         logger.bind(
             request_id=call.request_id,
             route=route.name,
@@ -115,6 +117,8 @@
             target=journey.target_name,
             attempts=journey.arrivals,
             waited_ms=round(MS_PER_SECOND * journey.waited_seconds),
+            first_event_ms=round(MS_PER_SECOND * first_event),
+            longest_pause_ms=round(MS_PER_SECOND * journey.longest_pause),
             total_ms=round(MS_PER_SECOND * (now - call.received_at)),
             left_ms=round(MS_PER_SECOND * (call.deadline - now)),
             notes=' | '.join(journey.notes),
--- a/tamarackfield/gateway/journey.py
+++ b/tamarackfield/gateway/journey.py
@@ -48,8 +48,10 @@
         Target of the last attempt.
     waited_seconds : float
         Time spent waiting for places in batches.
-    first_event_at : float
-        Monotonic seconds at which the caller was sent the start of a stream.
+    first_event_at, event_at : float
+        Monotonic seconds at which the caller was sent the first event of a stream, and the last one so far.
+    longest_pause : float
+        Longest time in seconds between two events that the caller was sent.
     """
 
     call: Call
@@ -70,6 +72,8 @@
     target_name: str = ''
     waited_seconds: float = 0.0
     first_event_at: float = 0.0
+    event_at: float = 0.0
+    longest_pause: float = 0.0
 
     def adapter_key(self) -> str:
         """Return ``model/adapter`` or ``model``; empty for a plain service."""
@@ -98,6 +102,14 @@
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
 
+    def note_event(self, now: float) -> None:
+        """Note that the caller is sent a part of a stream."""
+        if self.first_event_at:
+            self.longest_pause = max(self.longest_pause, now - self.event_at)
+        else:
+            self.first_event_at = now
+        self.event_at = now
+
     def note_sent(self, target: Target) -> None:
         """Note that bytes of the call may reach a target from now on."""
         self.sent_to.add(target.record.name)
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -40,12 +40,12 @@
     """
     if not journey.started:
         journey.started = True
-        journey.first_event_at = BOOT_CLOCK.monotonic()
         await responder.send_head(head.status, head.headers)
     if journey.route.resumable:
         return await _relay_events(journey, exchange, responder)
     chunks = 0
     async for chunk in _read_chunks(exchange, None):
+        journey.note_event(BOOT_CLOCK.monotonic())
         await responder.send_body(chunk)
         chunks += 1
     await responder.finish()
@@ -81,4 +81,5 @@
     for number, event in events:
         if number > journey.last_event or not number:
             journey.last_event = max(number, journey.last_event)
+            journey.note_event(BOOT_CLOCK.monotonic())
             await responder.send_body(event)
