Slow the reading of prompts down while streams of the engine pause

Prompts were handed over as fast as they are read, whatever that left to the streams.

Entries tell a sidecar of pauses near 0.3 s as they happen; each lowers the share of time in which the engine reads prompts, which grows back slowly.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from loguru import logger
@@ -24,7 +23,7 @@
 )
 from tamarackfield.gateway.fleet import Fleet
 from tamarackfield.gateway.journey import Journey
-from tamarackfield.gateway.links import ManagerLink, Wish
+from tamarackfield.gateway.links import Place, Wish
 from tamarackfield.gateway.relay import relay_stream
 from tamarackfield.policy.plain import smooth_time
 from tamarackfield.policy.shared_retries import SharedRetries
@@ -45,25 +44,6 @@
 SILENT_OBJECTIVES = 2.0
 
 
-@dataclass(slots=True)
-class Place:
-    """A place in a target's batch, given back at the end."""
-
-    link: ManagerLink | None = None
-    number: int = 0
-    version: int = 0
-
-    def release(self) -> None:
-        """Give the place back."""
-        if self.link is not None:
-            self.link.release(self.number)
-
-    def start(self) -> None:
-        """Note that the answer began."""
-        if self.link is not None:
-            self.link.start(self.number)
-
-
 class Attempts:
     """Makes attempts.
 
@@ -177,7 +157,7 @@
         if not journey.adapter_key():
             smooth_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
-            return await relay_stream(journey, exchange, head, responder)
+            return await relay_stream(journey, exchange, place, head, responder)
         return judge(head, await exchange.read_body())
 
 
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -13,7 +13,8 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import LEAST_SPREAD
-from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Release, Reserve, Started
+from tamarackfield.policy.prompts import NOTICED_SECONDS
+from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
 
@@ -171,6 +172,10 @@
         """Tell that the first event arrived."""
         self._tell(Started(number))
 
+    def tell_pause(self, number: int, seconds: float) -> None:
+        """Tell that the stream of a request paused."""
+        self._tell(Paused(number, round(seconds * MS_PER_SECOND)))
+
     def release(self, number: int) -> None:
         """Give a place back, or stop waiting for it."""
         self._tell(Release(number))
@@ -271,6 +276,30 @@
         return f'{self.address[0]}:{self.address[1]}'
 
 
+@dataclass(slots=True)
+class Place:
+    """A place in a target's batch, given back at the end; without a link, none was needed."""
+
+    link: ManagerLink | None = None
+    number: int = 0
+    version: int = 0
+
+    def release(self) -> None:
+        """Give the place back."""
+        if self.link is not None:
+            self.link.release(self.number)
+
+    def start(self) -> None:
+        """Note that the answer began."""
+        if self.link is not None:
+            self.link.start(self.number)
+
+    def note_wait(self, seconds: float) -> None:
+        """Note for how long the target was silent before a part of the answer."""
+        if self.link is not None and seconds > NOTICED_SECONDS:
+            self.link.tell_pause(self.number, seconds)
+
+
 def _make_reserve(number: int, wish: Wish) -> Reserve:
     return Reserve(
         request_id=number,
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -229,9 +229,10 @@
         beyond = self.occupied() + ahead + 1 - self.batch
         return max(0, beyond) * self.run_seconds / self.batch
 
-    def prompt_backlog(self) -> float:
+    def prompt_backlog(self, now: float) -> float:
         """Return the seconds in which the prompts of all requests that have not begun are read."""
-        return self.prompts.seconds_to_read(sum(ticket.tokens for ticket in self.waiting.values()))
+        waiting = sum(ticket.tokens for ticket in self.waiting.values())
+        return self.prompts.seconds_to_read(waiting) / self.prompts.current_share(now)
 
     def _make_urgency(self, now: float) -> Callable[[Ticket], tuple[bool, float]]:
         """Return the order of waiting.
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -9,7 +9,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.manager.admission import Decline, Ticket
 from tamarackfield.manager.engine import EngineKeeper
-from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Release, Reserve, Started
+from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, start_peer_server
@@ -76,6 +76,8 @@
             case Started():
                 admission.start((number, message.request_id), now)
                 self.keeper.changed.set()
+            case Paused(_, pause_ms):
+                self._note_pause(pause_ms, now)
             case Release():
                 admission.release((number, message.request_id), now)
                 self.keeper.changed.set()
@@ -100,6 +102,7 @@
         admission = self.keeper.admission
         residency = admission.residency
         state = self.keeper.state
+        now = BOOT_CLOCK.monotonic()
         return EngineReport(
             unix_ms=SYSTEM_CLOCK.unix_ms(),
             incarnation=state.started_ms if state else 0,
@@ -112,8 +115,8 @@
             load_ms=round(admission.load_seconds * MS_PER_SECOND),
             service_ms=round(admission.run_seconds * MS_PER_SECOND),
             entries=len(self.streams),
-            prompt_ms=round(admission.prompt_backlog() * MS_PER_SECOND),
-            token_ns=round(admission.prompts.token_seconds * NS_PER_SECOND),
+            prompt_ms=round(admission.prompt_backlog(now) * MS_PER_SECOND),
+            token_ns=round(admission.prompts.paced_token_seconds(now) * NS_PER_SECOND),
         )
 
     def holdings(self) -> Holdings:
@@ -130,6 +133,11 @@
         for stream in self.streams:
             _send(stream, Draining('the sidecar stops'))
 
+    def _note_pause(self, pause_ms: int, now: float) -> None:
+        prompts = self.keeper.admission.prompts
+        if prompts.note_pause(now):
+            logger.bind(pause_ms=pause_ms, share=round(prompts.share, 2)).info('prompts_slowed')
+
     def _tell_granted(self, ticket: Ticket) -> None:
         number, request_id = ticket.key
         residency = self.keeper.admission.residency
--- a/tamarackfield/policy/prompts.py
+++ b/tamarackfield/policy/prompts.py
@@ -3,7 +3,9 @@
 Load pattern: many requests become ready for one engine at once, when an adapter arrives or places
 become free. An engine reads prompts between the tokens of the requests that it runs, so a heap of
 prompts makes every stream of the engine pause for as long as the heap takes to read. Prompts are
-handed over no faster than the engine reads them, a little ahead so that it never waits for one.
+handed over no faster than the engine reads them, a little ahead so that it never waits for one. An
+engine that is slow, or runs many streams, has to be left more time between prompts: each pause that
+callers nearly notice lowers the share of its time that it reads, which then grows again slowly.
 """
 
 from dataclasses import dataclass, field
@@ -18,6 +20,17 @@
 SMOOTHING = 0.2
 #: Least prompt, in tokens, from which the time of a token is learned.
 LEAST_TOKENS = 200
+#: Pause in seconds between two events of a stream that callers nearly notice, below the shortest that they do.
+NOTICED_SECONDS = 0.24
+#: Factor by which a noticed pause lowers the share of time for reading, and the least such share.
+LOWERED = 0.85
+LEAST_SHARE = 0.3
+#: Share of time for reading that comes back in each second without a noticed pause.
+REGAINED_PER_SECOND = 0.03
+#: Seconds in which further pauses belong to the same heap of prompts.
+SAME_HEAP_SECONDS = 0.3
+#: Seconds of reading that may be handed over at once while the share is limited.
+BURST_SECONDS = 0.05
 #: Seconds after which a prompt counts as read although no first event was told.
 LONGEST_SECONDS = 2.0
 
@@ -51,6 +64,12 @@
         By the key of their request.
     token_seconds : float
         Smoothed time of one token.
+    share : float
+        Share of the engine's time in which it may read prompts.
+    share_at : float
+        Monotonic seconds at which the share was last changed.
+    paid_at : float
+        Monotonic seconds at which what was handed over has taken its share of time.
 
     Examples
     --------
@@ -67,15 +86,41 @@
 
     reading: dict[object, Prompt] = field(default_factory=dict)
     token_seconds: float = FIRST_TOKEN_SECONDS
+    share: float = 1.0
+    share_at: float = 0.0
+    paid_at: float = 0.0
 
     def may_give(self, tokens: int, now: float) -> bool:
         """Tell whether one more prompt may be handed over; one alone always may."""
         self._forget_old(now)
+        if self.current_share(now) < 1 and now + BURST_SECONDS < self.paid_at:
+            return False
         return not self.reading or self.seconds_to_read(tokens) <= AHEAD_SECONDS
 
     def give(self, key: object, tokens: int, now: float) -> None:
         """Note that a prompt was handed over."""
         self.reading[key] = Prompt(tokens, now, not self.reading)
+        self.paid_at = max(now, self.paid_at) + tokens * self.token_seconds / self.current_share(now)
+
+    def current_share(self, now: float) -> float:
+        """Return the share of time for reading, with what came back since it was lowered."""
+        return min(1.0, self.share + REGAINED_PER_SECOND * max(0.0, now - self.share_at))
+
+    def paced_token_seconds(self, now: float) -> float:
+        """Return the time in which one more token is read, with the time that is left to streams."""
+        return self.token_seconds / self.current_share(now)
+
+    def note_pause(self, now: float) -> bool:
+        """Note that a stream paused for as long as its caller nearly notices; return whether that lowers the share.
+
+        A pause is not put down to prompts if none was read shortly before.
+        """
+        idle = not self.reading and now > self.paid_at + SAME_HEAP_SECONDS
+        if idle or now < self.share_at + SAME_HEAP_SECONDS:
+            return False
+        self.share = max(LEAST_SHARE, LOWERED * self.current_share(now))
+        self.share_at = now
+        return True
 
     def finish(self, key: object, now: float) -> None:
         """Note that a prompt was read."""
--- a/tamarackfield/wire/grants.py
+++ b/tamarackfield/wire/grants.py
@@ -115,6 +115,15 @@
     payloads: list[bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class Paused(Message):
+    """The stream of a granted request paused for longer than its caller should notice."""
+
+    kind = 69
+    request_id: int
+    pause_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport(LoadReport):
     """State of an engine as its sidecar sees it.
@@ -131,7 +140,7 @@
 #: Message types of this module by kind.
 GRANT_TYPES = {
     message_type.kind: message_type
-    for message_type in (Facts, Reserve, Granted, Declined, Started, Release, AskItems, Items, EngineReport)
+    for message_type in (Facts, Reserve, Granted, Declined, Started, Release, AskItems, Items, EngineReport, Paused)
 }
 
 register_types(GRANT_TYPES)
