--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -16,6 +16,8 @@
 
 #: Seconds between two looks at what waits when nothing changes: time alone ends some waits.
 TICK_SECONDS = 0.05
+#: Shortest time between two looks for which time alone is the reason.
+LEAST_TICK_SECONDS = 0.005
 
 
 class ManagerServer:
@@ -88,7 +90,7 @@
         """Decide again whenever something changed."""
         keeper = self.keeper
         while True:
-            await _wait(keeper.changed)
+            await _wait(keeper.changed, self._seconds_to_look())
             keeper.changed.clear()
             plan = keeper.admission.plan(BOOT_CLOCK.monotonic())
             for ticket in plan.grants:
@@ -133,6 +135,14 @@
         for stream in self.streams:
             _send(stream, Draining('the sidecar stops'))
 
+    def _seconds_to_look(self) -> float:
+        """Return how long to wait for a change before time alone may have one."""
+        admission = self.keeper.admission
+        left = admission.prompts.next_at() - BOOT_CLOCK.monotonic()
+        if not admission.waiting or left <= 0:
+            return TICK_SECONDS
+        return min(TICK_SECONDS, max(LEAST_TICK_SECONDS, left))
+
     def _note_pause(self, pause_ms: int, now: float) -> None:
         prompts = self.keeper.admission.prompts
         if prompts.note_pause(now):
@@ -193,9 +203,9 @@
         logger.bind(entry=stream.peer, step=exc.step, error=exc.message).info('message_not_sent')
 
 
-async def _wait(event: asyncio.Event) -> None:
+async def _wait(event: asyncio.Event, seconds: float) -> None:
     try:
-        async with asyncio.timeout(TICK_SECONDS):
+        async with asyncio.timeout(seconds):
             await event.wait()
     except TimeoutError:
         return
