Revert the line through reading times; keep looking again in time

The smaller time of a token lets more prompts be handed over at once and weighs less in the choice. The whole time stays the measure.

--- a/tamarackfield/policy/prompts.py
+++ b/tamarackfield/policy/prompts.py
@@ -16,12 +16,8 @@
 #: Seconds that reading a token takes until it was seen; engines of the size that is served read 20
 #: to 40 tokens in a millisecond.
 FIRST_TOKEN_SECONDS = 0.00004
-#: Weight of the newest reading in the smoothed ones.
-SMOOTHING = 0.1
-#: Least standard deviation, in tokens, of the prompts from which the time before a prompt is told from its reading.
-LEAST_DEVIATION = 100
-#: Least share of the whole time of a prompt that its reading takes.
-LEAST_READING = 0.3
+#: Weight of the newest reading in the smoothed time.
+SMOOTHING = 0.2
 #: Least prompt, in tokens, from which the time of a token is learned.
 LEAST_TOKENS = 200
 #: Pause in seconds between two events of a stream that callers nearly notice, below the shortest that they do.
@@ -58,48 +54,6 @@
     alone: bool
 
 
-@dataclass(slots=True)
-class ReadingTimes:
-    """Line through the lengths of prompts and the times to their first events, the newest ones weighing most.
-
-    What does not grow with the length, the way to the engine and the step in which the first event
-    is made, is not reading.
-
-    Examples
-    --------
-    >>> times = ReadingTimes()
-    >>> for tokens in (500, 2500) * 40:
-    ...     times.add(tokens, 0.02 + tokens * 0.0001)
-    >>> round(times.token_seconds(), 6)
-    0.0001
-    """
-
-    tokens: float = 0.0
-    seconds: float = 0.0
-    variance: float = 0.0
-    covariance: float = 0.0
-
-    def add(self, tokens: int, seconds: float) -> None:
-        """Take in one reading."""
-        if not self.tokens:
-            self.tokens = tokens
-            self.seconds = seconds
-        further, longer = tokens - self.tokens, seconds - self.seconds
-        self.tokens += SMOOTHING * further
-        self.seconds += SMOOTHING * longer
-        self.variance = (1 - SMOOTHING) * (self.variance + SMOOTHING * further * further)
-        self.covariance = (1 - SMOOTHING) * (self.covariance + SMOOTHING * further * longer)
-
-    def token_seconds(self) -> float:
-        """Return the time in which one token is read."""
-        if not self.tokens:
-            return FIRST_TOKEN_SECONDS
-        whole = self.seconds / self.tokens
-        if self.variance < LEAST_DEVIATION * LEAST_DEVIATION:
-            return whole
-        return min(whole, max(LEAST_READING * whole, self.covariance / self.variance))
-
-
 @dataclass(slots=True)
 class PromptPacing:
     """Prompts that one engine is reading.
@@ -108,10 +62,8 @@
     ----------
     reading : dict
         By the key of their request.
-    times : ReadingTimes
-        Of earlier prompts.
     token_seconds : float
-        Time in which one token is read.
+        Smoothed time of one token, the way to the engine and its first step included.
     share : float
         Share of the engine's time in which it may read prompts.
     share_at : float
@@ -133,7 +85,6 @@
     """
 
     reading: dict[object, Prompt] = field(default_factory=dict)
-    times: ReadingTimes = field(default_factory=ReadingTimes)
     token_seconds: float = FIRST_TOKEN_SECONDS
     share: float = 1.0
     share_at: float = 0.0
@@ -179,8 +130,8 @@
         """Note that a prompt was read."""
         prompt = self.reading.pop(key, None)
         if prompt is not None and prompt.alone and prompt.tokens >= LEAST_TOKENS:
-            self.times.add(prompt.tokens, now - prompt.given_at)
-            self.token_seconds = self.times.token_seconds()
+            seconds = (now - prompt.given_at) / prompt.tokens
+            self.token_seconds += SMOOTHING * (seconds - self.token_seconds)
 
     def seconds_to_read(self, further_tokens: int = 0) -> float:
         """Return the time in which the prompts that were handed over, and further tokens, are read."""
