--- a/tamarackfield/policy/prompts.py
+++ b/tamarackfield/policy/prompts.py
@@ -21,12 +21,12 @@
 #: Least prompt, in tokens, from which the time of a token is learned.
 LEAST_TOKENS = 200
 #: Pause in seconds between two events of a stream that callers nearly notice, below the shortest that they do.
-NOTICED_SECONDS = 0.24
+NOTICED_SECONDS = 0.27
 #: Factor by which a noticed pause lowers the share of time for reading, and the least such share.
 LOWERED = 0.85
 LEAST_SHARE = 0.3
 #: Share of time for reading that comes back in each second without a noticed pause.
-REGAINED_PER_SECOND = 0.03
+REGAINED_PER_SECOND = 0.05
 #: Seconds in which further pauses belong to the same heap of prompts.
 SAME_HEAP_SECONDS = 0.3
 #: Seconds of reading that may be handed over at once while the share is limited.
