--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -6,16 +6,18 @@
 from loguru import logger
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
-from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.manager.admission import Decline, Ticket
 from tamarackfield.manager.engine import EngineKeeper
-from tamarackfield.wire.grants import Declined, Facts, Granted, Release, Reserve, Started
-from tamarackfield.wire.messages import Draining, Hello, Holdings, LoadReport, Message
+from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
+from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, start_peer_server
 
 #: Seconds between two looks at what waits when nothing changes: time alone ends some waits.
 TICK_SECONDS = 0.05
+#: Shortest time between two looks for which time alone is the reason.
+LEAST_TICK_SECONDS = 0.005
 
 
 class ManagerServer:
@@ -76,6 +78,8 @@
             case Started():
                 admission.start((number, message.request_id), now)
                 self.keeper.changed.set()
+            case Paused(_, pause_ms):
+                self._note_pause(pause_ms, now)
             case Release():
                 admission.release((number, message.request_id), now)
                 self.keeper.changed.set()
@@ -86,7 +90,7 @@
         """Decide again whenever something changed."""
         keeper = self.keeper
         while True:
-            await _wait(keeper.changed)
+            await _wait(keeper.changed, self._seconds_to_look())
             keeper.changed.clear()
             plan = keeper.admission.plan(BOOT_CLOCK.monotonic())
             for ticket in plan.grants:
@@ -95,12 +99,13 @@
                 self._tell_declined(decline)
             await keeper.carry_out(plan if plan.orders else keeper.order_missing_model())
 
-    def report(self) -> LoadReport:
+    def report(self) -> EngineReport:
         """Return how busy the engine is."""
         admission = self.keeper.admission
         residency = admission.residency
         state = self.keeper.state
-        return LoadReport(
+        now = BOOT_CLOCK.monotonic()
+        return EngineReport(
             unix_ms=SYSTEM_CLOCK.unix_ms(),
             incarnation=state.started_ms if state else 0,
             ready=self.keeper.is_ready() and not self.draining,
@@ -112,6 +117,8 @@
             load_ms=round(admission.load_seconds * MS_PER_SECOND),
             service_ms=round(admission.run_seconds * MS_PER_SECOND),
             entries=len(self.streams),
+            prompt_ms=round(admission.prompt_backlog(now) * MS_PER_SECOND),
+            token_ns=round(admission.prompts.paced_token_seconds(now) * NS_PER_SECOND),
         )
 
     def holdings(self) -> Holdings:
@@ -128,6 +135,19 @@
         for stream in self.streams:
             _send(stream, Draining('the sidecar stops'))
 
+    def _seconds_to_look(self) -> float:
+        """Return how long to wait for a change before time alone may have one."""
+        admission = self.keeper.admission
+        left = admission.prompts.next_at() - BOOT_CLOCK.monotonic()
+        if not admission.waiting or left <= 0:
+            return TICK_SECONDS
+        return min(TICK_SECONDS, max(LEAST_TICK_SECONDS, left))
+
+    def _note_pause(self, pause_ms: int, now: float) -> None:
+        prompts = self.keeper.admission.prompts
+        if prompts.note_pause(now):
+            logger.bind(pause_ms=pause_ms, share=round(prompts.share, 2)).info('prompts_slowed')
+
     def _tell_granted(self, ticket: Ticket) -> None:
         number, request_id = ticket.key
         residency = self.keeper.admission.residency
@@ -183,9 +203,9 @@
         logger.bind(entry=stream.peer, step=exc.step, error=exc.message).info('message_not_sent')
 
 
-async def _wait(event: asyncio.Event) -> None:
+async def _wait(event: asyncio.Event, seconds: float) -> None:
     try:
-        async with asyncio.timeout(TICK_SECONDS):
+        async with asyncio.timeout(seconds):
             await event.wait()
     except TimeoutError:
         return
