--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -18,35 +18,6 @@
     return [('Tamarackfield-Request-Id', request_id)]
 
 
-@pytest.fixture
-async def one(tmp_path):
-    """Run an entry before one plain worker."""
-    async with running_site(tmp_path) as site:
-        await site.add_worker('w1')
-        await site.add_entry()
-        yield site
-
-
-@pytest.fixture
-async def two(tmp_path):
-    """Run an entry before two plain workers."""
-    async with running_site(tmp_path) as site:
-        await site.add_worker('w1')
-        await site.add_worker('w2')
-        await site.add_entry()
-        yield site
-
-
-@pytest.fixture
-async def model(tmp_path):
-    """Run an entry before one model worker with its sidecar."""
-    async with running_site(tmp_path) as site:
-        worker = await site.add_worker('m1', MODELS)
-        await site.add_sidecar(worker)
-        await site.wait_sidecars(await site.add_entry())
-        yield site
-
-
 @pytest.mark.parametrize('fault', ['reset_after_run', 'garbage', 'cut', 'unframed_reset', 'unsigned', 'encoded'])
 async def test_call_that_may_have_run_is_neither_repeated_nor_called_not_run(two, fault):
     for worker in two.workers.values():
