--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -1,7 +1,6 @@
 """Streams from this entry to the sidecars that manage the adapters of its targets."""
 
 import asyncio
-import contextlib
 import itertools
 import random
 from collections.abc import Callable
@@ -129,10 +128,8 @@
     def tell_facts(self) -> None:
         """Send what is known of the target if that changed."""
         facts = self.facts()
-        if self.stream is None or facts is None or facts == self.told:
-            return
-        self._send(facts)
-        self.told = facts
+        if facts is not None and facts != self.told and self._tell(facts):
+            self.told = facts
 
     async def reserve(self, wish: Wish) -> tuple[int, Answer]:
         """Ask for a place.
@@ -250,11 +247,16 @@
         elif isinstance(message, Granted):
             self.release(message.request_id)
 
-    def _tell(self, message: Message) -> None:
-        """Send what is of no use to a sidecar that is lost."""
-        if self.stream is not None:
-            with contextlib.suppress(StreamClosedError, PeerBusyError):
-                self._send(message)
+    def _tell(self, message: Message) -> bool:
+        """Send what is of no use to a sidecar that is lost; return whether it was sent."""
+        if self.stream is None:
+            return False
+        try:
+            self._send(message)
+        except (StreamClosedError, PeerBusyError) as exc:
+            logger.bind(sidecar=self._name(), step=exc.step, error=exc.message).debug('message_not_sent')
+            return False
+        return True
 
     def _send(self, message: Message) -> None:
         if self.stream is None:
