Bound the length of a prompt that a caller states

The time for which a handed-over prompt holds others back follows from its stated length, and a caller may state 10^14 tokens. The length is capped where a call enters, for planning only; the target gets the caller's own words.

--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -20,6 +20,9 @@
 #: Seconds after which a caller may come back to an entry that knows no configuration yet; the time
 #: in which an entry reads it.
 NO_CONFIGURATION_RETRY = 0.5
+#: Longest prompt, in tokens, that is planned with; callers may state any length, and engines of the size that
+#: is served read this in half a second.
+MOST_PROMPT_TOKENS = 16_384
 
 
 class CallReader(Protocol):
@@ -127,8 +130,13 @@
 
 
 def bound_call(call: Call, route: Route, service: Service | None) -> Call:
-    """Return a call as it is served: within its route's time, and without an adapter at a plain service."""
-    bounded = replace(call, deadline=min(call.deadline, call.received_at + route.timeout_seconds))
+    """Return a call as it is served.
+
+    It ends within its route's time, its prompt counts as no longer than `MOST_PROMPT_TOKENS`, and at a
+    plain service it has no adapter.
+    """
+    deadline = min(call.deadline, call.received_at + route.timeout_seconds)
+    bounded = replace(call, deadline=deadline, prompt_tokens=min(call.prompt_tokens, MOST_PROMPT_TOKENS))
     if service is None or service.engine is None:
         return replace(bounded, model='', adapter='')
     return bounded
