Leave the listeners of the own interface as they were; a leaving caller is not a held one

Trace: the entry had logged its 503 at the deadline; the harness was late by 0.91 s, so a caller that left early on purpose left after the deadline. Only callers that did not mean to leave count as held now.

--- a/tamarackfield/discovery/mesh.py
+++ b/tamarackfield/discovery/mesh.py
@@ -17,7 +17,7 @@
 from tamarackfield.discovery.addresses import AddressBook
 from tamarackfield.wire import Hello, Message, PeerStream, StreamClosedError, connect
 from tamarackfield.wire.spreading import PeerSample
-from tamarackfield.wire.stream import PeerBusyError, start_peer_server
+from tamarackfield.wire.stream import PeerBusyError
 
 #: Outgoing streams into the own zone and into other zones.
 ZONE_LINKS = 3
@@ -110,7 +110,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Accept peers."""
-        self.server = await start_peer_server(self.accept, host, port, self.identity.server_context)
+        self.server = await asyncio.start_server(self.accept, host, port, ssl=self.identity.server_context)
 
     async def stop(self) -> None:
         """Accept no more peers and close all streams; the application ends their tasks."""
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -23,7 +23,6 @@
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.wire import Hello, client_context, server_context
-from tamarackfield.wire.stream import start_peer_server
 
 #: Seconds in which entries hear that this process leaves, and what they sent before is still refused.
 DRAIN_LINGER = 0.5
@@ -177,7 +176,7 @@
         context = server_context(self.settings['peer_security'])
         host, port = listen['host'], listen['port']
         try:
-            self.server = await start_peer_server(self.peers.accept, host, port, context)
+            self.server = await asyncio.start_server(self.peers.accept, host, port, ssl=context)
         except OSError as exc:
             logger.bind(step='listen', peer=f'{host}:{port}', error=repr(exc)).error('cannot_listen')
             self.application.request_stop()
--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -96,16 +96,18 @@
 
     async def make(self, call: Call) -> None:
         """Make a call and note how it ended."""
-        leaves_after = self._draw_leaving(call)
+        left = call.deadline - SYSTEM_CLOCK.monotonic()
+        leaves = self.rng.random() < LEAVING_SHARE
+        patience = self.rng.uniform(0, left) if leaves else left + HELD_SECONDS
         connection: TargetConnection | None = None
         try:
-            async with asyncio.timeout(leaves_after):
+            async with asyncio.timeout(patience):
                 connection = await self.pool.acquire(self.address, REUSE_SECONDS)
                 connection.send(self._make_request(call), b'prompt')
                 await _receive(connection, call)
         except TimeoutError:
             call.left_at = SYSTEM_CLOCK.monotonic()
-            call.held = call.left_at > call.deadline
+            call.held = not leaves
         except ClientError:
             call.left_at = SYSTEM_CLOCK.monotonic()
         finally:
@@ -117,12 +119,6 @@
         """End the connection."""
         self.pool.close()
 
-    def _draw_leaving(self, call: Call) -> float:
-        left = call.deadline - SYSTEM_CLOCK.monotonic()
-        if self.rng.random() < LEAVING_SHARE:
-            return self.rng.uniform(0, left)
-        return left + HELD_SECONDS
-
     def _make_request(self, call: Call) -> h11.Request:
         left = call.deadline - SYSTEM_CLOCK.monotonic()
         headers = [
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -193,7 +193,6 @@
     accept: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
     host: str,
     port: int,
-    context: ssl.SSLContext | None = None,
 ) -> asyncio.Server:
     """Listen for peers.
 
@@ -205,8 +204,6 @@
         IP number.
     port : int
         TCP port; 0 takes a free one.
-    context : ssl.SSLContext, optional
-        Mutual TLS; None for plaintext.
 
     Returns
     -------
@@ -221,7 +218,7 @@
             # asyncio reports a cancelled connection task as an error; it only means that this process ends.
             logger.debug('stream_cancelled')
 
-    return await asyncio.start_server(serve, host, port, ssl=context)
+    return await asyncio.start_server(serve, host, port)
 
 
 async def connect(host: str, port: int, context: ssl.SSLContext | None) -> PeerStream:
