One copy of what the soak wrote again

The soak had its own incident, trace, list of link faults, counter of ids and copies of the bounds that its site's settings name, and kept beside the site what a process knows of its own life. They stand once now: testing/incidents.py, relay.FAULTY_MODES, ManagedProcess.has_started, the constants of platform_site. Two tests shared a clock by copy. A worker that two faults slow down at once goes back to its usual speed, not to the first fault's.

Comments of the pace of prompts name where its constants come from, and what holds for a prompt alone. No product code changes.

--- a/tamarackfield/gateway/tests/samples.py
+++ b/tamarackfield/gateway/tests/samples.py
@@ -1,5 +1,6 @@
 """Small catalogs and targets for tests and examples."""
 
+from tamarackfield.core import Clock
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.model import BaseModel, Call, Catalog, Engine, Limits, Route, Service, TargetRecord
 from tamarackfield.policy import TargetView
@@ -7,6 +8,16 @@
 ENGINE = Engine(8, 4, 1000.0, 4.0, (BaseModel('base', 900.0, 10.0),))
 
 
+class Time:
+    """A clock that stands until it is moved."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def clock(self):
+        return Clock(lambda: self.now, int)
+
+
 def make_route(prefix='/r/', service='plain', **changes):
     """Return a route of an idempotent call."""
     fields = {
--- a/tamarackfield/gateway/tests/test_directory.py
+++ b/tamarackfield/gateway/tests/test_directory.py
@@ -1,18 +1,7 @@
 """Targets that leave, vanish, come back, restart or lose their address to another."""
 
-from tamarackfield.core import Clock
 from tamarackfield.gateway.directory import Directory
-from tamarackfield.gateway.tests.samples import make_target
-
-
-class Time:
-    """A clock that stands until it is moved."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def clock(self):
-        return Clock(lambda: self.now, int)
+from tamarackfield.gateway.tests.samples import Time, make_target
 
 
 def names(directory, service='plain'):
--- a/tamarackfield/gateway/tests/test_follower.py
+++ b/tamarackfield/gateway/tests/test_follower.py
@@ -1,17 +1,7 @@
 """Followers of one store: what they read, and what a deletion tells while the store is in trouble."""
 
-from tamarackfield.core import Clock
 from tamarackfield.gateway.replica import SETTLE_SECONDS, Follower, Item, Replica
-
-
-class Time:
-    """A clock that stands until it is moved."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def clock(self):
-        return Clock(lambda: self.now, int)
+from tamarackfield.gateway.tests.samples import Time
 
 
 def make_followers(time):
--- a/tamarackfield/policy/prompts.py
+++ b/tamarackfield/policy/prompts.py
@@ -6,6 +6,11 @@
 handed over no faster than the engine reads them, a little ahead so that it never waits for one. An
 engine that is slow, or runs many streams, has to be left more time between prompts: each pause that
 callers nearly notice lowers the share of its time that it reads, which then grows again slowly.
+
+References
+----------
+.. [1] D.-M. Chiu and R. Jain, "Analysis of the increase and decrease algorithms for congestion avoidance in
+   computer networks", Computer Networks and ISDN Systems 17, 1989.
 """
 
 from dataclasses import dataclass, field
@@ -20,16 +25,19 @@
 SMOOTHING = 0.2
 #: Least prompt, in tokens, from which the time of a token is learned.
 LEAST_TOKENS = 200
-#: Pause in seconds between two events of a stream that callers nearly notice, below the shortest that they do.
+#: Pause in seconds between two events of a stream that callers nearly notice: nine tenths of the shortest one
+#: that their objectives name.
 NOTICED_SECONDS = 0.27
-#: Factor by which a noticed pause lowers the share of time for reading, and the least such share.
+#: Factor by which a noticed pause lowers the share of time for reading, and the least such share. Down by a
+#: factor and up in steps is how several senders find their part of a bottleneck [1]_.
 LOWERED = 0.85
 LEAST_SHARE = 0.3
 #: Share of time for reading that comes back in each second without a noticed pause.
 REGAINED_PER_SECOND = 0.05
-#: Seconds in which further pauses belong to the same heap of prompts.
+#: Seconds in which further pauses belong to the same heap of prompts: the length of a pause.
 SAME_HEAP_SECONDS = 0.3
-#: Seconds of reading that may be handed over at once while the share is limited.
+#: Seconds of reading that may be handed over at once while the share is limited: the interval at which waiting
+#: requests are looked at.
 BURST_SECONDS = 0.05
 #: Seconds after which a prompt counts as read although no first event was told.
 LONGEST_SECONDS = 2.0
@@ -91,7 +99,7 @@
     paid_at: float = 0.0
 
     def may_give(self, tokens: int, now: float) -> bool:
-        """Tell whether one more prompt may be handed over; one alone always may."""
+        """Tell whether one more prompt may be handed over; one alone may unless reading is limited."""
         self._forget_old(now)
         if self.current_share(now) < 1 and now < self.next_at():
             return False
--- a/tamarackfield/testing/chaos.py
+++ b/tamarackfield/testing/chaos.py
@@ -13,7 +13,8 @@
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.calls import Answer, complete, complete_with_retries, is_truthful
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
-from tamarackfield.testing.faults import FAULTS, Incident
+from tamarackfield.testing.faults import FAULTS
+from tamarackfield.testing.incidents import Incident, trace
 from tamarackfield.testing.processes import HOST
 from tamarackfield.testing.witnesses import Witnesses
 from tamarackfield.web import ClientError, fetch_json
@@ -49,8 +50,7 @@
 
     def violate(self, what: str, started_at: float) -> None:
         """Note a broken promise with the faults around it."""
-        related = [str(incident) for incident in self.incidents if incident.ended_at >= started_at - TRACE_SECONDS]
-        self.violations.append('\n  '.join([what, *related]))
+        self.violations.append(trace(what, self.incidents, started_at - TRACE_SECONDS))
 
 
 async def run_chaos(directory: pathlib.Path, seed: int, seconds: float) -> Run:
--- a/tamarackfield/testing/faults.py
+++ b/tamarackfield/testing/faults.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 from tamarackfield.testing.cluster import OPERATOR_TOKEN, Cluster
 from tamarackfield.testing.frames import NO_FRAME_FAULTS
+from tamarackfield.testing.incidents import Incident
 from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.relay import FAULTY_MODES
 from tamarackfield.testing.witnesses import Witnesses
 from tamarackfield.web import fetch
 from tamarackfield.wire import Chunk, End, Fail, Head
@@ -17,24 +18,9 @@
 SIDECARS = ('engine-1-sidecar', 'engine-2-sidecar', 'booking-1-sidecar')
 PEER_PROXIES = ('engine-1-proxy', 'engine-2-proxy', 'booking-1-proxy')
 ENGINE_PROXIES = ('engine-1-engine-proxy', 'engine-2-engine-proxy')
-PROXY_MODES = ('cut', 'freeze', 'freeze_up', 'freeze_down', 'half_open')
 _ANSWER_KINDS = tuple(message.kind for message in (Head, Chunk, End, Fail))
 
 
-@dataclass(slots=True)
-class Incident:
-    """One fault that was injected; times are monotonic seconds."""
-
-    name: str
-    started_at: float
-    ended_at: float = float('inf')
-    where: str = ''
-
-    def __str__(self) -> str:
-        """Return one line of a trace."""
-        return f'{self.started_at:.2f}..{self.ended_at:.2f} {self.name} {self.where}'
-
-
 Fault = Callable[[Cluster, random.Random, Incident, Witnesses], Awaitable[None]]
 
 
@@ -127,10 +113,10 @@
     'freeze_sidecar': freeze_one_of(SIDECARS),
     'freeze_engine': freeze_one_of(ENGINES),
     'drain_sidecar': drain_sidecar,
-    'peer_network': set_one_of(PEER_PROXIES, lambda rng: {'mode': rng.choice(PROXY_MODES)}, {'mode': 'pass'}),
+    'peer_network': set_one_of(PEER_PROXIES, lambda rng: {'mode': rng.choice(FAULTY_MODES)}, {'mode': 'pass'}),
     'peer_delay': set_one_of(PEER_PROXIES, lambda rng: {'delay': rng.uniform(0.01, 0.3)}, {'delay': 0}),
     'peer_frames': set_one_of(PEER_PROXIES, _draw_frames, NO_FRAME_FAULTS),
-    'engine_network': set_one_of(ENGINE_PROXIES, lambda rng: {'mode': rng.choice(PROXY_MODES)}, {'mode': 'pass'}),
+    'engine_network': set_one_of(ENGINE_PROXIES, lambda rng: {'mode': rng.choice(FAULTY_MODES)}, {'mode': 'pass'}),
     'engine_orders': set_one_of(ENGINES, _draw_engine, _ENGINE_NORMAL),
     'configuration_down': set_one_of(('configuration',), lambda rng: {'down': True}, {'down': False}),
 }
--- a/tamarackfield/testing/platform_site.py
+++ b/tamarackfield/testing/platform_site.py
@@ -22,6 +22,13 @@
 PLAIN = 'ledger'
 MODELS = 'drafts'
 MODEL = 'base'
+#: Seconds after which a worker that is known to leave gets nothing new.
+DRAIN_SECONDS = 2.0
+#: Retries of a service: share of its requests, number on top, and window in seconds.
+RETRY_SHARE, RETRY_ALLOWANCE, RETRY_WINDOW = 0.2, 50, 10.0
+#: Most workers that a call may run at, unless its route says less.
+MOST_TARGETS = 2
+_MS = 1000
 _MAX_OCTET = 250
 #: Distance between the blocks of addresses of one process, far from those of its neighbours.
 _NEXT_BLOCK = 7919
@@ -46,7 +53,7 @@
         'target_latency_ms': 400,
         'priority': 0,
         'service': service,
-        'max_attempts': 2,
+        'max_attempts': MOST_TARGETS,
     }
     return route | changes
 
@@ -251,10 +258,10 @@
             'seeds': [],
             'limits': {'max_fds': 1000},
             'bounds': {
-                'retry_budget_ratio': 0.2,
-                'budget_extra': 50,
-                'budget_window_s': 10,
-                'drain_ms': 2000,
+                'retry_budget_ratio': RETRY_SHARE,
+                'budget_extra': RETRY_ALLOWANCE,
+                'budget_window_s': RETRY_WINDOW,
+                'drain_ms': DRAIN_SECONDS * _MS,
                 'grace_s': 8,
             },
             'provider': {'address': f'{self.store_host}:{self.store_port}'},
--- a/tamarackfield/testing/processes.py
+++ b/tamarackfield/testing/processes.py
@@ -68,6 +68,7 @@
         self.settings_variable = settings_variable
         self.log_path = directory / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
+        self.life_begins = 0
 
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
@@ -79,6 +80,7 @@
             environment[self.settings_variable] = str(settings_path)
         else:
             command += ['--settings', str(settings_path)]
+        self.life_begins = len(self.log())
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command,
@@ -158,6 +160,11 @@
         """Return everything that the process logged."""
         return self.log_path.read_text() if self.log_path.exists() else ''
 
+    def has_started(self) -> bool:
+        """Tell whether the present life of the process runs, with its signal handlers in place."""
+        running = self.process is not None and self.process.returncode is None
+        return running and 'event=started' in self.log()[self.life_begins :]
+
     def tail(self, lines: int = 30) -> str:
         """Return the end of its log."""
         return '\n'.join(self.log().splitlines()[-lines:])
--- a/tamarackfield/testing/relay.py
+++ b/tamarackfield/testing/relay.py
@@ -8,6 +8,8 @@
 
 from tamarackfield.testing.frames import NO_FRAME_FAULTS, CutError, FrameFaults
 
+#: Values of ``mode`` that are faults; see `Relay`.
+FAULTY_MODES = ('cut', 'freeze', 'freeze_up', 'freeze_down', 'half_open')
 _READ_BYTES = 16 * 1024
 _POLL_SECONDS = 0.01
 #: Socket option that makes the end of a connection a reset.
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -6,19 +6,18 @@
 from typing import Any, TypeVar
 
 from tamarackfield.core import SYSTEM_CLOCK
-from tamarackfield.testing.platform_site import MODELS, PLAIN, PlatformProcess
+from tamarackfield.testing.incidents import Incident
+from tamarackfield.testing.platform_site import DRAIN_SECONDS, MODELS, PLAIN, PlatformProcess
 from tamarackfield.testing.platform_worker import Faults, PlatformWorker
+from tamarackfield.testing.relay import FAULTY_MODES, Relay, sound
 from tamarackfield.testing.soak.plan import Step
-from tamarackfield.testing.soak.site import Absence, Incident, SoakSite
+from tamarackfield.testing.soak.site import EVENT_SECONDS, Absence, SoakSite
 
 #: Seconds after which the address of a worker that ended may go to another one.
 REUSE_SECONDS = 2.0
-#: Seconds after which a worker that is known to leave gets nothing new.
-DRAIN_SECONDS = 2.0
 #: Seconds after the store's return in which live workers list themselves again.
 RELIST_SECONDS = 1.5
 _STORE_TROUBLES = ('busy', 'limited', 'reset', 'silent')
-_LINK_MODES = ('cut', 'freeze', 'freeze_up', 'freeze_down', 'half_open')
 _WORKER_FAULTS = (
     'errors',
     'shed',
@@ -61,7 +60,7 @@
         async with site.locks[process.name]:
             await process.kill()
             await asyncio.sleep(step.seconds / 2)
-            await site.restart_process(process)
+            await process.start()
 
     return inject
 
@@ -73,12 +72,12 @@
         process = pick(processes_of(site), step.where)
         incident.where = process.name
         async with site.locks[process.name]:
-            if not site.has_started(process):
+            if not process.has_started():
                 return
             code = await process.terminate()
             if code:
                 site.violate(f'{process.name} stopped with exit code {code}', incident.started_at)
-            await site.restart_process(process)
+            await process.start()
 
     return inject
 
@@ -93,7 +92,7 @@
         if running is None or running.returncode is not None:
             return
         running.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(step.seconds)
+        await _last(step)
         if running.returncode is None:
             running.send_signal(signal.SIGCONT)
 
@@ -105,7 +104,7 @@
     process = pick(site.processes(), step.where)
     incident.where = process.name
     async with site.locks[process.name]:
-        if site.has_started(process):
+        if process.has_started():
             process.send(signal.SIGHUP)
 
 
@@ -114,7 +113,7 @@
     worker = _pick_worker(site, step, incident)
     async with site.locks[worker.name]:
         await worker.stop()
-        await asyncio.sleep(step.seconds)
+        await _last(step)
         await worker.restart()
         site.list_worker(worker)
 
@@ -149,11 +148,6 @@
         site.list_worker(worker)
 
 
-async def _last(step: Step) -> None:
-    """Wait for as long as a fault lasts."""
-    await asyncio.sleep(step.seconds)
-
-
 async def misbehave(site: SoakSite, step: Step, incident: Incident) -> None:
     """Let a worker spoil its next requests."""
     worker = _pick_worker(site, step, incident)
@@ -167,10 +161,9 @@
 async def slow_down(site: SoakSite, step: Step, incident: Incident) -> None:
     """Slow a worker down."""
     worker = _pick_worker(site, step, incident)
-    before = worker.event_seconds
     worker.event_seconds = step.variant * _SLOWEST_EVENT
     await _last(step)
-    worker.event_seconds = before
+    worker.event_seconds = EVENT_SECONDS
 
 
 async def cut_streams(site: SoakSite, step: Step, incident: Incident) -> None:
@@ -216,22 +209,18 @@
 async def disturb_link(site: SoakSite, step: Step, incident: Incident) -> None:
     """Cut, freeze or silence the connections of one link."""
     name, relay = _pick_relay(site, step)
-    mode = pick(_LINK_MODES, step.variant)
+    mode = pick(FAULTY_MODES, step.variant)
     incident.where = f'{name} {mode}'
-    relay.faults['mode'] = mode
     if mode == 'cut':
         relay.cut()
-    await _last(step)
-    relay.faults['mode'] = 'pass'
+    await _set_for_a_while(relay, 'mode', mode, step)
 
 
 async def delay_link(site: SoakSite, step: Step, incident: Incident) -> None:
     """Delay everything on one link."""
     name, relay = _pick_relay(site, step)
     incident.where = name
-    relay.faults['delay'] = step.variant * _LONGEST_DELAY
-    await _last(step)
-    relay.faults['delay'] = 0
+    await _set_for_a_while(relay, 'delay', step.variant * _LONGEST_DELAY, step)
 
 
 async def reset_connections(site: SoakSite, step: Step, incident: Incident) -> None:
@@ -258,13 +247,24 @@
     site.store.put(f'op/version/base/{adapter}', document)
 
 
+async def _set_for_a_while(relay: Relay, name: str, setting: Any, step: Step) -> None:
+    relay.faults[name] = setting
+    await _last(step)
+    relay.faults[name] = sound()[name]
+
+
+async def _last(step: Step) -> None:
+    """Wait for as long as a fault lasts."""
+    await asyncio.sleep(step.seconds)
+
+
 def _pick_worker(site: SoakSite, step: Step, incident: Incident) -> PlatformWorker:
     worker = pick(list(site.workers.values()), step.where)
     incident.where = worker.name
     return worker
 
 
-def _pick_relay(site: SoakSite, step: Step) -> Any:
+def _pick_relay(site: SoakSite, step: Step) -> tuple[str, Relay]:
     return pick(list(site.relays.items()), step.where)
 
 
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import itertools
 import pathlib
 import random
 import shutil
@@ -45,7 +44,6 @@
     site: SoakSite
     ends_at: float
     ledger: Ledger = field(default_factory=Ledger)
-    numbers: itertools.count = field(default_factory=itertools.count)
 
     def is_over(self) -> bool:
         """Tell whether no more calls are made."""
@@ -136,7 +134,7 @@
 
 def _make_call(soak: Soak, entry: PlatformProcess, path: str, seconds: float) -> Call:
     now = SYSTEM_CLOCK.monotonic()
-    return Call(f'call-{next(soak.numbers)}', path, entry.name, entry.process.pid, now, now + seconds)
+    return Call(f'call-{next(soak.site.request_ids)}', path, entry.name, entry.process.pid, now, now + seconds)
 
 
 async def _measure_lag(ledger: Ledger) -> None:
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -5,22 +5,32 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-
-from tamarackfield.testing.platform_site import MODELS, PLAIN
+from http import HTTPStatus
+
+from tamarackfield.testing.platform_site import (
+    MODELS,
+    MOST_TARGETS,
+    PLAIN,
+    RETRY_ALLOWANCE,
+    RETRY_SHARE,
+    RETRY_WINDOW,
+)
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import ONCE, STREAMS, Call
 from tamarackfield.testing.soak.site import Absence, SoakSite
 
 #: Statuses that promise that a request did not run and never will.
-NOT_RUN_STATUSES = (404, 408, 421, 429, 503)
-#: Most workers that one call may run at, as the stand-in's routes say.
-MOST_TARGETS = 2
+NOT_RUN_STATUSES = (
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
 #: Seconds after a caller left in which a run may still begin.
 LEAVING_SECONDS = 0.5
 #: Seconds after a paused program went on in which it may still act on what it knew before.
 THAW_SECONDS = 0.3
-#: Retries of a service: share of its requests, number on top, and window in seconds, as in the settings.
-RETRY_SHARE, RETRY_ALLOWANCE, RETRY_WINDOW = 0.2, 50, 10.0
 #: Seconds before a worker left in which trouble may keep an entry from learning of it.
 NEWS_SECONDS = 5.0
 #: Faults that may hold back a request, or the news that its caller left.
@@ -75,9 +85,9 @@
         yield f'{call.request_id} ran at more than {MOST_TARGETS} workers'
     if call.status in NOT_RUN_STATUSES and runs:
         yield f'{call.request_id} got {call.status} and ran'
-    if call.status == 404:
+    if call.status == HTTPStatus.NOT_FOUND:
         yield f'{call.request_id} got 404 on {call.path}'
-    if call.status == 503 and not call.retry_after:
+    if call.status == HTTPStatus.SERVICE_UNAVAILABLE and not call.retry_after:
         yield f'{call.request_id} was not told when to come back'
     if call.path in STREAMS:
         yield from _check_stream(call, events)
@@ -86,7 +96,7 @@
 
 
 def _check_stream(call: Call, events: int) -> Iterable[str]:
-    if call.status != 200:
+    if call.status != HTTPStatus.OK:
         return
     numbers = [(int(first), int(second)) for first, second in _EVENT.findall(call.body)]
     expected = [(number, number) for number in range(1, events + 1)]
@@ -101,10 +111,10 @@
     """Yield where a process went back to an earlier configuration."""
     found: dict[tuple[str, int], list[Probe]] = collections.defaultdict(list)
     for probe in probes:
-        if probe.status and probe.status not in {404, 503}:
+        if probe.status and probe.status not in {HTTPStatus.NOT_FOUND, HTTPStatus.SERVICE_UNAVAILABLE}:
             found[probe.entry, probe.life].append(probe)
     for probe in probes:
-        if probe.status != 404:
+        if probe.status != HTTPStatus.NOT_FOUND:
             continue
         for earlier in found[probe.entry, probe.life]:
             if earlier.version >= probe.version and earlier.ended_at < probe.sent_at:
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.testing.incidents import Incident, trace
 from tamarackfield.testing.platform_site import (
     MODELS,
     PLAIN,
@@ -27,30 +28,6 @@
 EVENT_SECONDS = 0.01
 
 
-@dataclass(slots=True)
-class Incident:
-    """A fault that was injected; times in monotonic seconds.
-
-    Parameters
-    ----------
-    step : Step
-        What was planned.
-    started_at, ended_at : float
-        The end is infinite while it lasts.
-    where : str
-        What it struck, and how.
-    """
-
-    step: Step
-    started_at: float
-    ended_at: float = float('inf')
-    where: str = ''
-
-    def __str__(self) -> str:
-        """Return one line of a trace."""
-        return f'{self.started_at:.2f}..{self.ended_at:.2f} {self.step.kind} {self.where}'
-
-
 @dataclass(slots=True)
 class Absence:
     """A worker that left for good; it is not to get anything from ``begins_at`` to ``ends_at``."""
@@ -74,7 +51,6 @@
         super().__init__(directory)
         self.relays: dict[str, Relay] = {}
         self.locks: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
-        self.log_starts: dict[str, int] = {}
         self.incidents: list[Incident] = []
         self.absences: list[Absence] = []
         self.violations: list[str] = []
@@ -87,7 +63,7 @@
             await self.add_worker(f'plain-{number}')
         for number in range(models):
             worker = await self.add_worker(f'model-{number}', MODELS, event_seconds=EVENT_SECONDS)
-            await self.add_sidecar(worker, next_address())
+            await self.add_sidecar(worker)
         for _ in range(entries):
             await self.add_entry(wait=False)
         for entry in self.entries:
@@ -103,6 +79,7 @@
 
     async def add_sidecar(self, worker: PlatformWorker, host: str = '') -> PlatformProcess:
         """Start the program beside a worker, reached through a relay on the worker's address."""
+        host = host or next_address()
         process = await super().add_sidecar(worker, host)
         relay = Relay((host, self.manager_port), sound())
         await relay.listen(worker.host, self.manager_port)
@@ -123,16 +100,6 @@
         """Return the workers of a service."""
         return [worker for worker in self.workers.values() if worker.service == service]
 
-    async def restart_process(self, process: PlatformProcess) -> None:
-        """Start a program anew after it ended."""
-        self.log_starts[process.name] = len(process.log())
-        await process.start()
-
-    def has_started(self, process: PlatformProcess) -> bool:
-        """Tell whether the present life of a program runs, with its signal handlers in place."""
-        alive = process.process is not None and process.process.returncode is None
-        return alive and 'event=started' in process.log()[self.log_starts.get(process.name, 0) :]
-
     def change_configuration(self) -> int:
         """Put the next version of the configuration in force; each one has a route more."""
         self.version += 1
@@ -144,20 +111,19 @@
 
     def violate(self, text: str, since: float = 0.0) -> None:
         """Note a broken promise with the faults around it."""
-        related = [str(incident) for incident in self.incidents if incident.ended_at >= since]
-        self.violations.append('\n    '.join([text, *related]))
+        self.violations.append(trace(text, self.incidents, since))
 
     def struck(self, kinds: tuple[str, ...], since: float, until: float) -> bool:
         """Tell whether a fault of some kinds lasted within a time."""
         return any(
-            incident.step.kind in kinds and incident.started_at <= until and incident.ended_at >= since
+            incident.name in kinds and incident.started_at <= until and incident.ended_at >= since
             for incident in self.incidents
         )
 
     @contextlib.asynccontextmanager
     async def incident(self, step: Step) -> AsyncIterator[Incident]:
         """Note how long a fault lasts."""
-        incident = Incident(step, SYSTEM_CLOCK.monotonic())
+        incident = Incident(step.kind, SYSTEM_CLOCK.monotonic())
         self.incidents.append(incident)
         try:
             yield incident
@@ -185,7 +151,7 @@
         """
 
         async def all_run() -> bool:
-            return all(self.has_started(process) for process in self.processes())
+            return all(process.has_started() for process in self.processes())
 
         await wait_until(all_run, 'all programs run')
         for entry in self.entries:
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -2,10 +2,11 @@
 
 import pytest
 
+from tamarackfield.testing.platform_site import RETRY_ALLOWANCE
 from tamarackfield.testing.platform_worker import Run
 from tamarackfield.testing.soak.callers import Call
 from tamarackfield.testing.soak.main import run_soak
-from tamarackfield.testing.soak.promises import RETRY_ALLOWANCE, Probe, check_call, check_probes, check_retries
+from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
 
 EVENTS = 5
 WHOLE = b''.join(b'id: %d\ndata: event %d\n\n' % (number, number) for number in range(1, EVENTS + 1))
