Start essential tasks again when they fail

Cause: a task without which a process is of no use (the follower of the store, upkeep, admission, the reading of an engine) ended for good on an unexpected error; 'task_failed' was all that showed, and the process went on ready. An order during which the client failed stayed in progress and barred all later orders of that engine. Ruled out: ending the process, which cuts its streams and loses what it knows of the store. Before: two tests of the application and one of the keeper fail. After: they pass; restarts are logged with their cause and counted on the metrics address.

--- a/tamarackfield/core/application.py
+++ b/tamarackfield/core/application.py
@@ -7,10 +7,17 @@
 
 from loguru import logger
 
+from tamarackfield.core.clock import MS_PER_SECOND
+
 #: Seconds after which a task that still runs is cancelled again.
 CANCEL_INTERVAL = 0.5
+#: Shortest and longest pause in seconds before a task that failed is started again; what fails at once does so a
+#: few times in a second, and later no more than once.
+MIN_RESTART_PAUSE = 0.1
+MAX_RESTART_PAUSE = 1.0
 
 Hook = Callable[[], Awaitable[None]]
+Work = Callable[[], Coroutine[Any, Any, Any]]
 
 
 class Application:
@@ -32,6 +39,7 @@
         self.stop_hooks: list[Hook] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.stopping = asyncio.Event()
+        self.restarted_tasks = 0
 
     def on_start(self, hook: Hook) -> None:
         """Add a hook that runs at start."""
@@ -61,6 +69,23 @@
         task.add_done_callback(self.forget)
         return task
 
+    def supervise(self, make_work: Work, name: str) -> asyncio.Task[Any]:
+        """Run a task without which the process is of no use; one that fails is started again.
+
+        Parameters
+        ----------
+        make_work : callable
+            Returns the coroutine of one run. A run may begin where a failed one broke off.
+        name : str
+            Name of the task, for logs.
+
+        Returns
+        -------
+        asyncio.Task
+            The task, which ends as its work returns or is cancelled.
+        """
+        return self.spawn(self._run_again(make_work, name), name)
+
     def forget(self, task: asyncio.Task[Any]) -> None:
         """Drop a finished task and log its failure."""
         self.tasks.discard(task)
@@ -97,6 +122,18 @@
         await self._cancel_tasks()
         logger.bind(instance=self.name).info('stopped')
 
+    async def _run_again(self, make_work: Work, name: str) -> None:
+        pause = MIN_RESTART_PAUSE
+        while True:
+            try:
+                return await make_work()
+            except Exception as exc:  # a fault of any kind must not end the task
+                self.restarted_tasks += 1
+                bound = logger.bind(task=name, error=repr(exc), pause_ms=round(pause * MS_PER_SECOND))
+                bound.opt(exception=exc).error('task_restarted')
+            await asyncio.sleep(pause)
+            pause = min(MAX_RESTART_PAUSE, 2 * pause)
+
     async def _cancel_tasks(self) -> None:
         """Cancel until nothing runs; a task that swallowed a cancellation gets another one."""
         remaining = set(self.tasks)
--- a/tamarackfield/core/tests/test_application.py
+++ b/tamarackfield/core/tests/test_application.py
@@ -37,3 +37,33 @@
         application.on_stop(make_hook(name))
     await application.stop()
     assert order == ['second', 'first']
+
+
+async def test_supervised_task_that_fails_runs_again_and_is_counted():
+    application = Application('test')
+    served = asyncio.Event()
+    runs = []
+
+    async def fail_at_first():
+        runs.append('run')
+        if len(runs) == 1:
+            raise KeyError('an adapter that is not there')
+        served.set()
+        await asyncio.Event().wait()
+
+    application.supervise(fail_at_first, 'essential')
+    await asyncio.wait_for(served.wait(), 30)
+    assert application.restarted_tasks == 1
+    await asyncio.wait_for(application.stop(), 30)
+    assert not application.tasks
+
+
+async def test_supervised_task_that_ends_is_not_run_again():
+    application = Application('test')
+    runs = []
+
+    async def end():
+        runs.append('run')
+
+    await asyncio.wait_for(application.supervise(end, 'short'), 30)
+    assert runs == ['run']
--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -160,11 +160,12 @@
         if settings.peer_listen is not None:
             await self.peers.listen(*settings.peer_listen)
         self.configuration.on_change(self.changed.set)
-        self.application.spawn(self._apply_changes(), 'changes')
+        supervise = self.application.supervise
+        supervise(self._apply_changes, 'changes')
         for follower in self.followers:
-            self.application.spawn(follower.run(), f'follow-{follower.prefix}')
-        self.application.spawn(self.peers.run(), 'peers')
-        self.application.spawn(self._upkeep(), 'upkeep')
+            supervise(follower.run, f'follow-{follower.prefix}')
+        supervise(self.peers.run, 'peers')
+        supervise(self._upkeep, 'upkeep')
 
     async def stop(self) -> None:
         """Fail readiness, wait until the balancer has seen it, then finish what runs."""
@@ -210,6 +211,7 @@
             'target_connections_reused': lambda: self.pool.reused,
             'targets_listed': lambda: len(self.directory.targets),
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
+            'tasks_restarted': lambda: self.application.restarted_tasks,
             'store_revision': lambda: self.replica.revision,
             'store_down': lambda: sum(contact.down for contact in self.replica.contacts),
         }
--- a/tamarackfield/manager/app.py
+++ b/tamarackfield/manager/app.py
@@ -51,8 +51,8 @@
         await self.server.listen(*self.listen)
         if self.metrics_port:
             await self.metrics_server.listen(self.listen[0], self.metrics_port)
-        self.application.spawn(self.keeper.watch(), 'engine')
-        self.application.spawn(self.server.drive(), 'admission')
+        self.application.supervise(self.keeper.watch, 'engine')
+        self.application.supervise(self.server.drive, 'admission')
 
     async def stop(self) -> None:
         """Tell entries that this process ends; requests that it granted go on without it."""
@@ -71,4 +71,5 @@
         self.series.gauge('granted', lambda: len(keeper.admission.granted))
         self.series.gauge('waiting', lambda: len(keeper.admission.waiting))
         self.series.gauge('adapters_in_place', lambda: len(keeper.admission.residency.residents))
+        self.series.gauge('tasks_restarted', lambda: self.application.restarted_tasks)
         self.series.gauge('engine_reachable', lambda: int(keeper.admission.reachable))
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -89,8 +89,11 @@
     async def carry_out(self, plan: Plan) -> None:
         """Give the orders of a plan, one after another."""
         for order in plan.orders:
-            accepted = await self._give(order)
-            self.admission.finish(order, accepted, BOOT_CLOCK.monotonic())
+            accepted = False
+            try:
+                accepted = await self._give(order)
+            finally:
+                self.admission.finish(order, accepted, BOOT_CLOCK.monotonic())
         if plan.orders:
             await self.read()
             self.changed.set()
--- a/tamarackfield/manager/tests/test_engine.py
+++ b/tamarackfield/manager/tests/test_engine.py
@@ -157,3 +157,18 @@
     assert keeper.is_ready()
     await keeper.read()
     assert not keeper.is_ready()
+
+
+async def test_order_that_fails_unexpectedly_does_not_bar_later_orders(keeper, engine):
+    engine.models = frozenset(('m',))
+    await keeper.read()
+    order = LoadOrder('m/a1', 1)
+    keeper.admission.ordered.append(order)
+
+    async def fail(*_):
+        raise RuntimeError('fault in the client')
+
+    engine.give_order = fail
+    with pytest.raises(RuntimeError):
+        await keeper.carry_out(Plan(orders=[order]))
+    assert not keeper.admission.ordered
--- a/tamarackfield/platform/main.py
+++ b/tamarackfield/platform/main.py
@@ -104,7 +104,7 @@
 async def _run(application: Application, path: str, reload_settings: Reload) -> None:
     asked = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, asked.set)
-    application.spawn(_watch_settings(path, asked, reload_settings), 'settings')
+    application.supervise(lambda: _watch_settings(path, asked, reload_settings), 'settings')
     await application.run()
 
 
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -34,7 +34,7 @@
 #: Seconds after the last fault in which everything is served again, as the pages of the platform ask.
 RECOVERY_SECONDS = 15.0
 _LAG_INTERVAL = 0.05
-_ERROR_MARKS = ('Traceback', 'event=handler_failed', 'event=task_failed')
+_ERROR_MARKS = ('Traceback', 'event=handler_failed', 'event=task_failed', 'event=task_restarted')
 
 
 @dataclass(slots=True)
