Count unreported requests only while a sidecar reports

Cause: each attempt raised the count of requests that the next report would show; without a sidecar none comes, so the count and with it the expected cost of that engine only grew, and its adapters were fetched elsewhere. Before: two tests (attempts, fleet) fail. After: they pass.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -76,8 +76,6 @@
         """Make one attempt; whatever ends it, its place and its connection are given back."""
         with contextlib.ExitStack() as clean_up:
             place = Place()
-            target.view.unreported += 1
-            target.view.unreported_tokens += journey.call.prompt_tokens
             if journey.adapter_key():
                 refused = await self._reserve(journey, target, place)
                 clean_up.callback(place.release)
@@ -95,6 +93,9 @@
         link = self.fleet.link_of(target)
         if link is None:
             return None
+        # Until the next report of the sidecar shows it.
+        target.view.unreported += 1
+        target.view.unreported_tokens += journey.call.prompt_tokens
         try:
             number, answer = await link.reserve(self._make_wish(journey))
         except (StreamClosedError, PeerBusyError) as exc:
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -217,7 +217,7 @@
         host = address[0]
         link = ManagerLink(address, self.hello, lambda: self._facts(host), lambda: self._refresh_host(host))
         self.links[host] = link
-        self.tasks[host] = self.application.spawn(link.run(), f'sidecar-{host}')
+        self.tasks[host] = self.application.supervise(link.run, f'sidecar-{host}')
 
     def _facts(self, host: str) -> Facts | None:
         """Return what the sidecar on a machine is told of its target."""
@@ -245,6 +245,8 @@
         if report is None or holdings is None or report.incarnation != target.record.started_ms:
             view.residents = frozenset(self._current(target.record.holdings))
             view.loading = frozenset()
+            view.unreported = 0
+            view.unreported_tokens = 0
             return
         if report.entries > self.entries:
             # Never counted down: an entry that is cut off from some sidecars must not take the part of others.
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -101,3 +101,15 @@
     fleet.versions.announce('base/a1', 2)
     fleet.refresh()
     assert 'base/a1' not in target_of(fleet).view.residents
+
+
+def test_count_of_unreported_requests_ends_with_the_reports_of_the_sidecar():
+    record = make_target('t1', 'models', address=('127.0.0.1', 1), holdings=('base', 'base/a1@1'))
+    fleet = make_fleet(record)
+    fake = FakeLink(1, ['base', 'base/a1@1'])
+    link(fleet, 't1', fake)
+    view = target_of(fleet).view
+    view.unreported, view.unreported_tokens = 40, 20_000
+    fake.report = None
+    fleet.refresh()
+    assert (view.unreported, view.unreported_tokens) == (0, 0)
