Trust rested connections less where resets follow rests

Cause: targets may forget idle connections early and without a word; a filing sent on one within the 1.5 s that were always trusted is reset and ends in 502, since it may have run.

--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -68,7 +68,9 @@
         self.failure = ''
         self.ended = False
         self.unread = 0
+        self.answered = False
         self.released_at = 0.0
+        self.rested_seconds = 0.0
         self.keep_seconds = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,6 +83,7 @@
         if not self.busy:
             self.fail('bytes arrived outside an exchange')
             return
+        self.answered = True
         self.parser.receive_data(data)
         self.unread += len(data)
         if self.unread > MAX_UNREAD_BYTES:
@@ -128,6 +131,7 @@
         if self.ended or self.transport.is_closing():
             raise ClientError('connection had ended', 'send', self.peer, sent=False)
         self.busy = True
+        self.answered = False
         self.request = request
         self.body = body
         self.transport.write(self._encode())
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -4,7 +4,10 @@
 import contextlib
 from collections import deque
 
-from tamarackfield.core.clock import BOOT_CLOCK
+from loguru import logger
+
+from tamarackfield.core.clock import BOOT_CLOCK, MS_PER_SECOND
+from tamarackfield.policy.idle_times import TrustedRest
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 
@@ -29,6 +32,7 @@
     def __init__(self) -> None:
         """Start with no connection."""
         self.idle: dict[Address, deque[TargetConnection]] = {}
+        self.rests: dict[Address, TrustedRest] = {}
         self.opened = 0
         self.reused = 0
 
@@ -59,6 +63,15 @@
         self.opened += 1
         return await open_connection(address)
 
+    def note_reset(self, address: Address, connection: TargetConnection) -> None:
+        """Note that a connection ended before any byte of an answer; its rest is taken for the reason."""
+        now = BOOT_CLOCK.monotonic()
+        rest = self.rests.setdefault(address, TrustedRest())
+        if rest.note_reset(connection.rested_seconds, now):
+            rested_ms = round(connection.rested_seconds * MS_PER_SECOND)
+            trusted_ms = round(rest.longest(now) * MS_PER_SECOND)
+            logger.bind(peer=connection.peer, rested_ms=rested_ms, trusted_ms=trusted_ms).info('rests_shortened')
+
     def release(self, address: Address, connection: TargetConnection, max_idle: int = MAX_IDLE) -> None:
         """Take a connection back; it is closed unless it can serve another exchange and few are idle."""
         if not connection.release():
@@ -71,6 +84,7 @@
     def prune(self) -> None:
         """Close what has been idle for too long or has ended."""
         now = BOOT_CLOCK.monotonic()
+        self.rests = {address: rest for address, rest in self.rests.items() if rest.longest(now) < KEEP_SECONDS}
         for address, waiting in list(self.idle.items()):
             kept = deque(connection for connection in waiting if _is_usable(connection, now, KEEP_SECONDS))
             for connection in waiting:
@@ -90,9 +104,12 @@
     def _take_idle(self, address: Address, max_idle_seconds: float) -> TargetConnection | None:
         waiting = self.idle.get(address, ())
         now = BOOT_CLOCK.monotonic()
+        rest = self.rests.get(address)
+        longest = max_idle_seconds if rest is None else min(max_idle_seconds, rest.longest(now))
         while waiting:
             connection = waiting.pop()
-            if _is_usable(connection, now, max_idle_seconds):
+            if _is_usable(connection, now, longest):
+                connection.rested_seconds = now - connection.released_at
                 return connection
             connection.fail('idle for too long')
         return None
