Import only the modules of the program that starts

Cause: both programs on the platform imported the modules of both, and packages that re-export every name brought in the decisions and messages of the own interface, which no process on the platform uses. Change: one module a program; messages of the own interface in wire.runs; policy re-exports what both edges use; one type for addresses in place of four.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -13,7 +13,9 @@
 from tamarackfield.bundle import TargetEntry
 from tamarackfield.core import Application
 from tamarackfield.entry.fleet import Fleet
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS, Ring, RoutingRequest, TargetView
+from tamarackfield.policy import Ring, RoutingRequest, TargetView
+from tamarackfield.policy.queueing import QUEUE_ORDERS
+from tamarackfield.policy.slots import EVICTIONS
 from tamarackfield.sidecar.jobs import Job, Load, Unload
 from tamarackfield.sidecar.scheduler import Scheduler
 
--- a/benchmarks/fake_peers.py
+++ b/benchmarks/fake_peers.py
@@ -13,10 +13,11 @@
 from tamarackfield.ledger import Coverage, Ledger
 from tamarackfield.observe.audit import AuditTrail
 from tamarackfield.observe.metrics import Metrics
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
+from tamarackfield.policy.queueing import QUEUE_ORDERS
+from tamarackfield.policy.slots import EVICTIONS
+from tamarackfield.sidecar.jobs import Slot, SlotState
 from tamarackfield.sidecar.keyed import KeyedCalls
 from tamarackfield.sidecar.peers import PeerServer
-from tamarackfield.sidecar.jobs import Slot, SlotState
 from tamarackfield.sidecar.scheduler import Scheduler
 from tamarackfield.sidecar.target import TargetAddress
 from tamarackfield.sidecar.worker import TargetWorker
--- a/tamarackfield/bundle/acceptance.py
+++ b/tamarackfield/bundle/acceptance.py
@@ -8,8 +8,8 @@
 from tamarackfield.bundle.delta import Release
 from tamarackfield.bundle.model import Bundle
 from tamarackfield.bundle.signing import Envelope, SignatureError, open_envelope
-from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core import format_problems
+from tamarackfield.core.errors import TamarackfieldError
 
 #: Changes of the signing keys that are kept for peers that missed them.
 MAX_ROTATIONS = 16
--- a/tamarackfield/bundle/signing.py
+++ b/tamarackfield/bundle/signing.py
@@ -12,7 +12,6 @@
 
 from tamarackfield.core.errors import TamarackfieldError
 
-
 #: Members of an envelope, all text.
 ENVELOPE_MEMBERS = ('payload', 'signature', 'public_key')
 
--- a/tamarackfield/bundle/tests/test_validation.py
+++ b/tamarackfield/bundle/tests/test_validation.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tamarackfield.bundle import find_bundle_problems
-from tamarackfield.core.settings import find_problems
 from tamarackfield.bundle.schema import BUNDLE_SCHEMA
+from tamarackfield.core.settings import find_problems
 
 HASH = 'a' * 64
 GOOD = {
--- a/tamarackfield/core/__init__.py
+++ b/tamarackfield/core/__init__.py
@@ -5,12 +5,13 @@
 from tamarackfield.core.errors import RequestError, TamarackfieldError
 from tamarackfield.core.ids import AdapterRef, new_incarnation, parse_adapter_ref
 from tamarackfield.core.outcome import Outcome
-from tamarackfield.core.problems import Problem, format_problems, json_path, split_address
+from tamarackfield.core.problems import Address, Problem, format_problems, json_path, split_address
 
 __all__ = [
     'BOOT_CLOCK',
     'SYSTEM_CLOCK',
     'AdapterRef',
+    'Address',
     'Application',
     'Clock',
     'Outcome',
--- a/tamarackfield/core/problems.py
+++ b/tamarackfield/core/problems.py
@@ -7,6 +7,8 @@
 #: Highest TCP or UDP port.
 MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
+#: IP number and port.
+Address = tuple[str, int]
 _PLAIN_NAME = re.compile('[A-Za-z_][A-Za-z0-9_]*')
 
 
@@ -43,7 +45,7 @@
     return f'.{part}' if _PLAIN_NAME.fullmatch(part) else f'[{part!r}]'
 
 
-def split_address(text: str) -> tuple[str, int]:
+def split_address(text: str) -> Address:
     """Split ``ip:port`` into its parts.
 
     Parameters
--- a/tamarackfield/entry/fleet.py
+++ b/tamarackfield/entry/fleet.py
@@ -9,8 +9,10 @@
 from tamarackfield.core import Application, RequestError
 from tamarackfield.discovery import Sighting
 from tamarackfield.entry.links import Link
-from tamarackfield.policy import ROUTERS, Ring, Router, RoutingRequest, TargetView, Weights, rendezvous_order
-from tamarackfield.policy.routers import DEFAULT_ROUTER
+from tamarackfield.policy import Ring, RoutingRequest, TargetView, Weights
+from tamarackfield.policy.placement import rendezvous_order
+from tamarackfield.policy.routers import DEFAULT_ROUTER, ROUTERS
+from tamarackfield.policy.routing import Router
 
 MakeLink = Callable[[TargetEntry], Link]
 
--- a/tamarackfield/entry/homes.py
+++ b/tamarackfield/entry/homes.py
@@ -6,7 +6,7 @@
 from tamarackfield.core.errors import RequestError, refusal
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.ledger import IssuedKeyError, parse_issued_key
-from tamarackfield.policy import home_target
+from tamarackfield.policy.placement import home_target
 from tamarackfield.web import HttpRequest
 
 KEY_HEADER = 'idempotency-key'
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -14,24 +14,8 @@
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.policy import TargetView
-from tamarackfield.wire import (
-    Cancel,
-    Chunk,
-    Credit,
-    Draining,
-    End,
-    Fail,
-    Head,
-    Hello,
-    Holdings,
-    KeyEpoch,
-    LoadReport,
-    Message,
-    PeerStream,
-    StreamClosedError,
-    Submit,
-    connect,
-)
+from tamarackfield.wire import Draining, Hello, Holdings, LoadReport, Message, PeerStream, StreamClosedError, connect
+from tamarackfield.wire.runs import Cancel, Chunk, Credit, End, Fail, Head, KeyEpoch, Submit
 from tamarackfield.wire.stream import PeerBusyError
 
 #: Shortest and longest pause between two attempts to connect, in seconds.
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -12,9 +12,11 @@
 from tamarackfield.entry.keys import run_keyed
 from tamarackfield.entry.links import Exchange, Link
 from tamarackfield.observe.metrics import Metrics
-from tamarackfield.policy import RetryBudget, RoutingRequest
+from tamarackfield.policy import RoutingRequest
+from tamarackfield.policy.retries import RetryBudget
 from tamarackfield.web import Responder
-from tamarackfield.wire import Chunk, End, Fail, Head, Message, Submit
+from tamarackfield.wire import Message
+from tamarackfield.wire.runs import Chunk, End, Fail, Head, Submit
 
 #: Most targets that one call is sent to.
 MAX_ATTEMPTS = 3
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -14,7 +14,6 @@
 from tamarackfield.policy import TargetView
 from tamarackfield.policy.health import TargetHealth
 
-
 #: Connections to a target until it is known how many it accepts and how many entries share them.
 DEFAULT_MAX_OPEN = 32
 
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -7,11 +7,11 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, Application
+from tamarackfield.core import BOOT_CLOCK, Address, Application
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.links import ManagerLink
-from tamarackfield.gateway.model import Address, Catalog, Engine, Versions
+from tamarackfield.gateway.model import Catalog, Engine, Versions
 from tamarackfield.policy import Ring, RoutingRequest, TargetView, Weights
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import keep_enough
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -8,9 +8,8 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import LEAST_SPREAD
 from tamarackfield.policy.prompts import NOTICED_SECONDS
 from tamarackfield.wire.grants import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-Address = tuple[str, int]
+from tamarackfield.core import Address
+
 HeaderLines = list[tuple[bytes, bytes]]
 
 
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -6,9 +6,8 @@
 
 from loguru import logger
 
-from tamarackfield.core import SYSTEM_CLOCK, TamarackfieldError
+from tamarackfield.core import SYSTEM_CLOCK, Address, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import LEAST_SPREAD, Follower, Item, Replica
 from tamarackfield.wire.grants import AskItems, Items
 from tamarackfield.wire.messages import Hello
--- a/tamarackfield/gateway/settings.py
+++ b/tamarackfield/gateway/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from tamarackfield.gateway.model import Address
+from tamarackfield.core import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackfield/ledger/coverage.py
+++ b/tamarackfield/ledger/coverage.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from tamarackfield.ledger.issued import IssuedKey, parse_issued_key
-from tamarackfield.policy import home_target
+from tamarackfield.policy.placement import home_target
 
 _MS_PER_SECOND = 1000
 
--- a/tamarackfield/ledger/tests/test_at_most_once_machine.py
+++ b/tamarackfield/ledger/tests/test_at_most_once_machine.py
@@ -20,7 +20,7 @@
     fingerprint_of,
     issue_key,
 )
-from tamarackfield.policy import home_target
+from tamarackfield.policy.placement import home_target
 
 HORIZON = 100.0
 CALLER = 'clinic'
--- a/tamarackfield/manager/app.py
+++ b/tamarackfield/manager/app.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from tamarackfield.core import Application, RequestError
+from tamarackfield.core import Address, Application, RequestError
 from tamarackfield.manager.engine import EngineKeeper
 from tamarackfield.manager.model import EngineClient
 from tamarackfield.manager.server import ManagerServer
@@ -11,8 +11,6 @@
 from tamarackfield.web.text import answer_error, send_text
 from tamarackfield.wire.messages import Hello
 
-Address = tuple[str, int]
-
 
 class Manager:
     """Wires one sidecar together.
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -5,11 +5,10 @@
 
 from loguru import logger
 
-from tamarackfield.core import TamarackfieldError
-from tamarackfield.gateway.model import Address
+from tamarackfield.core import Address, TamarackfieldError
 from tamarackfield.manager.admission import ModelOrder
 from tamarackfield.manager.model import EngineState, OrderResult, OrderTerms
-from tamarackfield.platform.items import MALFORMED, read_holdings
+from tamarackfield.platform.holdings import MALFORMED, read_holdings
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.calls import call_json
 from tamarackfield.web.client import ClientError
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -8,13 +8,12 @@
 from tamarackfield.gateway.configuration import AdapterVersion, Decoded, TargetGone, Unreadable
 from tamarackfield.gateway.model import BaseModel, Catalog, Engine, Limits, Route, Service, TargetRecord
 from tamarackfield.gateway.replica import Item
+from tamarackfield.platform.holdings import MALFORMED, read_holdings
 
 #: Keys that the operator writes.
 OPERATOR_PREFIX = 'op/'
 #: Keys that workers write, each under its id.
 WORKER_PREFIX = 'servers/'
-#: What decoding raises on bytes or fields that make no sense.
-MALFORMED = (AttributeError, LookupError, TypeError, ValueError, RecursionError)
 _CONFIG_KEY = 'op/config'
 _VERSION_PREFIX = 'op/version/'
 _STATES = frozenset(('ready', 'draining'))
@@ -145,19 +144,3 @@
         started_ms=started_ms,
         holdings=tuple(read_holdings(entry.get('models', []))),
     )
-
-
-def read_holdings(models: list[dict[str, Any]]) -> list[str]:
-    """Return what a worker holds: each model, and each adapter as ``model/adapter@version``.
-
-    Examples
-    --------
-    >>> read_holdings([{'name': 'base', 'version': 1, 'adapters': ['a3@2']}])
-    ['base', 'base/a3@2']
-    """
-    held = []
-    for model in models:
-        name = model['name']
-        held.append(name)
-        held.extend(f'{name}/{adapter}' for adapter in model.get('adapters', []))
-    return held
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -6,10 +6,10 @@
 
 from loguru import logger
 
+from tamarackfield.core import Address
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.gateway.model import Address
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
-from tamarackfield.platform.items import MALFORMED
+from tamarackfield.platform.holdings import MALFORMED
 from tamarackfield.web.calls import call_json
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import ConnectionPool
--- a/tamarackfield/policy/tests/test_fairness.py
+++ b/tamarackfield/policy/tests/test_fairness.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tamarackfield.policy import QUEUE_ORDERS, Waiting
+from tamarackfield.policy.queueing import QUEUE_ORDERS, Waiting
 
 CALLERS = ('north', 'south', 'east')
 BATCH = 3
--- a/tamarackfield/policy/tests/test_names.py
+++ b/tamarackfield/policy/tests/test_names.py
@@ -4,7 +4,10 @@
 
 from tamarackfield.bundle import find_bundle_problems
 from tamarackfield.bundle.schema import POLICY_SCHEMA
-from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS, ROUTERS
+from tamarackfield.policy.admission import ADMISSIONS
+from tamarackfield.policy.queueing import QUEUE_ORDERS
+from tamarackfield.policy.routers import ROUTERS
+from tamarackfield.policy.slots import EVICTIONS
 
 REGISTRIES = {
     'routing': ROUTERS,
--- a/tamarackfield/sidecar/decisions.py
+++ b/tamarackfield/sidecar/decisions.py
@@ -1,10 +1,9 @@
 """The decision functions of a sidecar's scheduler, by their names in the bundle."""
 
 from tamarackfield.bundle import Bundle, TargetEntry
-from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS
-from tamarackfield.policy.admission import DEFAULT_ADMISSION
-from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER
-from tamarackfield.policy.slots import DEFAULT_EVICTION
+from tamarackfield.policy.admission import ADMISSIONS, DEFAULT_ADMISSION
+from tamarackfield.policy.queueing import DEFAULT_QUEUE_ORDER, QUEUE_ORDERS
+from tamarackfield.policy.slots import DEFAULT_EVICTION, EVICTIONS
 from tamarackfield.sidecar.scheduler import Scheduler
 
 
--- a/tamarackfield/sidecar/dispatch.py
+++ b/tamarackfield/sidecar/dispatch.py
@@ -8,12 +8,12 @@
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.ledger import Answer
 from tamarackfield.sidecar.events import Ended
-from tamarackfield.sidecar.keyed import RunCall
 from tamarackfield.sidecar.jobs import Job
+from tamarackfield.sidecar.keyed import RunCall
 from tamarackfield.sidecar.target import error_from_client, new_job, passed_headers
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, open_request
-from tamarackfield.wire import Submit
+from tamarackfield.wire.runs import Submit
 
 
 def make_run_call(name: str, address: tuple[str, int], worker: TargetWorker) -> RunCall:
--- a/tamarackfield/sidecar/homes.py
+++ b/tamarackfield/sidecar/homes.py
@@ -10,7 +10,8 @@
 from tamarackfield.core import SYSTEM_CLOCK, TamarackfieldError
 from tamarackfield.ledger import Coverage, Ledger
 from tamarackfield.sidecar.keyed import KeyedCalls, RunCall
-from tamarackfield.wire import AskKey, Hello, KeyGiven, connect
+from tamarackfield.wire import Hello, connect
+from tamarackfield.wire.runs import AskKey, KeyGiven
 
 #: Seconds allowed for asking an earlier home.
 ASK_TIMEOUT = 2.0
--- a/tamarackfield/sidecar/keyed.py
+++ b/tamarackfield/sidecar/keyed.py
@@ -26,7 +26,7 @@
     fingerprint_of,
 )
 from tamarackfield.sidecar.reply import Reply
-from tamarackfield.wire import KeyEpoch, Submit
+from tamarackfield.wire.runs import KeyEpoch, Submit
 
 #: Asks an earlier home for a caller's key; true if the key never ran there and never will.
 AskHome = Callable[[str, str], Awaitable[bool]]
--- a/tamarackfield/sidecar/peers.py
+++ b/tamarackfield/sidecar/peers.py
@@ -12,21 +12,9 @@
 from tamarackfield.sidecar.reports import make_holdings, make_report
 from tamarackfield.sidecar.runs import run_request
 from tamarackfield.sidecar.target import TargetAddress
-from tamarackfield.wire import (
-    AskKey,
-    Cancel,
-    Credit,
-    Draining,
-    Hello,
-    Holdings,
-    KeyGiven,
-    LoadReport,
-    Message,
-    PeerStream,
-    StreamClosedError,
-    Submit,
-)
+from tamarackfield.wire import Draining, Hello, Holdings, LoadReport, Message, PeerStream, StreamClosedError
 from tamarackfield.wire.reporting import report_changes
+from tamarackfield.wire.runs import AskKey, Cancel, Credit, KeyGiven, Submit
 from tamarackfield.wire.stream import PeerBusyError
 
 #: Longest time between two epochs for issuing keys, in seconds.
--- a/tamarackfield/sidecar/reply.py
+++ b/tamarackfield/sidecar/reply.py
@@ -4,7 +4,8 @@
 import contextlib
 
 from tamarackfield.core.errors import RequestError
-from tamarackfield.wire import Chunk, End, Fail, Head, PeerStream, StreamClosedError
+from tamarackfield.wire import PeerStream, StreamClosedError
+from tamarackfield.wire.runs import Chunk, End, Fail, Head
 
 #: Largest chunk that is sent in one frame, in bytes.
 CHUNK_BYTES = 65_536
--- a/tamarackfield/sidecar/runs.py
+++ b/tamarackfield/sidecar/runs.py
@@ -9,8 +9,8 @@
 from tamarackfield.sidecar.cancel import release
 from tamarackfield.sidecar.echo import EventStream, check_echo
 from tamarackfield.sidecar.events import Doubted, Ended
-from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.jobs import Job, stall_seconds
+from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.resume import resumed_chunks
 from tamarackfield.sidecar.target import (
     TargetAddress,
@@ -20,7 +20,7 @@
     passed_headers,
 )
 from tamarackfield.web import ClientError, ClientResponse
-from tamarackfield.wire import Submit
+from tamarackfield.wire.runs import Submit
 
 #: Share of a new sample in the smoothed time of a request.
 _SMOOTHING = 0.0625
--- a/tamarackfield/sidecar/tests/test_orders_machine.py
+++ b/tamarackfield/sidecar/tests/test_orders_machine.py
@@ -13,7 +13,8 @@
 from tamarackfield.core import Application
 from tamarackfield.observe.audit import AuditTrail
 from tamarackfield.observe.metrics import Metrics
-from tamarackfield.policy import EVICTIONS, QUEUE_ORDERS
+from tamarackfield.policy.queueing import QUEUE_ORDERS
+from tamarackfield.policy.slots import EVICTIONS
 from tamarackfield.sidecar.engine import EngineError, EngineStatus
 from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, OrderDone, OrderFailed, StatusRead
 from tamarackfield.sidecar.jobs import Dispatch, Job, Load, Unload
--- a/tamarackfield/sidecar/tests/test_scheduler.py
+++ b/tamarackfield/sidecar/tests/test_scheduler.py
@@ -5,7 +5,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tamarackfield.policy import ADMISSIONS, EVICTIONS, QUEUE_ORDERS
+from tamarackfield.policy.admission import ADMISSIONS
+from tamarackfield.policy.queueing import QUEUE_ORDERS
+from tamarackfield.policy.slots import EVICTIONS
 from tamarackfield.sidecar.jobs import Dispatch, Job, Load, Refuse, SlotState, Unload
 from tamarackfield.sidecar.scheduler import Scheduler
 
--- a/tamarackfield/sidecar/worker.py
+++ b/tamarackfield/sidecar/worker.py
@@ -13,9 +13,9 @@
 from tamarackfield.observe.metrics import Metrics
 from tamarackfield.sidecar.engine import EngineClient, EngineStatus
 from tamarackfield.sidecar.events import Arrived, Claimed, Doubted, Ended, Event, OrderDone, OrderFailed, StatusRead
+from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Unload
 from tamarackfield.sidecar.orders import give_order
 from tamarackfield.sidecar.ownership import Ownership
-from tamarackfield.sidecar.jobs import Action, Dispatch, Job, Load, Refuse, Unload
 from tamarackfield.sidecar.scheduler import Scheduler, is_idle
 from tamarackfield.sidecar.settling import lose_order, reconcile
 
--- a/tamarackfield/testing/bookings.py
+++ b/tamarackfield/testing/bookings.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tamarackfield.core import SYSTEM_CLOCK
-from tamarackfield.policy import home_target
+from tamarackfield.policy.placement import home_target
 from tamarackfield.testing.cluster import Cluster
 from tamarackfield.testing.processes import HOST, wait_until
 from tamarackfield.web import fetch
--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -7,14 +7,13 @@
 
 import h11
 
-from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.core import SYSTEM_CLOCK, Address
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.testing.platform_site import HOST_NAME
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 from tamarackfield.web.pool import ConnectionPool
 
-Address = tuple[str, int]
 #: Longest idle time in seconds of a caller's connection; the entry keeps them for longer.
 REUSE_SECONDS = 12.0
 #: Seconds beyond its deadline after which a call that was not answered counts as held.
--- a/tamarackfield/web/calls.py
+++ b/tamarackfield/web/calls.py
@@ -6,9 +6,10 @@
 
 import h11
 
+from tamarackfield.core import Address
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
-from tamarackfield.web.pool import Address, ConnectionPool
+from tamarackfield.web.pool import ConnectionPool
 
 #: Largest answer, in bytes; the stores that are read keep pages to a megabyte before encoding.
 MAX_ANSWER_BYTES = 8_388_608
--- a/tamarackfield/web/limits.py
+++ b/tamarackfield/web/limits.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-
 _MEBIBYTE = 1024 * 1024
 
 
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from tamarackfield.core.clock import BOOT_CLOCK, MS_PER_SECOND
+from tamarackfield.core.problems import Address
 from tamarackfield.policy.idle_times import TrustedRest
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
@@ -20,8 +21,6 @@
 #: Most idle connections that are kept to one address.
 MAX_IDLE = 32
 
-Address = tuple[str, int]
-
 
 class ConnectionPool:
     """Connections by address; the one that was used last is handed out first.
--- a/tamarackfield/wire/tests/test_reporting.py
+++ b/tamarackfield/wire/tests/test_reporting.py
@@ -1,5 +1,6 @@
 """Reports say what changed, and stay below the byte limit however many entries there are."""
 
+from tamarackfield.wire import Holdings, LoadReport, encode
 from tamarackfield.wire.reporting import (
     REPORT_BYTES,
     REPORT_BYTES_PER_SECOND,
@@ -7,7 +8,6 @@
     report_interval,
     send_changes,
 )
-from tamarackfield.wire import Holdings, LoadReport, encode
 
 
 class RecordingStream:
