Shed callers while an entry does not keep up

Cause: the balancer shares callers evenly over entries that say that they are ready; one whose machine is slow, or that gets more than its processor can carry, kept its callers and answered them late. An entry whose timers lag for a second fails readiness, and closes connections after their answers once the balancer must have noticed; four seconds at first, longer each time that it lags again soon. Ruled out: refusing requests there, which runs nothing sooner for callers on open connections.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -19,6 +19,7 @@
 from tamarackfield.gateway.peers import PeerExchange
 from tamarackfield.gateway.replica import Follower, Item, Replica, StoreReader
 from tamarackfield.gateway.settings import GatewaySettings
+from tamarackfield.gateway.upkeep import BALANCER_SECONDS, Upkeep
 from tamarackfield.observe.series import Series
 from tamarackfield.policy.shared_retries import SharedRetries
 from tamarackfield.web import HttpLimits, HttpRequest, HttpServer, Responder
@@ -26,17 +27,10 @@
 from tamarackfield.web.text import answer_error, send_text
 from tamarackfield.wire.messages import Hello
 
-#: Seconds between failing readiness and closing the listener: a balancer that asks once a second
-#: takes an entry out after two failures.
-BALANCER_SECONDS = 2.6
 #: Seconds before the end of the grace time at which requests that still run are cut.
 GRACE_MARGIN_SECONDS = 0.5
-#: Seconds between two looks at idle connections, vanished targets and the suspension of the machine.
-UPKEEP_SECONDS = 0.25
 #: Least time in seconds that a whole request may take to arrive, its body included.
 LEAST_REQUEST_SECONDS = 10.0
-#: Suspension in seconds that is acted upon.
-SUSPENSION_SECONDS = 0.2
 #: Share of the time in which a leaving target must get nothing new that is spent between two
 #: readings of the instance list.
 LIST_REST_SHARE = 0.5
@@ -114,6 +108,7 @@
         self.server = HttpServer(self.interface.handle, answer_error, clock=BOOT_CLOCK, id_header=edge.id_header)
         self.ready_server = HttpServer(self.answer_ready, answer_error)
         self.metrics_server = HttpServer(self.answer_metrics, answer_error)
+        self.upkeep = Upkeep(self.pool, directory, self.dispatcher, self.server)
         self._build_readers()
         self._add_gauges()
         self.application.on_start(self.start)
@@ -127,7 +122,8 @@
     def is_ready(self) -> bool:
         """Tell whether this entry takes new connections."""
         listed = self.edge.instance_prefix in self.replica.complete
-        return self.configuration.catalog is not None and listed and not self.draining
+        informed = self.configuration.catalog is not None and listed
+        return informed and not self.draining and not self.upkeep.is_shedding()
 
     def budget_for(self, service: str) -> SharedRetries:
         """Return the retry budget of a service."""
@@ -165,7 +161,7 @@
         for follower in self.followers:
             supervise(follower.run, f'follow-{follower.prefix}')
         supervise(self.peers.run, 'peers')
-        supervise(self._upkeep, 'upkeep')
+        supervise(self.upkeep.run, 'upkeep')
 
     async def stop(self) -> None:
         """Fail readiness, wait until the balancer has seen it, then finish what runs."""
@@ -211,6 +207,7 @@
             'target_connections_reused': lambda: self.pool.reused,
             'targets_listed': lambda: len(self.directory.targets),
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
+            'shedding_callers': lambda: int(self.upkeep.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
             'store_revision': lambda: self.replica.revision,
             'store_down': lambda: sum(contact.down for contact in self.replica.contacts),
@@ -237,16 +234,3 @@
             )
         self.fleet.catalog = catalog
         self.fleet.sync()
-
-    async def _upkeep(self) -> None:
-        """Close old connections, drop vanished targets, and notice that the machine was suspended."""
-        lag = BOOT_CLOCK.monotonic() - SYSTEM_CLOCK.monotonic()
-        while True:
-            await asyncio.sleep(UPKEEP_SECONDS)
-            self.pool.prune()
-            self.directory.expire()
-            before, lag = lag, BOOT_CLOCK.monotonic() - SYSTEM_CLOCK.monotonic()
-            if lag - before > SUSPENSION_SECONDS:
-                logger.bind(seconds=round(lag - before, 3)).warning('resumed_after_suspension')
-                self.pool.close()
-                self.dispatcher.recheck_deadlines()
--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -263,3 +263,27 @@
     with pytest.raises(ClientError):
         async with model.stream('/draft/x', [ADAPTER]) as response:
             await read_events(response)
+
+
+async def test_entry_that_does_not_keep_up_sheds_callers_until_it_does(one):
+    entry = one.entries[0]
+    while 'event=overload' not in entry.log():
+        entry.freeze()
+        await asyncio.sleep(0.6)
+        entry.thaw()
+        await asyncio.sleep(0.05)
+    assert await ask_ready(entry) == b'HTTP/1.1 503'
+    status, _, _ = await one.call('/look/x')
+    assert status == 200
+    await entry.wait_log('shedding=False')
+    assert await ask_ready(entry) == b'HTTP/1.1 200'
+
+
+async def ask_ready(entry):
+    """Return the first bytes of what an entry answers to the balancer."""
+    port, path = entry.health
+    reader, writer = await asyncio.open_connection(entry.host, port)
+    writer.write(f'GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'.encode())
+    answer = await reader.read()
+    writer.close()
+    return answer[:12]
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -41,6 +41,13 @@
         Stamps requests with their time of arrival.
     id_header : str
         Header that carries the id of a request, both ways.
+
+    Attributes
+    ----------
+    retiring : bool
+        Whether each connection closes after its next answer, for good.
+    shedding : bool
+        Whether it does so for now.
     """
 
     def __init__(
@@ -62,6 +69,7 @@
         self.busy: set[asyncio.Task[None]] = set()
         self.idle: set[asyncio.Task[None]] = set()
         self.retiring = False
+        self.shedding = False
         self.draining = False
         self.port = 0
 
@@ -178,7 +186,7 @@
             self.protocol,
             self.writer,
             server.limits.write_seconds,
-            lambda: server.retiring,
+            lambda: server.retiring or server.shedding,
             server.id_header,
         )
         responder.request_id = choose_request_id('')
