Bound the trusted rest of a connection at any uptime

The test with a year of uptime fails before. A request that ends in a fault of the program is logged as 'failed' with the fault, no longer as 'cut'.

--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -15,7 +15,7 @@
 from tamarackfield.gateway.matching import choose_service
 from tamarackfield.gateway.model import Call, Route, Service
 from tamarackfield.observe.series import Series
-from tamarackfield.web import HttpRequest, Responder
+from tamarackfield.web import CallerGoneError, HttpRequest, Responder
 
 #: Seconds after which a caller may come back to an entry that knows no configuration yet; the time
 #: in which an entry reads it.
@@ -79,6 +79,12 @@
         except RequestError as exc:
             ending = f'{exc.status} {exc.outcome.value}: {exc.message}'
             raise
+        except (CallerGoneError, OSError) as exc:
+            journey.notes.append(str(exc))
+            raise
+        except Exception as exc:
+            ending = f'failed: {exc!r}'
+            raise
         finally:
             self._tell(journey, ending)
 
--- a/tamarackfield/policy/idle_times.py
+++ b/tamarackfield/policy/idle_times.py
@@ -13,6 +13,8 @@
 TRUSTED_SHARE = 0.5
 #: Seconds in which the trusted time doubles.
 DOUBLING_SECONDS = 5.0
+#: Doublings after which any rest is trusted again: from milliseconds to hours.
+MOST_DOUBLINGS = 20
 #: Shortest rest, in seconds, that explains a reset: a connection in steady use is not idle.
 LEAST_REST_SECONDS = 0.05
 
@@ -42,7 +44,8 @@
 
     def longest(self, now: float) -> float:
         """Return the longest rest that is trusted, in seconds."""
-        return self.seconds * 2 ** ((now - self.lowered_at) / DOUBLING_SECONDS)
+        doublings = min(MOST_DOUBLINGS, (now - self.lowered_at) / DOUBLING_SECONDS)
+        return self.seconds * 2**doublings
 
     def note_reset(self, rested_seconds: float, now: float) -> bool:
         """Note that a connection ended without an answer after a rest; return whether that lowers the trusted time."""
--- a/tamarackfield/policy/tests/test_idle_times.py
+++ b/tamarackfield/policy/tests/test_idle_times.py
@@ -43,3 +43,11 @@
     assert not rest.note_reset(1.0, now=10.0)
     assert rest.note_reset(0.4, now=10.0)
     assert rest.longest(10.0) == pytest.approx(0.2)
+
+
+def test_any_uptime_of_a_machine_gives_a_time():
+    rest = TrustedRest()
+    year = 365 * 24 * 3600.0
+    assert rest.longest(year) > KEPT_SECONDS
+    assert rest.note_reset(1.0, now=10.0)
+    assert rest.longest(year) > KEPT_SECONDS
