--- a/tamarackfield/gateway/tests/test_callers.py
+++ b/tamarackfield/gateway/tests/test_callers.py
@@ -1,8 +1,16 @@
 """Calls as they are served, whatever their callers stated."""
 
-from tamarackfield.gateway.callers import MOST_PROMPT_TOKENS, bound_call
+import random
+from types import SimpleNamespace
+
+import pytest
+from loguru import logger
+
+from tamarackfield.gateway.callers import MOST_PROMPT_TOKENS, CallerInterface, bound_call
+from tamarackfield.gateway.matching import RouteTable
 from tamarackfield.gateway.model import Service
-from tamarackfield.gateway.tests.samples import ENGINE, make_call, make_route
+from tamarackfield.gateway.tests.samples import ENGINE, make_call, make_catalog, make_route
+from tamarackfield.observe.series import Series
 
 MODELS = Service('models', 100, ENGINE)
 
@@ -18,3 +26,27 @@
     call = make_call(model='base', adapter='a7')
     bounded = bound_call(call, make_route(), Service('plain', 100))
     assert (bounded.model, bounded.adapter) == ('', '')
+
+
+class FaultyDispatcher:
+    """Serves no call."""
+
+    async def serve(self, journey, responder):
+        """Fail as nobody expected."""
+        raise OverflowError('a fault of the program')
+
+
+async def test_fault_of_the_program_is_not_logged_as_a_cut_by_the_caller():
+    configuration = SimpleNamespace(catalog=make_catalog(make_route()))
+    configuration.routes = RouteTable(configuration.catalog)
+    interface = CallerInterface(
+        configuration, FaultyDispatcher(), lambda request: make_call(), Series('test'), random.Random(1)
+    )
+    endings = []
+    sink = logger.add(lambda message: endings.append(message.record['extra'].get('ending')), level='INFO')
+    try:
+        with pytest.raises(OverflowError):
+            await interface.handle(SimpleNamespace(path='/r/x'), None)
+    finally:
+        logger.remove(sink)
+    assert endings == ["failed: OverflowError('a fault of the program')"]
