Revert "Let engines be the homes of adapters in proportion to the speed that they show"

The times of a token hold the way to the engine too, so engines that are 2.4 times as fast counted 1.5 to 3 times; and the choice already sends the fast ones three to ten times the requests.

--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -16,7 +16,6 @@
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import keep_enough
 from tamarackfield.policy.plain import choose_plain
-from tamarackfield.policy.speeds import settle_speeds
 from tamarackfield.wire.grants import Facts
 from tamarackfield.wire.messages import Hello
 
@@ -31,7 +30,6 @@
 #: Connections to a target that an entry may always open.
 LEAST_OPEN = 4
 _WEIGHTS = Weights()
-_NO_RING = Ring({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,8 +115,7 @@
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.entries = 0
-        self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
-        self.speeds: dict[str, float] = {}
+        self.rings: dict[frozenset[str], Ring] = {}
 
     def sync(self) -> None:
         """Open links to the sidecars of new targets, close those of targets that are gone."""
@@ -137,7 +134,6 @@
         self._share_connections()
         for target in self._engines():
             self._refresh_one(target, self.links.get(target.record.address[0]))
-        self._settle_speeds()
 
     def link_of(self, target: Target) -> ManagerLink | None:
         """Return the link to the sidecar of a target if it can grant requests for this life of it."""
@@ -169,24 +165,13 @@
             return None
         views = [target.view for target in sound]
         if wish.adapter:
-            ring = self.ring_of(wish.service)
+            ring = self._ring(wish.service)
             request = RoutingRequest(wish.adapter, self.zone, now, wish.deadline, wish.prompt_tokens)
             view = choose_by_cost(request, Candidates(views, ring), self.rng, _WEIGHTS)
         else:
             view = choose_plain(views, self.zone, self.rng)
         return next(target for target in sound if target.view is view)
 
-    def ring_of(self, service: str) -> Ring:
-        """Return the order of the targets of a service for adapters, faster ones more often first."""
-        names = frozenset(
-            target.record.name for target in self.directory.targets.values() if target.record.service == service
-        )
-        known, ring = self.rings.get(service, (frozenset(), _NO_RING))
-        if known != names:
-            ring = Ring({name: self.speeds.get(name, 1.0) for name in names})
-            self.rings[service] = (names, ring)
-        return ring
-
     def _share_connections(self) -> None:
         """Take this entry's part of the connections that each target accepts, with room for those that end late."""
         services = self.catalog.services if self.catalog else {}
@@ -220,19 +205,13 @@
             if target.record.service in services and services[target.record.service].engine is not None
         ]
 
-    def _settle_speeds(self) -> None:
-        """Let engines be the homes of adapters in proportion to the speed that they show."""
-        by_service: dict[str, dict[str, float]] = {}
-        for target in self._engines():
-            by_service.setdefault(target.record.service, {})[target.record.name] = target.view.token_seconds
-        speeds: dict[str, float] = {}
-        for token_seconds in by_service.values():
-            speeds |= settle_speeds(self.speeds, token_seconds)
-        changed = {name: speed for name, speed in speeds.items() if speed != self.speeds.get(name, 1.0)}
-        self.speeds = speeds
-        if changed:
-            self.rings.clear()
-            logger.bind(**changed).info('engine_speeds')
+    def _ring(self, service: str) -> Ring:
+        names = frozenset(
+            target.record.name for target in self.directory.targets.values() if target.record.service == service
+        )
+        if names not in self.rings:
+            self.rings = {names: Ring(dict.fromkeys(names, 1.0))}
+        return self.rings[names]
 
     def _open(self, address: Address) -> None:
         host = address[0]
