Keep a ring for each service

Cause: one ring was kept for all services, so that two services with models would make it anew at every request. The test with two services fails before.

--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -30,6 +30,7 @@
 #: Connections to a target that an entry may always open.
 LEAST_OPEN = 4
 _WEIGHTS = Weights()
+_NO_RING = Ring({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +116,7 @@
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.entries = 0
-        self.rings: dict[frozenset[str], Ring] = {}
+        self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
 
     def sync(self) -> None:
         """Open links to the sidecars of new targets, close those of targets that are gone."""
@@ -165,13 +166,24 @@
             return None
         views = [target.view for target in sound]
         if wish.adapter:
-            ring = self._ring(wish.service)
+            ring = self.ring_of(wish.service)
             request = RoutingRequest(wish.adapter, self.zone, now, wish.deadline, wish.prompt_tokens)
             view = choose_by_cost(request, Candidates(views, ring), self.rng, _WEIGHTS)
         else:
             view = choose_plain(views, self.zone, self.rng)
         return next(target for target in sound if target.view is view)
 
+    def ring_of(self, service: str) -> Ring:
+        """Return the order of the targets of a service for adapters, made anew when a target came or went."""
+        names = frozenset(
+            target.record.name for target in self.directory.targets.values() if target.record.service == service
+        )
+        known, ring = self.rings.get(service, (frozenset(), _NO_RING))
+        if known != names:
+            ring = Ring(dict.fromkeys(names, 1.0))
+            self.rings[service] = (names, ring)
+        return ring
+
     def _share_connections(self) -> None:
         """Take this entry's part of the connections that each target accepts, with room for those that end late."""
         services = self.catalog.services if self.catalog else {}
@@ -205,14 +217,6 @@
             if target.record.service in services and services[target.record.service].engine is not None
         ]
 
-    def _ring(self, service: str) -> Ring:
-        names = frozenset(
-            target.record.name for target in self.directory.targets.values() if target.record.service == service
-        )
-        if names not in self.rings:
-            self.rings = {names: Ring(dict.fromkeys(names, 1.0))}
-        return self.rings[names]
-
     def _open(self, address: Address) -> None:
         host = address[0]
         link = ManagerLink(address, self.hello, lambda: self._facts(host), lambda: self._refresh_host(host))
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -114,3 +114,12 @@
     fake.report = None
     fleet.refresh()
     assert (view.unreported, view.unreported_tokens) == (0, 0)
+
+
+def test_rings_of_two_services_are_kept_beside_each_other():
+    fleet = make_fleet(make_target('t1', 'models', address=('127.0.0.1', 1)), make_target('t2'))
+    ring = fleet.ring_of('models')
+    assert fleet.ring_of('plain') is not ring
+    assert fleet.ring_of('models') is ring
+    fleet.directory.put(make_target('t3', 'models', address=('127.0.0.1', 2)))
+    assert fleet.ring_of('models') is not ring
