--- a/tamarackfield/web/tests/test_pool.py
+++ b/tamarackfield/web/tests/test_pool.py
@@ -57,6 +57,15 @@
         pool.release(address, connection)
 
 
+async def lose_call_after_rest(pool, target):
+    """Make a call, and another on the same connection once the target has forgotten it."""
+    await call(pool, target.address)
+    let_rest(pool, target.address, 0.8)
+    target.forgets = True
+    with pytest.raises(ClientError):
+        await call(pool, target.address)
+
+
 def let_rest(pool, address, seconds):
     """Let the kept connection look as if it had rested."""
     pool.idle[address][0].released_at = BOOT_CLOCK.monotonic() - seconds
@@ -65,11 +74,7 @@
 async def test_reset_after_a_rest_makes_later_calls_use_new_connections():
     pool = ConnectionPool()
     async with ForgetfulTarget() as target:
-        await call(pool, target.address)
-        let_rest(pool, target.address, 0.8)
-        target.forgets = True
-        with pytest.raises(ClientError):
-            await call(pool, target.address)
+        await lose_call_after_rest(pool, target)
         target.forgets = False
         await call(pool, target.address)
         let_rest(pool, target.address, 0.7)
@@ -92,11 +97,7 @@
 async def test_trusted_rests_are_forgotten_once_they_exceed_all_others():
     pool = ConnectionPool()
     async with ForgetfulTarget() as target:
-        await call(pool, target.address)
-        let_rest(pool, target.address, 0.8)
-        target.forgets = True
-        with pytest.raises(ClientError):
-            await call(pool, target.address)
+        await lose_call_after_rest(pool, target)
     pool.prune()
     assert pool.rests
     for rest in pool.rests.values():
