--- a/tamarackfield/platform/entry.py
+++ b/tamarackfield/platform/entry.py
@@ -71,8 +71,8 @@
         seeds=reader.read(_addresses, 'seeds') if document.get('seeds') else (),
         manager_port=reader.read(int, 'port_range', 0),
         metrics_port=METRICS_PORT,
-        retry_share=reader.read(_retry_share, 'bounds', 'retry_budget_ratio'),
-        retry_allowance=reader.read(_retry_allowance, 'bounds', 'budget_extra'),
+        retry_share=reader.read(_less_margin, 'bounds', 'retry_budget_ratio'),
+        retry_allowance=reader.read(_less_margin, 'bounds', 'budget_extra'),
         retry_window_seconds=reader.read(float, 'bounds', 'budget_window_s'),
         leaving_seconds=reader.read(_seconds, 'bounds', 'drain_ms'),
         grace_seconds=reader.read(float, 'bounds', 'grace_s'),
@@ -85,12 +85,8 @@
     return float(milliseconds) / MS_PER_SECOND
 
 
-def _retry_share(ratio: Any) -> float:
-    return float(ratio) * RETRY_MARGIN
-
-
-def _retry_allowance(extra: Any) -> float:
-    return float(extra) * RETRY_MARGIN
+def _less_margin(allowed: Any) -> float:
+    return float(allowed) * RETRY_MARGIN
 
 
 def _client_connections(descriptors: Any) -> int:
