Servers own the tasks of their connections and await their end

Cause: asyncio.start_server with a coroutine function leaves the task of each connection to the event loop. A connection task that was cancelled while its handler ran left the handler running, as the wait for it stood outside the try block.

Ruled out: a fault of one stream only; the flood test prints the same traceback with no entry connected.

ConnectionServer starts the tasks itself, closes its listener first and awaits every task; the application logs tasks that nobody stopped. Heartbeat tasks are awaited where they are cancelled. At the end of the grace period an entry now closes the connections of the requests that still run, instead of leaving them to the end of the loop.

--- a/tamarackfield/core/application.py
+++ b/tamarackfield/core/application.py
@@ -8,9 +8,8 @@
 from loguru import logger
 
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.connections import cancel_and_wait
 
-#: Time after which a task that still runs is cancelled again.
-CANCEL_INTERVAL_SECONDS = 0.5
 #: Bounds of the exponential backoff before a failed task is restarted; a task that fails immediately is restarted a
 #: few times in the first second, and then at most once a second.
 MIN_RESTART_BACKOFF_SECONDS = 0.1
@@ -119,7 +118,8 @@
         logger.bind(instance=self.name).info('stopping')
         for hook in reversed(self.stop_hooks):
             await hook()
-        await self._cancel_tasks()
+        await cancel_and_wait(self.tasks)
+        _report_unowned_tasks()
         logger.bind(instance=self.name).info('stopped')
 
     async def _run_with_restarts(self, make_coroutine: CoroutineFactory, name: str) -> None:
@@ -134,10 +134,9 @@
             await asyncio.sleep(backoff)
             backoff = min(MAX_RESTART_BACKOFF_SECONDS, 2 * backoff)
 
-    async def _cancel_tasks(self) -> None:
-        """Cancel tasks until none runs; a task that suppresses a cancellation is cancelled again."""
-        remaining = set(self.tasks)
-        while remaining:
-            for task in remaining:
-                task.cancel()
-            _, remaining = await asyncio.wait(remaining, timeout=CANCEL_INTERVAL_SECONDS)
+
+def _report_unowned_tasks() -> None:
+    """Log the tasks that still run although every component has stopped; the event loop will cancel them."""
+    unowned = sorted(task.get_name() for task in asyncio.all_tasks() if task is not asyncio.current_task())
+    if unowned:
+        logger.bind(count=len(unowned), tasks=','.join(unowned)).error('tasks_not_stopped')
--- a/tamarackfield/discovery/mesh.py
+++ b/tamarackfield/discovery/mesh.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import SYSTEM_CLOCK, Application, TamarackfieldError
+from tamarackfield.core import SYSTEM_CLOCK, Application, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.problems import split_address
 from tamarackfield.discovery.addresses import AddressBook
 from tamarackfield.wire import Hello, Message, PeerStream, StreamClosedError, connect
@@ -201,8 +201,8 @@
             while True:
                 self._handle_message(neighbour, await stream.receive())
         finally:
-            heartbeats.cancel()
             self._remove_neighbour(neighbour)
+            await cancel_and_wait((heartbeats,))
 
     def _remove_neighbour(self, neighbour: Neighbour) -> None:
         self.neighbours.discard(neighbour)
--- a/tamarackfield/entry/links.py
+++ b/tamarackfield/entry/links.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from tamarackfield.bundle import TargetEntry
-from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError
+from tamarackfield.core import SYSTEM_CLOCK, RequestError, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.policy import TargetView
 from tamarackfield.wire import Draining, Hello, Holdings, LoadReport, Message, PeerStream, StreamClosedError, connect
@@ -191,8 +191,8 @@
             while True:
                 self._handle_message(await stream.receive())
         finally:
-            heartbeats.cancel()
             self._disconnect(stream)
+            await cancel_and_wait((heartbeats,))
 
     async def _handshake(self, stream: PeerStream) -> None:
         hello = await stream.exchange_hellos(self.make_hello())
--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -175,7 +175,11 @@
                 await self.server.shutdown()
         except TimeoutError:
             logger.bind(busy=len(self.server.busy)).warning('requests_cut_at_end_of_grace')
+            await self.server.close()
         self.pool.close()
+        await self.peers.close()
+        await self.ready_server.close()
+        await self.metrics_server.close()
 
     async def answer_ready(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a readiness check of the load balancer."""
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import MIN_JITTER_SHARE
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_SECONDS
@@ -205,17 +205,16 @@
 
     async def _serve_connection(self) -> None:
         stream = await connect(*self.address, None)
-        heartbeat_task = None
+        heartbeat_tasks = []
         try:
             await stream.exchange_hellos(self.hello())
             self._start_stream(stream)
-            heartbeat_task = asyncio.create_task(stream.send_heartbeats())
+            heartbeat_tasks.append(asyncio.create_task(stream.send_heartbeats()))
             while True:
                 self.handle_message(await stream.receive())
         finally:
             stream.abort()
-            if heartbeat_task is not None:
-                heartbeat_task.cancel()
+            await cancel_and_wait(heartbeat_tasks)
 
     def _start_stream(self, stream: PeerStream) -> None:
         self.stream = stream
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -6,12 +6,12 @@
 
 from loguru import logger
 
-from tamarackfield.core import SYSTEM_CLOCK, Address, TamarackfieldError
+from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import MIN_JITTER_SHARE, Follower, Item, Replica
 from tamarackfield.wire.messages import Hello
 from tamarackfield.wire.reservations import AskItems, Items
-from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect, start_peer_server
+from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
 
 #: Seconds after the first failure of an outage of the store from which peers are queried.
 MIN_STORE_OUTAGE_SECONDS = 0.7
@@ -48,11 +48,15 @@
         self.followers = followers
         self.hello = hello
         self.seeds = seeds
-        self.server: asyncio.Server | None = None
+        self.server = ConnectionServer(self.answer_peer)
 
     async def listen(self, host: str, port: int) -> None:
         """Start to serve peers."""
-        self.server = await start_peer_server(self.answer_peer, host, port)
+        await self.server.listen(host, port)
+
+    async def close(self) -> None:
+        """Stop serving peers."""
+        await self.server.close()
 
     async def answer_peer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the query of one peer."""
--- a/tamarackfield/manager/app.py
+++ b/tamarackfield/manager/app.py
@@ -55,6 +55,8 @@
     async def stop(self) -> None:
         """Notify the entries that this process stops; granted requests continue without it."""
         self.server.drain()
+        await self.server.close()
+        await self.metrics_server.close()
 
     async def answer_metrics(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request for metrics."""
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -5,14 +5,14 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, ConnectionServer, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.manager.admission import Decline, Ticket
 from tamarackfield.manager.engine import EngineController
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
-from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, start_peer_server
+from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError
 
 #: Longest time in seconds between two decisions on queued requests: some of them expire without another change.
 MAX_DECISION_INTERVAL_SECONDS = 0.05
@@ -39,11 +39,11 @@
         self.streams_by_number: dict[int, PeerStream] = {}
         self.stream_numbers = itertools.count(1)
         self.draining = False
-        self.server: asyncio.Server | None = None
+        self.server = ConnectionServer(self.serve_entry)
 
     async def listen(self, host: str, port: int) -> None:
         """Listen for connections of entries."""
-        self.server = await start_peer_server(self.serve_entry, host, port)
+        await self.server.listen(host, port)
 
     async def serve_entry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one entry until its stream ends."""
@@ -62,8 +62,7 @@
             logger.bind(entry=stream.peer, step=exc.step, error=exc.message).info('entry_disconnected')
         finally:
             self._remove_stream(stream_number, stream)
-            for task in tasks:
-                task.cancel()
+            await cancel_and_wait(tasks)
 
     def handle_message(self, stream_number: int, message: Message) -> None:
         """Handle one message of an entry."""
@@ -135,6 +134,12 @@
         for stream in self.streams:
             _send(stream, Draining('the sidecar stops'))
 
+    async def close(self) -> None:
+        """Send what is queued on every stream, then close all of them and end their tasks."""
+        self.server.stop_listening()
+        await asyncio.gather(*(stream.finish() for stream in self.streams))
+        await self.server.close()
+
     def _seconds_until_next_decision(self) -> float:
         """Return how long to wait for a change before a decision is due by time alone."""
         admission = self.controller.admission
--- /dev/null
+++ b/tamarackfield/platform/tests/test_shutdown.py
@@ -0,0 +1,69 @@
+"""Shutdown of the real programs: every connection's task ends before the process does."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tamarackfield.core.problems import split_address
+from tamarackfield.testing.platform_site import read_events
+
+ADAPTER = ('Tamarackfield-Model', 'base/a7')
+CONNECTING_TASKS = 12
+#: Number of times that a process is started and terminated: connections must arrive while its event loop ends.
+ROUNDS = 4
+
+
+@contextlib.asynccontextmanager
+async def continuous_connections(address):
+    """Connect to an address over and over; each connection stays open until it is replaced."""
+
+    async def connect_repeatedly():
+        while True:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*address)
+                await asyncio.sleep(0)
+                writer.transport.abort()
+            await asyncio.sleep(0)
+
+    tasks = [asyncio.create_task(connect_repeatedly()) for _ in range(CONNECTING_TASKS)]
+    yield
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+
+
+def faults_after_stop(process):
+    """Return the lines of a log that report faults, and those written after the process had stopped."""
+    lines = process.read_log().splitlines()
+    faults = [line for line in lines if 'Traceback' in line or 'tasks_not_stopped' in line or 'destroyed' in line]
+    last_stop = max((number for number, line in enumerate(lines) if 'event=stopped' in line), default=len(lines))
+    return faults + lines[last_stop + 1 :]
+
+
+async def test_sidecar_that_is_terminated_amid_new_connections_ends_without_a_traceback(model_site):
+    sidecar = model_site.sidecars['m1']
+    address = (sidecar.settings['ip'], sidecar.settings['port_range'][0])
+    for _ in range(ROUNDS):
+        async with continuous_connections(address):
+            assert await sidecar.terminate() == 0
+        assert faults_after_stop(sidecar) == []
+        await sidecar.start()
+        await sidecar.wait_ready()
+
+
+@pytest.mark.parametrize('listener', ['front', 'ready', 'control'])
+async def test_entry_that_is_terminated_amid_new_connections_ends_without_a_traceback(model_site, listener):
+    entry = model_site.entries[0]
+    async with model_site.stream('/draft/x', [ADAPTER]) as response:
+        await read_events(response)
+    async with continuous_connections(split_address(entry.settings['listen'][listener])):
+        assert await entry.terminate() == 0
+    assert faults_after_stop(entry) == []
+
+
+async def test_sidecar_that_is_terminated_while_entries_are_connected_tells_them_and_ends(model_site):
+    sidecar = model_site.sidecars['m1']
+    assert await sidecar.terminate() == 0
+    assert faults_after_stop(sidecar) == []
+    await model_site.entries[0].wait_for_log_text('event=sidecar_stopping')
--- a/tamarackfield/sidecar/app.py
+++ b/tamarackfield/sidecar/app.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from tamarackfield.bundle import Bundle
-from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
+from tamarackfield.core import SYSTEM_CLOCK, Application, ConnectionServer, new_incarnation
 from tamarackfield.core.problems import split_address
 from tamarackfield.core.settings import ADDRESS_SCHEMA, PEER_SCHEMA
 from tamarackfield.discovery import BundleFollower
@@ -69,7 +69,7 @@
             client_context(settings['peer_security']),
         )
         self.peers: PeerServer | None = None
-        self.server: asyncio.Server | None = None
+        self.server: ConnectionServer | None = None
         self.operations = Operations(
             self.status,
             self.is_ready,
@@ -175,11 +175,14 @@
         listen = self.settings['listen']
         context = server_context(self.settings['peer_security'])
         host, port = listen['host'], listen['port']
+        server = ConnectionServer(self.peers.handle_connection)
         try:
-            self.server = await asyncio.start_server(self.peers.handle_connection, host, port, ssl=context)
+            await server.listen(host, port, ssl=context)
         except OSError as exc:
             logger.bind(step='listen', peer=f'{host}:{port}', error=repr(exc)).error('cannot_listen')
             self.application.request_stop()
+            return
+        self.server = server
 
     def _hello(self) -> Hello:
         return Hello(
@@ -201,7 +204,7 @@
             for stream in list(self.peers.streams):
                 await stream.finish()
         if self.server is not None:
-            self.server.close()
+            await self.server.close()
         await self.operations.server.shutdown()
 
 
--- a/tamarackfield/sidecar/peer_server.py
+++ b/tamarackfield/sidecar/peer_server.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import RequestError, TamarackfieldError
+from tamarackfield.core import RequestError, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.reply import Reply
 from tamarackfield.sidecar.reports import make_holdings, make_report
@@ -83,8 +83,7 @@
             while True:
                 self._handle_message(await stream.receive(), stream, stream_runs)
         finally:
-            for stream_task in stream_tasks:
-                stream_task.cancel()
+            await cancel_and_wait(stream_tasks)
 
     def _discard_stream(self, stream: PeerStream, stream_runs: StreamRuns) -> None:
         self.streams.discard(stream)
--- a/tamarackfield/testing/standin.py
+++ b/tamarackfield/testing/standin.py
@@ -68,8 +68,7 @@
 
     async def stop(self) -> None:
         """Close the server without connection draining, because a stand-in need not finish requests."""
-        if self.server.server is not None:
-            self.server.server.close()
+        await self.server.close()
 
     async def handle_request(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request to the control page, or pass the request to the route."""
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -5,12 +5,12 @@
 import ssl
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
 
 import h11
 from loguru import logger
 
 from tamarackfield.core.clock import SYSTEM_CLOCK, Clock
+from tamarackfield.core.connections import ConnectionServer, cancel_and_wait
 from tamarackfield.core.errors import RequestError
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.web.limits import DEFAULT_LIMITS, HttpLimits
@@ -69,7 +69,7 @@
         self.on_error = on_error
         self.limits = limits
         self.budget = BodyBudget(limits.max_buffered_bytes)
-        self.server: asyncio.Server | None = None
+        self.server = ConnectionServer(self.serve_connection)
         self.busy: set[asyncio.Task[None]] = set()
         self.idle: set[asyncio.Task[None]] = set()
         self.keep_alive_disabled = False
@@ -79,10 +79,7 @@
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
         """Start to listen; with ``port`` 0 the kernel chooses a free port, which is stored in ``self.port``."""
-        self.server = await asyncio.start_server(
-            self.serve_connection, host, port, limit=MAX_READ_BYTES, ssl=context, backlog=LISTEN_BACKLOG
-        )
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = await self.server.listen(host, port, limit=MAX_READ_BYTES, ssl=context, backlog=LISTEN_BACKLOG)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its next answer; new connections are still accepted."""
@@ -92,20 +89,17 @@
         """Stop listening, close idle connections and wait for the requests in progress."""
         self.disable_keep_alive()
         self.draining = True
-        if self.server is not None:
-            self.server.close()
+        self.server.stop_listening()
         for task in list(self.idle):
             task.cancel()
         while self.busy:
             await asyncio.wait(self.busy)
+        await self.server.close()
 
     async def close(self) -> None:
-        """Stop listening and close all connections immediately."""
+        """Stop listening, close all connections immediately and wait until their tasks have ended."""
         self.draining = True
-        if self.server is not None:
-            self.server.close()
-        for task in (*self.idle, *self.busy):
-            task.cancel()
+        await self.server.close()
 
     async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
@@ -205,14 +199,13 @@
         responder.head_only = request.method == 'HEAD'
         handler_task = asyncio.ensure_future(self._run_handler(request, responder))
         early_read = asyncio.ensure_future(self.reader.read(1))
-        await asyncio.wait((handler_task, early_read), return_when=asyncio.FIRST_COMPLETED)
         try:
+            await asyncio.wait((handler_task, early_read), return_when=asyncio.FIRST_COMPLETED)
             if early_read.done() and not handler_task.done():
                 await self._check_early_read(early_read, handler_task)
             await handler_task
         finally:
-            await _cancel_and_wait(early_read)
-            await _cancel_and_wait(handler_task)
+            await cancel_and_wait((early_read, handler_task))
         self._buffer_early_byte(early_read)
 
     async def _run_handler(self, request: HttpRequest, responder: Responder) -> None:
@@ -229,7 +222,7 @@
     async def _check_early_read(self, early_read: asyncio.Future[bytes], handler_task: asyncio.Future[None]) -> None:
         if early_read.exception() is None and early_read.result():
             return
-        await _cancel_and_wait(handler_task)
+        await cancel_and_wait((handler_task,))
         raise CallerDisconnectedError('caller closed the connection')
 
     def _buffer_early_byte(self, early_read: asyncio.Future[bytes]) -> None:
@@ -279,8 +272,3 @@
         status=HTTPStatus.INTERNAL_SERVER_ERROR,
         code='internal_error',
     )
-
-
-async def _cancel_and_wait(task: asyncio.Future[Any]) -> None:
-    task.cancel()
-    await asyncio.wait((task,))
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -4,9 +4,6 @@
 import contextlib
 import ssl
 from collections import deque
-from collections.abc import Awaitable, Callable
-
-from loguru import logger
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.core.errors import TamarackfieldError
@@ -202,38 +199,6 @@
         self.received_messages.extend(self.decoder.feed(chunk))
 
 
-async def start_peer_server(
-    serve_peer: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
-    host: str,
-    port: int,
-) -> asyncio.Server:
-    """Start a TCP server that accepts streams from peers.
-
-    Parameters
-    ----------
-    serve_peer : callable
-        Coroutine function that serves one connection until it closes.
-    host : str
-        IP address to listen on.
-    port : int
-        TCP port; with 0 the kernel chooses a free one.
-
-    Returns
-    -------
-    asyncio.Server
-        Listening server.
-    """
-
-    async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            await serve_peer(reader, writer)
-        except asyncio.CancelledError:
-            # asyncio logs a cancelled connection task as an error, but tasks are cancelled whenever this process stops.
-            logger.debug('stream_cancelled')
-
-    return await asyncio.start_server(serve_connection, host, port)
-
-
 async def connect(host: str, port: int, context: ssl.SSLContext | None) -> PeerStream:
     """Open a stream to a peer.
 
