A caller that reads slowly is not taken for gone

Cause: the write time-out bounded the wait for the whole buffer (and the socket's send queue) to fall below its low mark.

The time-out now runs from the last byte that the caller acknowledged: buffer and send queue (TIOCOUTQ) together.

Before: test_slow_callers.py fails on a slow caller. After: it passes, and a caller that reads nothing is still cut.

--- a/tamarackfield/web/limits.py
+++ b/tamarackfield/web/limits.py
@@ -17,7 +17,7 @@
     idle_seconds : float
         Idle time-out of a connection without a request.
     write_seconds : float
-        Time-out of one write to a caller that does not read.
+        Time after which a caller that reads nothing of an answer counts as disconnected.
     max_connections : int
         Limit on open connections; further ones are refused.
     max_body_bytes : int
@@ -58,7 +58,7 @@
         'write_seconds': {
             **_POSITIVE_SECONDS_SCHEMA,
             'default': DEFAULT_LIMITS.write_seconds,
-            'description': 'time-out of one write to a caller that does not read, in seconds',
+            'description': 'time in which a caller must read a part of its answer, in seconds',
         },
         'max_connections': {
             'type': 'integer',
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -1,7 +1,10 @@
 """Writes the answer to one request."""
 
 import asyncio
+import fcntl
 import json
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +13,8 @@
 from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.web.request import REQUEST_ID_HEADER
 
+#: Format of the number that the kernel returns for the size of a send queue.
+_INT_FORMAT = struct.Struct('i')
 _JSON_TYPE = ('Content-Type', 'application/json')
 
 
@@ -18,7 +23,7 @@
 
 
 class CallerDisconnectedError(Exception):
-    """The caller closed the connection, or did not read an answer within the write time-out."""
+    """The caller closed the connection, or read nothing of an answer for as long as the write time-out."""
 
 
 class Responder:
@@ -31,7 +36,7 @@
     writer : asyncio.StreamWriter
         Sending side of the connection.
     write_seconds : float
-        Time-out of one write to a caller that does not read.
+        Time after which a caller that reads nothing of what is sent counts as disconnected.
     should_close : callable
         Returns whether the connection must close after this answer; called when the head is sent.
     id_header : str
@@ -111,7 +116,34 @@
         if not self.writer.transport.get_write_buffer_size():
             return
         try:
-            async with asyncio.timeout(self.write_seconds):
-                await self.writer.drain()
+            await self._drain()
         except (OSError, TimeoutError) as exc:
             raise CallerDisconnectedError(repr(exc)) from exc
+
+    async def _drain(self) -> None:
+        """Wait until the write buffer is below its limit; raise `TimeoutError` once the caller reads nothing more.
+
+        A caller may read more slowly than a whole buffer in the time-out, so only the progress is limited in time.
+        """
+        unread = count_unread_bytes(self.writer.transport)
+        while True:
+            try:
+                async with asyncio.timeout(self.write_seconds):
+                    return await self.writer.drain()
+            except TimeoutError:
+                previous, unread = unread, count_unread_bytes(self.writer.transport)
+                if unread >= previous:
+                    raise
+
+
+def count_unread_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the bytes that were written to a transport and that its peer has not acknowledged.
+
+    They are in the buffer of the transport or in the send queue of its socket; the kernel of the peer acknowledges
+    them as the peer makes room by reading.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return transport.get_write_buffer_size()
+    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_FORMAT.size))
+    return transport.get_write_buffer_size() + _INT_FORMAT.unpack(queued)[0]
