Mend small faults in logs, settings and limits; remove code without readers

- A malformed entry of a worker removed it without a line; now target_entry_malformed with key, revision and fault.
- Settings: a number among the seeds or as an address raised AttributeError; now a listed problem.
- The address book kept every address that it ever tried; it needs only the seeds.
- The ledger said 'too large to keep' of a small answer when the total was full.
- A call that was not sent for want of retry budget was logged as 'target left or the deadline passed'.
- find_route cut the last group of a bare IPv6 host.
- core.advance_outcome and Bundle.weight_store had no reader.
The bundle's weight_store stays valid and is deprecated.

--- a/tamarackfield/bundle/model.py
+++ b/tamarackfield/bundle/model.py
@@ -98,8 +98,6 @@
         Entries of each section by name.
     weights : dict
         Weights of the routing cost, by name.
-    weight_store : dict
-        Parameters of the weight store from which engines load adapters.
     policy : dict
         Name of the selected decision function by kind of decision.
     horizon_seconds : int
@@ -117,7 +115,6 @@
     targets: dict[str, TargetEntry]
     services: dict[str, ServiceEntry]
     weights: dict[str, float]
-    weight_store: dict[str, float]
     policy: dict[str, str]
     horizon_seconds: int
     callers_by_key_hash: dict[str, CallerEntry] = field(default_factory=dict)
@@ -190,7 +187,6 @@
         targets={name: _build_target(name, entry) for name, entry in document['targets'].items()},
         services={name: _build_service(name, entry) for name, entry in document['services'].items()},
         weights=document['weights'],
-        weight_store=document['weight_store'],
         policy=document['policy'],
         horizon_seconds=document['at_most_once_horizon_seconds'],
         callers_by_key_hash={key: caller for caller in callers.values() for key in caller.key_hashes},
--- a/tamarackfield/bundle/schema.py
+++ b/tamarackfield/bundle/schema.py
@@ -84,6 +84,7 @@
 )
 WEIGHT_STORE_SCHEMA = {
     'type': 'object',
+    'description': 'deprecated and without effect; accepted so that existing bundles stay valid',
     'additionalProperties': False,
     'default': {},
     'properties': {
--- a/tamarackfield/core/outcome.py
+++ b/tamarackfield/core/outcome.py
@@ -1,4 +1,4 @@
-"""Outcomes of requests and the allowed transitions between them."""
+"""Outcomes of requests."""
 
 import enum
 
@@ -14,42 +14,3 @@
     FAILED = 'failed'
     #: The complete answer of the target was received.
     ANSWERED = 'answered'
-
-
-_ALLOWED_TRANSITIONS = frozenset(
-    (
-        (Outcome.NOT_RUN, Outcome.UNKNOWN),
-        (Outcome.UNKNOWN, Outcome.FAILED),
-        (Outcome.UNKNOWN, Outcome.ANSWERED),
-    )
-)
-
-
-def advance_outcome(current: Outcome, new: Outcome) -> Outcome:
-    """Check the transition to a new outcome and return it; an outcome never moves back.
-
-    Parameters
-    ----------
-    current : Outcome
-        Outcome so far.
-    new : Outcome
-        New outcome.
-
-    Returns
-    -------
-    Outcome
-        ``new``.
-
-    Raises
-    ------
-    ValueError
-        If the transition would discard knowledge, such as from ``unknown`` to ``not_run``.
-
-    Examples
-    --------
-    >>> advance_outcome(Outcome.NOT_RUN, Outcome.UNKNOWN).value
-    'unknown'
-    """
-    if (current, new) not in _ALLOWED_TRANSITIONS:
-        raise ValueError(f'outcome cannot go from {current} to {new}')
-    return new
--- a/tamarackfield/discovery/addresses.py
+++ b/tamarackfield/discovery/addresses.py
@@ -36,7 +36,7 @@
         self.zones = dict.fromkeys(self.seeds, '')
         self.retry_at: dict[str, float] = {}
         self.failures: dict[str, int] = {}
-        self.tried_addresses: set[str] = set()
+        self.tried_seeds: set[str] = set()
 
     def add(self, address: str, zone: str) -> None:
         """Add an address and its zone; if there are too many, evict a random address that is not a seed."""
@@ -56,12 +56,12 @@
 
     def record_success(self, address: str) -> None:
         """Record that a stream to an address was opened."""
-        self.tried_addresses.add(address)
+        self._record_attempt(address)
         self.failures.pop(address, None)
 
     def record_failure(self, address: str, now: float) -> None:
         """Record that an address could not be reached or that the stream to it ended, and set its back-off."""
-        self.tried_addresses.add(address)
+        self._record_attempt(address)
         self.failures[address] = self.failures.get(address, 0) + 1
         self.retry_at[address] = now + MAX_BACKOFF_SECONDS * self.rng.uniform(0.5, 1)
         if self.failures[address] > MAX_CONSECUTIVE_FAILURES:
@@ -69,7 +69,7 @@
 
     def all_seeds_tried(self) -> bool:
         """Return whether every seed was tried at least once."""
-        return self.seeds <= self.tried_addresses
+        return self.seeds <= self.tried_seeds
 
     def find_candidates(self, now: float, excluded: set[str]) -> list[str]:
         """Return the addresses that are neither excluded nor in back-off, in random order."""
@@ -83,3 +83,8 @@
         """Return a random sample of addresses whose zone is known, as pairs of address and zone."""
         known = [[address, zone] for address, zone in self.zones.items() if zone]
         return self.rng.sample(known, min(SAMPLE_SIZE, len(known)))
+
+    def _record_attempt(self, address: str) -> None:
+        # Learned addresses come and go for as long as the process runs; only the seeds are few.
+        if address in self.seeds:
+            self.tried_seeds.add(address)
--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -134,22 +134,25 @@
             MAX_IDLE_REPEATABLE_SECONDS if call_state.route.repeatable else MAX_IDLE_NON_REPEATABLE_SECONDS
         )
 
-        def authorize_send() -> bool:
-            """Return whether the call may be sent; if so, spend the retry budget and record the call as sent."""
+        def authorize_send() -> str:
+            """Return why the call may not be sent; if it may, spend the retry budget and record the call as sent."""
             now = BOOT_CLOCK.monotonic()
-            if not target.accepts_requests(now) or now + MIN_REMAINING_SECONDS > call_state.call.deadline:
-                return False
+            if not target.accepts_requests(now):
+                return 'target left before the call was sent'
+            if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
+                return 'deadline passed before the call was sent'
             budget = self.budget_for(call_state.service)
             if call_state.send_count and not budget.can_spend(now):
-                return False
+                return 'retry budget was spent before the call was sent'
             if call_state.send_count:
                 budget.spend(now)
             call_state.record_sent(target)
-            return True
+            return ''
 
         try:
-            if not await exchange.send(options, max_idle_seconds, authorize_send):
-                return NotRun('target left or the deadline passed before the call was sent', sent=False)
+            refusal = await exchange.send(options, max_idle_seconds, authorize_send)
+            if refusal:
+                return NotRun(refusal, sent=False)
             return await self._receive(call_state, exchange, reservation, responder)
         except ClientError as exc:
             if not exc.sent:
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -13,9 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetRemoved:
-    """Item that no longer describes a target."""
+    """Item that no longer describes a target; ``fault`` says what is malformed in it, empty if it was deleted."""
 
     name: str
+    fault: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +76,8 @@
                 self._apply_catalog(catalog)
             case TargetRecord() as record:
                 self.directory.upsert(record)
-            case TargetRemoved(name):
-                self.directory.remove(name, store_unreliable)
+            case TargetRemoved(name, fault):
+                self._remove_target(item, name, fault, store_unreliable)
             case AdapterVersion(adapter, version):
                 if self.versions.record_version(adapter, version):
                     logger.bind(adapter=adapter, version=version, revision=item.revision).info('adapter_version')
@@ -85,6 +86,12 @@
         for listener in self.listeners:
             listener()
 
+    def _remove_target(self, item: Item, name: str, fault: str, store_unreliable: bool) -> None:
+        if fault:
+            bound = logger.bind(key=item.key, revision=item.revision, target=name, reason=fault)
+            bound.warning('target_entry_malformed')
+        self.directory.remove(name, store_unreliable)
+
     def _apply_catalog(self, catalog: Catalog) -> None:
         previous = self.catalog
         if previous is not None and catalog.version <= previous.version:
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -115,8 +115,13 @@
         self.connection: TargetConnection | None = None
         self.sent_at = 0.0
 
-    async def send(self, options: CallOptions, max_idle_seconds: float, authorize_send: Callable[[], bool]) -> bool:
-        """Send the call once a connection is open and ``authorize_send`` allows it; return whether it was sent.
+    async def send(self, options: CallOptions, max_idle_seconds: float, authorize_send: Callable[[], str]) -> str:
+        """Send the call once a connection is open, unless ``authorize_send`` returns why it may not be sent.
+
+        Returns
+        -------
+        str
+            Why the call was not sent; empty if it was.
 
         Raises
         ------
@@ -125,15 +130,16 @@
         """
         connection = await self.pool.acquire(self.target.record.address, max_idle_seconds)
         self.connection = connection
-        if not authorize_send():
-            return False
+        refusal = authorize_send()
+        if refusal:
+            return refusal
         call = self.call
         remaining = call.deadline - BOOT_CLOCK.monotonic()
         headers = self.dialect.request_headers(call, self.target, remaining, options)
         request = h11.Request(method=call.method, target=call.target, headers=headers)
         self.sent_at = BOOT_CLOCK.monotonic()
         connection.send(request, call.body)
-        return True
+        return ''
 
     async def read_head(self) -> AnswerHead:
         """Read the head of the answer to this call; answers to earlier calls are discarded.
--- a/tamarackfield/gateway/matching.py
+++ b/tamarackfield/gateway/matching.py
@@ -34,13 +34,29 @@
         path : str
             Path without the query.
         """
-        name = host.rsplit(':', 1)[0] if ':' in host else host
-        for route in self.routes_by_host.get(name.lower(), ()):
+        for route in self.routes_by_host.get(strip_port(host).lower(), ()):
             if path.startswith(route.prefix):
                 return route
         return None
 
 
+def strip_port(host: str) -> str:
+    """Return the host of a request without its port.
+
+    Examples
+    --------
+    >>> strip_port('site.example:8080'), strip_port('[2001:db8::1]:8080'), strip_port('[2001:db8::1]')
+    ('site.example', '[2001:db8::1]', '[2001:db8::1]')
+    >>> strip_port('2001:db8::1')
+    '2001:db8::1'
+    """
+    if host.startswith('['):
+        return f'{host.partition("]")[0]}]'
+    name, _, port = host.partition(':')
+    # More than one colon without brackets is an IPv6 number, which states no port.
+    return host if ':' in port else name
+
+
 def _longest_prefix_first(route: Route) -> int:
     return -len(route.prefix)
 
--- a/tamarackfield/gateway/tests/test_attempts.py
+++ b/tamarackfield/gateway/tests/test_attempts.py
@@ -1,7 +1,11 @@
 """State of a target after an attempt, on which later choices of targets are based."""
 
 import asyncio
+from types import SimpleNamespace
 
+import pytest
+
+from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.attempts import AttemptRunner
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import NotRun
@@ -29,3 +33,28 @@
     result = asyncio.run(attempt_runner.run_attempt(call_state, target, None))
     assert isinstance(result, NotRun)
     assert (target.view.unreported, target.view.unreported_tokens, target.view.outstanding) == (0, 0, 0)
+
+
+class IdlePool:
+    """Connection pool whose connections only record that they were closed."""
+
+    async def acquire(self, address, max_idle_seconds):
+        """Return a connection."""
+        return SimpleNamespace(busy=False, fail=lambda reason: None)
+
+
+@pytest.mark.parametrize(
+    ('sends', 'remaining_seconds', 'draining', 'reason'),
+    [
+        (1, 9.0, False, 'retry budget was spent before the call was sent'),
+        (0, 0.001, False, 'deadline passed before the call was sent'),
+        (0, 9.0, True, 'target left before the call was sent'),
+    ],
+)
+def test_reason_of_a_call_that_was_not_sent_names_the_limit(sends, remaining_seconds, draining, reason):
+    fleet = make_fleet(make_target_record('t1', 'plain', draining=draining))
+    attempt_runner = AttemptRunner(fleet, IdlePool(), None, lambda service: SharedRetryBudget(0.0, 0.0, 10.0))
+    call = make_call(deadline=BOOT_CLOCK.monotonic() + remaining_seconds)
+    call_state = CallState(call, make_route(), 'plain', 1, send_count=sends)
+    result = asyncio.run(attempt_runner.run_attempt(call_state, target_of(fleet), None))
+    assert result == NotRun(reason, sent=False)
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -126,8 +126,8 @@
         return TargetRemoved(name)
     try:
         return _decode_worker_entry(name, json.loads(item.content))
-    except MALFORMED:
-        return TargetRemoved(name)
+    except MALFORMED as exc:
+        return TargetRemoved(name, fault=repr(exc))
 
 
 def _decode_worker_entry(name: str, entry: dict[str, Any]) -> TargetRecord:
--- a/tamarackfield/platform/settings.py
+++ b/tamarackfield/platform/settings.py
@@ -12,6 +12,7 @@
 
 from tamarackfield.core import Problem
 from tamarackfield.core.problems import json_path
+from tamarackfield.platform.holdings import MALFORMED
 
 #: Port on which both programs serve their metrics; deploy/system.toml states the same port.
 METRICS_PORT = 9464
@@ -38,7 +39,7 @@
             for part in path:
                 member = member[part]
             return convert(member)
-        except (LookupError, TypeError, ValueError) as exc:
+        except MALFORMED as exc:
             self.problems.append(Problem(json_path(*path), f'{type(exc).__name__}: {exc}'))
         return None
 
--- /dev/null
+++ b/tamarackfield/platform/tests/test_decoding.py
@@ -0,0 +1,53 @@
+"""Malformed items of the store and malformed settings: nothing is ignored without a reason in the log."""
+
+import pytest
+from loguru import logger
+from result import Err
+
+from tamarackfield.gateway.configuration import Configuration
+from tamarackfield.gateway.directory import Directory
+from tamarackfield.gateway.replica import Item
+from tamarackfield.platform.entry import read_entry_settings
+from tamarackfield.platform.items import decode_item
+
+
+@pytest.fixture
+def warnings():
+    """Collect the fields of the warnings that are logged."""
+    records = []
+    sink = logger.add(
+        lambda message: records.append({'event': message.record['message'], **message.record['extra']}),
+        level='WARNING',
+    )
+    yield records
+    logger.remove(sink)
+
+
+@pytest.mark.parametrize('content', [b'\xff not json', b'[]', b'{"service": "s", "address": 7}', b'5'])
+def test_malformed_entry_of_a_worker_is_logged_with_its_key_and_fault(warnings, content):
+    configuration = Configuration(decode_item, Directory())
+    configuration.apply_item(Item('servers/w1', 7, content), store_unreliable=False)
+    assert [(record['event'], record['key'], record['revision']) for record in warnings] == [
+        ('target_entry_malformed', 'servers/w1', 7)
+    ]
+    assert warnings[0]['reason']
+
+
+def test_deleted_entry_of_a_worker_is_no_fault(warnings):
+    configuration = Configuration(decode_item, Directory())
+    configuration.apply_item(Item('servers/w1', 7, None), store_unreliable=False)
+    assert warnings == []
+
+
+@pytest.mark.parametrize('seeds', [[5], [None], 'no address', [['127.0.0.1', 7]]])
+def test_seeds_of_the_wrong_type_are_a_problem_of_the_settings(seeds):
+    outcome = read_entry_settings({'seeds': seeds})
+    assert isinstance(outcome, Err)
+    assert '$.seeds' in {problem.path for problem in outcome.err_value}
+
+
+@pytest.mark.parametrize('address', [5, None, {}])
+def test_address_of_the_wrong_type_is_a_problem_of_the_settings(address):
+    outcome = read_entry_settings({'listen': {'front': address}})
+    assert isinstance(outcome, Err)
+    assert '$.listen.front' in {problem.path for problem in outcome.err_value}
--- a/tamarackfield/sidecar/keyed_calls.py
+++ b/tamarackfield/sidecar/keyed_calls.py
@@ -51,7 +51,9 @@
     Proof.NOT_HOME: NoAnswerReason('it has another home by the bundle in force there', code='key_not_home'),
     Proof.EXPIRED: NoAnswerReason('it was issued too long ago', code='key_expired'),
 }
-_ANSWER_NOT_KEPT = NoAnswerReason('was answered and its answer was too large to keep', code='answer_not_kept')
+_ANSWER_NOT_KEPT = NoAnswerReason(
+    'was answered, and its answer exceeded the limit on stored answers', code='answer_not_kept'
+)
 _ANSWER_LOST = NoAnswerReason('was dispatched and its answer is not known', code='answer_lost')
 
 
