--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measuring programs."""
