Adapters go back to where they were evicted lately; reports come sooner and count fully

Entries did not know what a target had evicted. They now keep it, four times the target's places. - With 68 entries a sidecar reported every 1.7 s, and a report's load was halved at an age of 2 s, so that a full engine looked half empty. Reports may take 6,000 B/s of a sidecar (2,000 before), and count fully until one is overdue. - The cost of a load counted those ahead one after another though an engine runs four at once.

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -15,6 +15,8 @@
 from tamarackfield.policy import TargetView
 from tamarackfield.policy.health import TargetHealth
 
+#: Number of evicted adapters that count as evicted lately, as a multiple of the adapters that a target holds.
+RECENT_PLACES = 4
 #: Limit of connections to a target until the number that it accepts and the number of entries that share
 #: them are known.
 DEFAULT_MAX_CONNECTIONS = 32
@@ -42,6 +44,8 @@
         Whether another target answered at its address.
     max_connections : int
         Limit of connections that this entry opens to it; a target resets those beyond what it accepts.
+    evicted : dict
+        Adapters that were evicted lately as keys, the latest last.
     """
 
     record: TargetRecord
@@ -52,6 +56,7 @@
     removed: bool = False
     address_reassigned: bool = False
     max_connections: int = DEFAULT_MAX_CONNECTIONS
+    evicted: dict[str, None] = field(default_factory=dict)
 
     def accepts_requests(self, now: float) -> bool:
         """Return whether new requests may be sent to it."""
@@ -59,6 +64,20 @@
             return False
         return not self.removal_due_at or now < self.removal_due_at
 
+    def replace_residents(self, residents: frozenset[str]) -> None:
+        """Update the resident adapters; those that are no longer resident count as evicted lately."""
+        if residents == self.view.residents:
+            return
+        for adapter in self.view.residents - residents:
+            self.evicted[adapter] = None
+        for adapter in residents & self.evicted.keys():
+            self.evicted.pop(adapter)
+        excess = len(self.evicted) - RECENT_PLACES * self.view.slots
+        for adapter in tuple(self.evicted)[: max(0, excess)]:
+            self.evicted.pop(adapter)
+        self.view.residents = residents
+        self.view.recent = self.evicted.keys()
+
     def has_connection_capacity(self) -> bool:
         """Return whether one more connection may be opened to it."""
         return self.view.outstanding < self.max_connections
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -15,6 +15,7 @@
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
+from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
 from tamarackfield.policy.service_routing import choose_service_target
 from tamarackfield.wire.messages import Hello
 from tamarackfield.wire.reservations import Facts
@@ -69,8 +70,12 @@
         return list(self.views.values())
 
     def holders(self, adapter: str) -> Sequence[TargetView]:
-        """Return the targets on which an adapter is resident or loading."""
-        return [view for view in self.views.values() if adapter in view.residents or adapter in view.loading]
+        """Return the targets on which an adapter is resident or loading, or from which it was evicted lately."""
+        return [
+            view
+            for view in self.views.values()
+            if adapter in view.residents or adapter in view.loading or adapter in view.recent
+        ]
 
     def ring_order(self, adapter: str) -> Iterable[TargetView]:
         """Yield the targets in the order of the hash ring for an adapter."""
@@ -269,7 +274,8 @@
         view.pinned = report.pinned
         view.load_seconds = report.load_ms / MS_PER_SECOND
         view.service_seconds = report.service_ms / MS_PER_SECOND
-        view.residents = frozenset(self._current_adapters(holdings.residents))
+        view.concurrent_loads = MAX_CONCURRENT_LOADS
+        target.replace_residents(frozenset(self._current_adapters(holdings.residents)))
         view.loading = frozenset(holdings.loading)
         view.token_seconds = report.token_ns / NS_PER_SECOND
         if link is not None and link.reported_at != view.reported_at:
--- a/tamarackfield/policy/affine.py
+++ b/tamarackfield/policy/affine.py
@@ -4,8 +4,8 @@
 one target can run, or longer prompts than it can prefill between the tokens of its running streams.
 Most adapters receive a request now and then, and are best served where they are resident.
 
-The candidates for a request are the targets on which its adapter is resident or loading, and the first few
-targets of its ring order. Further targets of the ring are examined only while all candidates so far are
+The candidates for a request are the targets on which its adapter is resident or loading or from which it was
+evicted lately, and the first few targets of its ring order. Further targets of the ring are examined only while all candidates so far are
 under pressure.
 """
 
@@ -29,9 +29,13 @@
 NEAR_TIE_FRACTION = 0.05
 #: Fraction of an adapter load's duration that a load in progress is expected to still take.
 REMAINING_LOAD_FRACTION = 0.5
+#: Duration of the load of an adapter that was evicted lately, as a fraction of a load from the weight store.
+RELOAD_FRACTION = 0.1
 #: Cost in seconds of a call to another availability zone.
 CROSS_ZONE_SECONDS = 0.003
-#: Age of a report, in seconds, at which its request counts are weighted by one half.
+#: Age in seconds up to which a report counts fully; a target whose load changes reports more often.
+REPORT_VALID_SECONDS = 2.0
+#: Further age in seconds in which the weight of an overdue report halves.
 REPORT_HALF_LIFE_SECONDS = 2.0
 
 
@@ -100,10 +104,11 @@
 def expected_requests(target: TargetView, now: float) -> float:
     """Return the expected number of requests at a target.
 
-    The reported number decays with the age of the report; requests that this entry sent since then are added.
+    As many requests begin as end while a target is busy, so the reported number counts fully until the next report is
+    overdue, and decays from then on. Requests that this entry sent since the report are added.
     """
-    age = max(0.0, now - target.reported_at)
-    reported = (target.running + target.queued) * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+    overdue = max(0.0, now - target.reported_at - REPORT_VALID_SECONDS)
+    reported = (target.running + target.queued) * 0.5 ** (overdue / REPORT_HALF_LIFE_SECONDS)
     return max(float(target.outstanding), reported + target.unreported)
 
 
@@ -123,15 +128,24 @@
 def expected_load_stall(adapter: str, target: TargetView) -> float:
     """Return the seconds that a request would wait for its adapter to load.
 
-    If every slot is pinned, the load also waits for a request to end.
+    Loads ahead of it take turns in groups of as many as the engine runs at once. If every slot is pinned, the load
+    also waits for a request to end.
+
+    Examples
+    --------
+    >>> engine = TargetView('t', 'z', slots=8, load_seconds=0.5, concurrent_loads=4, loading=frozenset('abcd'))
+    >>> expected_load_stall('x', engine), expected_load_stall('a', engine)
+    (1.0, 0.25)
     """
     if not adapter or adapter in target.residents:
         return 0.0
     if adapter in target.loading:
         return target.load_seconds * REMAINING_LOAD_FRACTION
-    loads_ahead = len(target.loading)
     blocked_seconds = target.service_seconds if target.pinned >= target.slots else 0.0
-    return target.load_seconds * (1 + loads_ahead) + blocked_seconds
+    if adapter in target.recent:
+        return target.load_seconds * RELOAD_FRACTION + blocked_seconds
+    turns = 1 + len(target.loading) // target.concurrent_loads
+    return target.load_seconds * turns + blocked_seconds
 
 
 def choose_by_cost(request: RoutingRequest, fleet: FleetView, rng: random.Random, weights: CostWeights) -> TargetView:
--- a/tamarackfield/policy/routing.py
+++ b/tamarackfield/policy/routing.py
@@ -1,7 +1,7 @@
 """Types of routing decisions, and the routers that use neither costs nor the ring."""
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -53,6 +53,10 @@
         Running requests, queued requests and pinned adapters in the last report.
     residents, loading : frozenset of str
         Adapter references in the last report; adapters that wait for a load count as loading.
+    recent : collection of str
+        Adapters evicted lately, of which the target still has a copy in memory.
+    concurrent_loads : int
+        Largest number of adapter loads in progress at once.
     reported_at : float
         Time of the last report in monotonic seconds.
     load_seconds : float
@@ -79,6 +83,8 @@
     pinned: int = 0
     residents: frozenset[str] = frozenset()
     loading: frozenset[str] = frozenset()
+    recent: Collection[str] = frozenset()
+    concurrent_loads: int = 1
     reported_at: float = 0.0
     load_seconds: float = 0.25
     service_seconds: float = 0.5
@@ -94,7 +100,7 @@
         """Return every target; the cost grows with their number."""
 
     def holders(self, adapter: str) -> Sequence[TargetView]:
-        """Return the targets on which an adapter is resident or loading."""
+        """Return the targets on which an adapter is resident or loading, or from which it was evicted lately."""
 
     def ring_order(self, adapter: str) -> Iterable[TargetView]:
         """Yield the targets in the ring order of an adapter."""
--- a/tamarackfield/wire/reporting.py
+++ b/tamarackfield/wire/reporting.py
@@ -19,7 +19,7 @@
 #: Interval between two load reports to an entry while nothing changes.
 MAX_REPORT_INTERVAL_SECONDS = 1.0
 #: Limit on the rate of load reports of one sidecar, over all its streams.
-REPORT_BYTES_PER_SECOND = 2000
+REPORT_BYTES_PER_SECOND = 6000
 #: Size of one encoded load report, for computing the interval.
 REPORT_BYTES = 50
 
@@ -62,7 +62,7 @@
     --------
     >>> report_interval_seconds(3)
     0.1
-    >>> report_interval_seconds(40)
+    >>> report_interval_seconds(120)
     1.0
     """
     return max(MIN_REPORT_INTERVAL_SECONDS, stream_count * REPORT_BYTES / REPORT_BYTES_PER_SECOND)
