Sidecars leave requests that they could only begin late to other targets

A request whose batch slot or prefill comes after its objective is declined at once as busy, while another target still has the time to load its adapter. Its entry asks at most two others, then the request waits at the best one.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -30,7 +30,7 @@
 from tamarackfield.web import Responder
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import ConnectionPool
-from tamarackfield.wire.reservations import Declined
+from tamarackfield.wire.reservations import REDIRECT_CODE, Declined
 from tamarackfield.wire.stream import PeerBusyError, StreamClosedError
 
 #: Remaining time, in seconds, below which a call is not sent: no answer could arrive before the deadline.
@@ -107,7 +107,12 @@
         except (StreamClosedError, PeerBusyError) as exc:
             return NotRun(f'sidecar: {exc.message}', sent=False)
         if isinstance(answer, Declined):
-            return NotRun(f'sidecar declined: {answer.code}', sent=False, retry_seconds=answer.retry_ms / MS_PER_SECOND)
+            return NotRun(
+                f'sidecar declined: {answer.code}',
+                sent=False,
+                retry_seconds=answer.retry_ms / MS_PER_SECOND,
+                redirected=answer.code == REDIRECT_CODE,
+            )
         reservation.link = link
         reservation.number = number
         reservation.version = answer.version
@@ -122,7 +127,14 @@
         version = self.fleet.versions.newest.get(adapter, 0)
         start_within = call.received_at + route.objective_seconds - now
         return ReservationRequest(
-            call.request_id, adapter, version, route.priority, call.deadline - now, start_within, call.prompt_tokens
+            label=call.request_id,
+            adapter=adapter,
+            version=version,
+            priority=route.priority,
+            remaining_seconds=call.deadline - now,
+            start_within_seconds=start_within,
+            prompt_tokens=call.prompt_tokens,
+            redirectable=call_state.may_be_redirected(),
         )
 
     async def _send_and_receive(
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -8,6 +8,10 @@
 from tamarackfield.gateway.model import Call, Route
 
 
+#: Number of times that sidecars may leave one call to other targets; its next reservation waits for its turn.
+MAX_REDIRECTS = 2
+
+
 @dataclass(slots=True)
 class CallState:
     """State of one call.
@@ -40,6 +44,8 @@
         Names of the targets that did not run it in an earlier attempt; a second such attempt excludes them.
     excluded_targets : set of str
         Names of the targets that receive no further attempt.
+    redirected_from : set of str
+        Names of the targets whose sidecars left the call to other targets; they are avoided while it may be redirected.
     notes : list of str
         Descriptions of the attempts, for the log.
     retry_seconds : float
@@ -67,6 +73,7 @@
     last_event: int = 0
     not_run_targets: set[str] = field(default_factory=set)
     excluded_targets: set[str] = field(default_factory=set)
+    redirected_from: set[str] = field(default_factory=set)
     notes: list[str] = field(default_factory=list)
     retry_seconds: float = 0.0
     target_name: str = ''
@@ -92,10 +99,14 @@
         (True, False)
         """
         name = target.record.name
-        if name in self.excluded_targets:
+        if name in self.excluded_targets or (name in self.redirected_from and self.may_be_redirected()):
             return False
         return name in self.sent_to or len(self.sent_to) < self.route.max_targets
 
+    def may_be_redirected(self) -> bool:
+        """Return whether a sidecar may leave the call to other targets once more."""
+        return len(self.redirected_from) < MAX_REDIRECTS
+
     def outcome(self) -> Outcome:
         """Return the known outcome of the call."""
         if self.in_flight is not None or self.may_have_run:
@@ -124,6 +135,11 @@
             self.excluded_targets.add(target.record.name)
         self.not_run_targets.add(target.record.name)
 
+    def record_redirect(self, target: Target) -> None:
+        """Record that the sidecar of a target left the call to other targets."""
+        self.in_flight = None
+        self.redirected_from.add(target.record.name)
+
     def record_maybe_ran(self, target: Target) -> None:
         """Record that an attempt ended and may have run."""
         self.in_flight = None
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -123,6 +123,9 @@
     def _handle_result(self, call_state: CallState, target: Target, result: AttemptResult) -> Answered | None:
         """Record the result of an attempt; return the answer for the caller if there is one."""
         match result:
+            case NotRun(reason, redirected=True):
+                self._add_note(call_state, target, f'not run: {reason}')
+                call_state.record_redirect(target)
             case NotRun(reason, sent, retry_seconds):
                 self._add_note(call_state, target, f'not run: {reason}')
                 call_state.record_not_run(target, retry_allowed=sent and bool(call_state.adapter_key()))
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -25,11 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """Result of a call that the target did not run; ``sent`` is whether it reached the target."""
+    """Result of a call that the target did not run.
+
+    ``sent`` is whether it reached the target, ``redirected`` whether its sidecar left it to other targets.
+    """
 
     reason: str
     sent: bool
     retry_seconds: float = 0.0
+    redirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -50,6 +50,8 @@
         Time within which the run should begin to meet the latency objective; zero or less if that has passed.
     prompt_tokens : int
         Length of the prompt in tokens.
+    redirectable : bool
+        Whether another target is tried if the run cannot begin here within the latency objective.
     """
 
     label: str
@@ -59,6 +61,7 @@
     remaining_seconds: float
     start_within_seconds: float
     prompt_tokens: int
+    redirectable: bool
 
 
 class ManagerLink:
@@ -323,4 +326,5 @@
         left_ms=max(1, round(request.remaining_seconds * MS_PER_SECOND)),
         aim_ms=max(0, round(request.start_within_seconds * MS_PER_SECOND)),
         tokens=request.prompt_tokens,
+        redirectable=request.redirectable,
     )
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -4,7 +4,8 @@
 here, where their order is known, and not in the engine's own queue. Under overload, requests that can still
 start in time are served first, and those that are already late are served with the remaining capacity, so that
 a burst does not make every request late. A request that cannot start in time is declined as soon as that is
-known, so that its entry can try another target. No request whose adapter is resident waits while
+known, so that its entry can try another target. A request that could start, but not within its latency objective, is
+redirected while another target would still have the time to load its adapter. No request whose adapter is resident waits while
 a batch slot is free, except for prefill pacing.
 """
 
@@ -15,6 +16,7 @@
 
 from tamarackfield.policy.prefill import PrefillPacer
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
+from tamarackfield.wire.reservations import REDIRECT_CODE
 
 #: Fraction of the time until a request's deadline that it may spend queued here; the remainder is for its run.
 MAX_WAIT_FRACTION = 0.5
@@ -88,6 +90,8 @@
         Length of the prompt.
     caller_request_id : str
         Request id of the caller, used in logs.
+    redirectable : bool
+        Whether its entry tries another target if the run cannot start here by ``start_by``.
     granted_at : float
         Time of the grant in monotonic seconds; 0 while the request is queued.
     waits : WaitTimes
@@ -103,6 +107,7 @@
     start_by: float
     tokens: int = 0
     caller_request_id: str = ''
+    redirectable: bool = False
     granted_at: float = 0.0
     waits: WaitTimes = field(default_factory=WaitTimes)
 
@@ -246,15 +251,18 @@
         }
         queue = sorted(self.waiting.values(), key=self._make_sort_key(now))
         waiting_adapters = frozenset(ticket.adapter for ticket in queue)
-        ahead = 0
+        ahead, tokens_ahead = 0, 0
         for ticket in queue:
             code = self._decline_code(ticket, ahead, now)
             if code:
                 self._decline(plan, ticket, code, self._retry_seconds(ticket, ahead, now))
             elif self._can_grant(ticket, now):
                 self._grant(plan, ticket, now)
+            elif self._should_redirect(ticket, ahead, tokens_ahead, now):
+                self._decline(plan, ticket, REDIRECT_CODE, self._retry_seconds(ticket, ahead, now))
             else:
                 ahead += 1
+                tokens_ahead += ticket.tokens
                 self._order_load(plan, ticket, waiting_adapters)
                 ticket.waits.count(self._wait_cause(ticket, waiting_adapters), now)
         return plan
@@ -309,6 +317,14 @@
             return 'too_late'
         return 'full' if now + self.expected_wait_seconds(ahead) > wait_until else ''
 
+    def _should_redirect(self, ticket: Ticket, ahead: int, tokens_ahead: int, now: float) -> bool:
+        """Return whether another target should run a request: here it starts too late, elsewhere its load takes less."""
+        slack = ticket.start_by - now
+        if not ticket.redirectable or slack < self.load_seconds:
+            return False
+        prefill_wait = self.prefill.prefill_seconds(tokens_ahead) / self.prefill.current_share(now)
+        return max(self.expected_wait_seconds(ahead), prefill_wait) > slack
+
     def _is_load_refused(self, ticket: Ticket) -> bool:
         refusal = self.load_refusals.get(ticket.adapter)
         return refusal is not None and refusal.version >= ticket.version
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -197,7 +197,16 @@
     deadline = now + message.left_ms / MS_PER_SECOND
     start_by = now + message.aim_ms / MS_PER_SECOND
     return Ticket(
-        key, message.adapter, message.version, message.priority, now, deadline, start_by, message.tokens, message.label
+        key=key,
+        adapter=message.adapter,
+        version=message.version,
+        priority=message.priority,
+        enqueued_at=now,
+        deadline=deadline,
+        start_by=start_by,
+        tokens=message.tokens,
+        caller_request_id=message.label,
+        redirectable=message.redirectable,
     )
 
 
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -11,8 +11,15 @@
     return admission
 
 
-def enqueue(
-    admission, number, adapter='m/a', enqueued_at=100.0, remaining_seconds=10.0, priority=0, start_within_seconds=0.8
+def enqueue(  # noqa: WPS211 the properties of a request
+    admission,
+    number,
+    adapter='m/a',
+    enqueued_at=100.0,
+    remaining_seconds=10.0,
+    priority=0,
+    start_within_seconds=0.8,
+    **properties,
 ):
     """Queue a request."""
     admission.enqueue(
@@ -24,6 +31,7 @@
             enqueued_at,
             enqueued_at + remaining_seconds,
             enqueued_at + start_within_seconds,
+            **properties,
         )
     )
 
@@ -178,3 +186,35 @@
         admission.make_plan(now + 0.8)
         admission.release((1, number), now + 0.9)
     assert round(admission.load_seconds * 10) == 8
+
+
+def test_request_is_redirected_while_another_target_could_start_it_in_time():
+    admission = make_admission(batch=2)
+    admission.service_seconds = 4.0
+    for number in range(2):
+        enqueue(admission, number, 'm', remaining_seconds=60.0)
+    admission.make_plan(100.0)
+    for number, redirectable in ((2, True), (3, False)):
+        enqueue(admission, number, 'm', remaining_seconds=60.0, redirectable=redirectable)
+    declines = admission.make_plan(100.0).declines
+    assert [(decline.ticket.key, decline.code) for decline in declines] == [((1, 2), 'busy')]
+    assert list(admission.waiting) == [(1, 3)]
+
+
+def test_request_is_not_redirected_once_its_adapter_could_not_be_loaded_elsewhere_in_time():
+    admission = make_admission(batch=1)
+    admission.service_seconds = 4.0
+    enqueue(admission, 1, 'm', remaining_seconds=60.0)
+    admission.make_plan(100.0)
+    enqueue(admission, 2, 'm', remaining_seconds=60.0, start_within_seconds=0.1, redirectable=True)
+    assert admission.make_plan(100.0).declines == []
+
+
+def test_request_is_redirected_from_an_engine_that_has_many_prompts_to_prefill():
+    admission = make_admission(batch=60)
+    admission.prefill.token_seconds = 0.001
+    for number in range(30):
+        enqueue(admission, number, 'm', remaining_seconds=60.0, tokens=100, start_within_seconds=9.0)
+    enqueue(admission, 99, 'm', remaining_seconds=60.0, tokens=100, redirectable=True)
+    declines = admission.make_plan(100.0).declines
+    assert [(decline.ticket.key, decline.code) for decline in declines] == [((1, 99), 'busy')]
--- a/tamarackfield/wire/reservations.py
+++ b/tamarackfield/wire/reservations.py
@@ -6,6 +6,10 @@
 from tamarackfield.wire.messages import LoadReport, Message
 
 
+#: Code of a decline because another target may begin the run sooner.
+REDIRECT_CODE = 'busy'
+
+
 @dataclass(frozen=True, slots=True)
 class Facts(Message):
     """Properties of a target, sent by an entry to its sidecar; the highest ``revision`` is in force.
@@ -37,7 +41,8 @@
     ``adapter`` is ``model/adapter`` or only ``model``; ``version`` is the lowest acceptable version, 0 for
     any. ``left_ms`` is the time after which the reservation is useless, ``aim_ms`` the time within which
     the run should start to meet the latency target of its caller. ``tokens`` is the length of the prompt;
-    ``label`` is the caller's request id, for logs.
+    ``label`` is the caller's request id, for logs. ``redirectable`` is whether the entry tries another target if the
+    run cannot start here within ``aim_ms``.
     """
 
     kind = 61
@@ -49,6 +54,7 @@
     left_ms: int
     aim_ms: int
     tokens: int
+    redirectable: bool
 
 
 @dataclass(frozen=True, slots=True)
