Pauses are judged by the route's limit; entries follow the store with one watch

Causes: - A pause of 0.27 s lowered the share of prefill on every deployment, though routes state their own limit (0.25 to 0.4 s): too late on some, needlessly soon on others. The limit of the route is decoded and used. - Each entry kept two watches; that of the configuration came back empty every 3 s. One watch of all keys halves the calls. Changes that come soon after others now wait for up to half of the time in which they must be in force; before, only those of the instance list did.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -31,9 +31,9 @@
 GRACE_MARGIN_SECONDS = 0.5
 #: Lower bound, in seconds, of the time-out for receiving a complete request, body included.
 MIN_REQUEST_TIMEOUT_SECONDS = 10.0
-#: Pause between two watches of the instance list, as a share of the time within which a draining
-#: target must stop receiving new requests.
-INSTANCE_WATCH_PAUSE_SHARE = 0.5
+#: Pause between two watches of the store, as a share of the time within which a draining target must stop receiving
+#: new requests and a changed configuration must be in force. Changes in the meantime arrive with the next watch.
+WATCH_PAUSE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -44,8 +44,8 @@
     ----------
     store : StoreReader
         Store from which configuration and instances are read.
-    configuration_prefix, instance_prefix : str
-        Key prefixes of the configuration and of the instance list.
+    store_prefix : str
+        Key prefix of the configuration and of the instance list.
     decode : callable
         Decodes an item of the store.
     read_call : CallReader
@@ -59,8 +59,7 @@
     """
 
     store: StoreReader
-    configuration_prefix: str
-    instance_prefix: str
+    store_prefix: str
     decode: Callable[[Item], DecodedItem]
     read_call: CallReader
     dialect: Dialect
@@ -121,7 +120,7 @@
 
     def is_ready(self) -> bool:
         """Return whether this entry accepts new connections."""
-        listed = self.platform.instance_prefix in self.replica.complete
+        listed = self.platform.store_prefix in self.replica.complete
         configured = self.configuration.catalog is not None and listed
         return configured and not self.draining and not self.maintenance.is_shedding()
 
@@ -194,12 +193,11 @@
 
     def _build_followers(self) -> None:
         platform = self.platform
-        apply_item = self.configuration.apply_item
-        watch_pause = self.settings.leaving_seconds * INSTANCE_WATCH_PAUSE_SHARE
+        settings = self.settings
+        watch_pause = min(settings.leaving_seconds, settings.change_seconds) * WATCH_PAUSE_SHARE
         self.replica = Replica()
         self.followers = [
-            Follower(platform.configuration_prefix, platform.store, self.replica, apply_item),
-            Follower(platform.instance_prefix, platform.store, self.replica, apply_item, watch_pause),
+            Follower(platform.store_prefix, platform.store, self.replica, self.configuration.apply_item, watch_pause)
         ]
         self.peers = PeerExchange(self.replica, self.followers, self.hello, lambda: list(self.settings.seeds))
 
--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -77,7 +77,7 @@
     async def run_attempt(self, call_state: CallState, target: Target, responder: Responder) -> AttemptResult:
         """Run one attempt; its reservation and its connection are released however it ends."""
         with contextlib.ExitStack() as clean_up:
-            reservation = Reservation()
+            reservation = Reservation(longest_pause_seconds=call_state.route.pause_seconds)
             if call_state.adapter_key():
                 refused = await self._reserve(call_state, target, reservation)
                 clean_up.callback(reservation.release)
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import MIN_JITTER_SHARE
-from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_SECONDS
+from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
@@ -294,11 +295,14 @@
         Number of the reservation on the link.
     version : int
         Version of the adapter that the target must run; 0 for any.
+    longest_pause_seconds : float
+        Longest pause between two events for which the answer is still on time.
     """
 
     link: ManagerLink | None = None
     number: int = 0
     version: int = 0
+    longest_pause_seconds: float = math.inf
 
     def release(self) -> None:
         """Release the slot."""
@@ -311,8 +315,8 @@
             self.link.report_started(self.number)
 
     def report_wait(self, seconds: float) -> None:
-        """Report the silence of the target before a part of the answer, if callers would notice it."""
-        if self.link is not None and seconds > NOTICEABLE_PAUSE_SECONDS:
+        """Report the silence of the target before a part of the answer, if it is close to the longest allowed."""
+        if self.link is not None and seconds > NOTICEABLE_PAUSE_FRACTION * self.longest_pause_seconds:
             self.link.report_pause(self.number, seconds)
 
 
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -4,6 +4,9 @@
 
 from tamarackfield.core import Address
 
+#: Longest pause between two events of a stream, in seconds, if the configuration states none.
+DEFAULT_PAUSE_SECONDS = 0.3
+
 HeaderLines = list[tuple[bytes, bytes]]
 
 
@@ -84,6 +87,8 @@
         Largest number of targets to which one request may be sent.
     splits : tuple of pairs
         Services and their weights.
+    pause_seconds : float
+        Longest pause between two events of a stream for which it is still on time.
     """
 
     name: str
@@ -97,6 +102,7 @@
     priority: int
     max_targets: int
     splits: tuple[tuple[str, float], ...]
+    pause_seconds: float = DEFAULT_PAUSE_SECONDS
 
     @property
     def may_run_again(self) -> bool:
--- a/tamarackfield/gateway/settings.py
+++ b/tamarackfield/gateway/settings.py
@@ -33,6 +33,8 @@
         Length of the window of the retry budget.
     leaving_seconds : float
         Time within which a draining target must stop receiving new requests.
+    change_seconds : float
+        Time within which a changed configuration must be in force.
     grace_seconds : float
         Grace period between the stop signal and the end of the process.
     max_connections : int
@@ -51,5 +53,6 @@
     retry_allowance: float
     retry_window_seconds: float
     leaving_seconds: float
+    change_seconds: float
     grace_seconds: float
     max_connections: int
--- a/tamarackfield/platform/entry.py
+++ b/tamarackfield/platform/entry.py
@@ -10,7 +10,7 @@
 from tamarackfield.gateway.app import Gateway, PlatformInterface
 from tamarackfield.gateway.settings import GatewaySettings
 from tamarackfield.platform.calls import REQUEST_ID_HEADER, WorkerDialect, read_call
-from tamarackfield.platform.items import OPERATOR_PREFIX, WORKER_PREFIX, decode_item
+from tamarackfield.platform.items import STORE_PREFIX, decode_item
 from tamarackfield.platform.settings import METRICS_PORT, SettingsReader, require_string
 from tamarackfield.platform.store import PlatformStore
 
@@ -29,8 +29,7 @@
         self.store = PlatformStore(store_address)
         platform = PlatformInterface(
             store=self.store,
-            configuration_prefix=OPERATOR_PREFIX,
-            instance_prefix=WORKER_PREFIX,
+            store_prefix=STORE_PREFIX,
             decode=decode_item,
             read_call=read_call,
             dialect=WorkerDialect(),
@@ -75,6 +74,7 @@
         retry_allowance=reader.read(_scale_retry_limit, 'bounds', 'budget_extra'),
         retry_window_seconds=reader.read(float, 'bounds', 'budget_window_s'),
         leaving_seconds=reader.read(_to_seconds, 'bounds', 'drain_ms'),
+        change_seconds=reader.read(_to_seconds, 'bounds', 'config_apply_ms'),
         grace_seconds=reader.read(float, 'bounds', 'grace_s'),
         max_connections=reader.read(_connection_limit, 'limits', 'max_fds'),
     )
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -6,12 +6,21 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.problems import split_address
 from tamarackfield.gateway.configuration import AdapterVersion, DecodedItem, TargetRemoved, UnreadableItem
-from tamarackfield.gateway.model import BaseModel, Catalog, Engine, Limits, Route, Service, TargetRecord
+from tamarackfield.gateway.model import (
+    DEFAULT_PAUSE_SECONDS,
+    BaseModel,
+    Catalog,
+    Engine,
+    Limits,
+    Route,
+    Service,
+    TargetRecord,
+)
 from tamarackfield.gateway.replica import Item
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
 
-#: Prefix of the keys that the operator writes.
-OPERATOR_PREFIX = 'op/'
+#: Prefix of all keys, those of the operator and those of workers: one watch of it follows both.
+STORE_PREFIX = ''
 #: Prefix of the keys that workers write, each under its id.
 WORKER_PREFIX = 'servers/'
 _CONFIG_KEY = 'op/config'
@@ -89,6 +98,7 @@
         # Limits the workers that a request may be sent to, not the number of sends.
         max_targets=max(1, int(route.get('max_attempts', 1))),
         splits=tuple((share['service'], float(share['weight'])) for share in traffic_split),
+        pause_seconds=route['gap_target_ms'] / MS_PER_SECOND if 'gap_target_ms' in route else DEFAULT_PAUSE_SECONDS,
     )
 
 
--- a/tamarackfield/platform/tests/test_decoding.py
+++ b/tamarackfield/platform/tests/test_decoding.py
@@ -6,9 +6,11 @@
 
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.directory import Directory
+from tamarackfield.gateway.model import DEFAULT_PAUSE_SECONDS
 from tamarackfield.gateway.replica import Item
 from tamarackfield.platform.entry import read_entry_settings
-from tamarackfield.platform.items import decode_item
+from tamarackfield.platform.items import decode_catalog, decode_item
+from tamarackfield.testing.platform_site import MODEL_SERVICE, make_config, make_route
 
 
 @pytest.fixture
@@ -51,3 +53,12 @@
     outcome = read_entry_settings({'listen': {'front': address}})
     assert isinstance(outcome, Err)
     assert '$.listen.front' in {problem.path for problem in outcome.err_value}
+
+
+def test_longest_pause_is_read_from_the_route():
+    routes = [
+        make_route('/a/', 'streaming', MODEL_SERVICE, gap_target_ms=250),
+        make_route('/b/', 'streaming', MODEL_SERVICE),
+    ]
+    catalog = decode_catalog(make_config(1, routes))
+    assert [route.pause_seconds for route in catalog.routes] == [0.25, DEFAULT_PAUSE_SECONDS]
--- a/tamarackfield/policy/prefill.py
+++ b/tamarackfield/policy/prefill.py
@@ -25,9 +25,9 @@
 SMOOTHING = 0.2
 #: Shortest prompt, in tokens, that updates the prefill time of a token.
 MIN_SAMPLE_TOKENS = 200
-#: Pause in seconds between two events of a stream that is close to what callers notice: nine tenths of the shortest
-#: pause in their latency objectives.
-NOTICEABLE_PAUSE_SECONDS = 0.27
+#: Fraction of the longest pause between two events in a latency objective from which a pause lowers the prefill share,
+#: so that the next ones stay below the objective.
+NOTICEABLE_PAUSE_FRACTION = 0.9
 #: Factor by which a noticeable pause lowers the prefill share, and the smallest share. Multiplicative decrease with
 #: additive increase lets several senders converge to their fair shares of a bottleneck [1]_.
 SHARE_DECREASE_FACTOR = 0.85
--- a/tamarackfield/policy/tests/test_prefill.py
+++ b/tamarackfield/policy/tests/test_prefill.py
@@ -2,7 +2,7 @@
 
 import random
 
-from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_SECONDS, PrefillPacer
+from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION, PrefillPacer
 
 #: Decode step and prefill time of a token on an engine of half the usual speed.
 STEP_SECONDS = 0.009
@@ -55,7 +55,7 @@
         pause = self.now - stream[1]
         stream[1] = self.now
         stream[2] = max(stream[2], pause)
-        if pause > NOTICEABLE_PAUSE_SECONDS and self.report_pauses:
+        if pause > NOTICEABLE_PAUSE_FRACTION * MAX_PAUSE_SECONDS and self.report_pauses:
             self.pacer.record_pause(self.now)
         if stream[0] == EVENTS_PER_STREAM * EVENT_TOKENS:
             self.pauses.append(stream[2])
