--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -46,6 +46,8 @@
         Names of the targets that receive no further attempt.
     redirected_from : set of str
         Names of the targets whose sidecars left the call to other targets; they are avoided while it may be redirected.
+    redirects_left : int
+        Number of times that sidecars may still leave the call to other targets.
     notes : list of str
         Descriptions of the attempts, for the log.
     retry_seconds : float
@@ -74,6 +76,7 @@
     not_run_targets: set[str] = field(default_factory=set)
     excluded_targets: set[str] = field(default_factory=set)
     redirected_from: set[str] = field(default_factory=set)
+    redirects_left: int = MAX_REDIRECTS
     notes: list[str] = field(default_factory=list)
     retry_seconds: float = 0.0
     target_name: str = ''
@@ -105,7 +108,7 @@
 
     def may_be_redirected(self) -> bool:
         """Return whether a sidecar may leave the call to other targets once more."""
-        return len(self.redirected_from) < MAX_REDIRECTS
+        return self.redirects_left > 0
 
     def outcome(self) -> Outcome:
         """Return the known outcome of the call."""
@@ -139,6 +142,11 @@
         """Record that the sidecar of a target left the call to other targets."""
         self.in_flight = None
         self.redirected_from.add(target.record.name)
+        self.redirects_left -= 1
+
+    def stop_redirects(self) -> None:
+        """Let the next reservation wait for its turn, also at a target that left the call to others."""
+        self.redirects_left = 0
 
     def record_maybe_ran(self, target: Target) -> None:
         """Record that an attempt ended and may have run."""
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -118,7 +118,11 @@
             return None
         call = call_state.call
         placement = PlacementRequest(call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens)
-        return self.fleet.choose_target(placement, call_state.allows)
+        target = self.fleet.choose_target(placement, call_state.allows)
+        if target is None and call_state.redirected_from and call_state.may_be_redirected():
+            call_state.stop_redirects()
+            return self.fleet.choose_target(placement, call_state.allows)
+        return target
 
     def _handle_result(self, call_state: CallState, target: Target, result: AttemptResult) -> Answered | None:
         """Record the result of an attempt; return the answer for the caller if there is one."""
--- /dev/null
+++ b/tamarackfield/gateway/tests/test_redirects.py
@@ -0,0 +1,60 @@
+"""Calls that sidecars leave to other targets: each target is asked once, then the call waits for its turn."""
+
+from tamarackfield.core import BOOT_CLOCK
+from tamarackfield.gateway.call_state import MAX_REDIRECTS, CallState
+from tamarackfield.gateway.dispatch import Dispatcher
+from tamarackfield.gateway.exchange import NotRun, Streamed
+from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_state
+from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
+
+
+class OrderedFleet:
+    """Fleet that prefers its targets in a fixed order."""
+
+    def __init__(self, names):
+        self.targets = [make_target_state(name, 'models') for name in names]
+
+    def choose_target(self, placement, allowed):
+        """Return the first allowed target."""
+        return next((target for target in self.targets if allowed(target)), None)
+
+
+class FullTargets:
+    """Attempts at targets that are all full: each redirects a call if it may be redirected."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def run_attempt(self, call_state, target, responder):
+        """Redirect the call, or run it once it may not be redirected any more."""
+        redirectable = call_state.may_be_redirected()
+        self.asked.append((target.record.name, redirectable))
+        return NotRun('busy', sent=False, redirected=True) if redirectable else Streamed(1)
+
+
+async def serve(names):
+    """Serve one call with the given targets; return which were asked, and whether the call could be redirected."""
+    attempts = FullTargets()
+    dispatcher = Dispatcher(OrderedFleet(names), attempts, lambda service: SharedRetryBudget(0.2, 40.0, 10.0))
+    call = make_call(deadline=BOOT_CLOCK.monotonic() + 60, model='base')
+    await dispatcher.serve(CallState(call, make_route('/m/', 'models', max_targets=1), 'models', 1), None)
+    return attempts.asked
+
+
+async def test_call_that_no_target_can_start_in_time_waits_at_the_preferred_one():
+    assert await serve(['t1', 't2', 't3', 't4']) == [('t1', True), ('t2', True), ('t1', False)]
+
+
+async def test_call_to_a_service_of_one_target_waits_there():
+    assert await serve(['t1']) == [('t1', True), ('t1', False)]
+    assert await serve(['t1', 't2']) == [('t1', True), ('t2', True), ('t1', False)]
+
+
+async def test_redirects_take_nothing_from_the_targets_that_a_call_may_be_sent_to():
+    call_state = CallState(make_call(), make_route(max_targets=1), 'models', 1)
+    for name in ('t1', 't2')[:MAX_REDIRECTS]:
+        target = make_target_state(name)
+        assert call_state.allows(target)
+        call_state.record_redirect(target)
+    assert call_state.sent_to == set()
+    assert call_state.allows(make_target_state('t3'))
