Pace adapter loads after slow ones

Cause: after a loss of power every engine loads four adapters at once. All engines together exceed what the weight store serves at full speed, so that none of these loads ends sooner, but the first end three times later and their prompts are read in a heap. An engine begins with two, adds one after each load at full speed and falls back after a slow one.

--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -22,6 +22,7 @@
     TicketKey,
     find_wait_cause,
 )
+from tamarackfield.policy.load_pacing import LoadPacer
 from tamarackfield.policy.prefill import PrefillPacer
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
 from tamarackfield.wire.reservations import REDIRECT_CODE
@@ -69,6 +70,7 @@
         self.reachable = False
         self.draining = False
         self.prefill = PrefillPacer()
+        self.load_pacer = LoadPacer()
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.load_seconds = INITIAL_LOAD_SECONDS
 
@@ -117,6 +119,7 @@
             seconds = now - self.load_started_at.pop(adapter)
             if adapter in resident_versions:
                 self.load_seconds += SMOOTHING * (seconds - self.load_seconds)
+                self.load_pacer.record_load(seconds)
 
     def record_order_result(self, order: Order | ModelOrder, accepted: bool, now: float) -> None:
         """Remove a pending order and record its load if accepted; `update_engine_state` later reads its effect."""
@@ -144,6 +147,7 @@
             Its granted and declined tickets are no longer queued; its orders count as pending.
         """
         plan = Plan(now)
+        self.residency.max_loads = self.load_pacer.limit
         self.load_refusals = {
             adapter: refusal for adapter, refusal in self.load_refusals.items() if now < refusal.until
         }
--- a/tamarackfield/policy/residency.py
+++ b/tamarackfield/policy/residency.py
@@ -62,6 +62,8 @@
         Resident adapters.
     loading : dict
         Versions of the adapters being loaded; 0 if not known.
+    max_loads : int
+        Largest number of loads in progress now, at most `MAX_CONCURRENT_LOADS`.
 
     Examples
     --------
@@ -80,6 +82,7 @@
     slots: int
     residents: dict[str, Resident] = field(default_factory=dict)
     loading: dict[str, int] = field(default_factory=dict)
+    max_loads: int = MAX_CONCURRENT_LOADS
 
     def update(self, resident_versions: dict[str, int], loading: Iterable[str]) -> None:
         """Replace the state with the resident and loading adapters that the engine reports.
@@ -132,7 +135,7 @@
             Adapters that queued requests need; they are not evicted.
         """
         resident = self.residents.get(adapter)
-        if adapter in self.loading or len(self.loading) >= MAX_CONCURRENT_LOADS:
+        if adapter in self.loading or len(self.loading) >= self.max_loads:
             return None
         if resident is not None:
             return None if resident.pins or resident.version >= version else LoadOrder(adapter, version)
