Trace of a process at the end of its grace; reloads do not shorten the expected load

Ruled out: slow interpreter exit (0.01 s of processor time).

The time of loads is averaged over fetches only: reloads from memory made a fetch look cheap to entries.

--- a/benchmarks/regression.py
+++ b/benchmarks/regression.py
@@ -99,7 +99,8 @@
 
 def _parse_row(cells: list[str]) -> SiteScore:
     pairs = [item.split() for item in cells[4].split(', ')]
-    return SiteScore(cells[0], cells[1], cells[2], float(cells[3]), {day: float(worth) for day, worth in pairs})
+    worths = {day: float(worth) for day, worth in pairs}
+    return SiteScore(cells[0], cells[1], cells[2], float(cells[3]), worths)
 
 
 def update_page(text: str, measured: SiteScore) -> str:
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -22,7 +22,7 @@
     TicketKey,
     find_wait_cause,
 )
-from tamarackfield.policy.load_pacing import LoadPacer
+from tamarackfield.policy.load_pacing import LoadPacer, is_reload
 from tamarackfield.policy.prefill import PrefillPacer
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
 from tamarackfield.wire.reservations import REDIRECT_CODE
@@ -117,7 +117,7 @@
         self.reachable = True
         for adapter in self.load_started_at.keys() - self.residency.loading.keys():
             seconds = now - self.load_started_at.pop(adapter)
-            if adapter in resident_versions:
+            if adapter in resident_versions and not is_reload(seconds):
                 self.load_seconds += SMOOTHING * (seconds - self.load_seconds)
                 self.load_pacer.record_load(seconds)
 
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -219,3 +219,16 @@
     enqueue(admission, 99, 'm', remaining_seconds=60.0, tokens=100, redirectable=True)
     declines = admission.make_plan(100.0).declines
     assert [(decline.ticket.key, decline.code) for decline in declines] == [((1, 99), 'busy')]
+
+
+def test_reloads_from_memory_do_not_make_loads_from_the_weight_store_look_short():
+    admission = make_admission(slots=1)
+    before = admission.load_seconds
+    for number in range(20):
+        order = LoadOrder(f'm/a{number}', 0)
+        admission.record_order_result(order, accepted=True, now=100.0 + number)
+        admission.update_engine_state(('m',), {order.adapter: 1}, (), 100.04 + number)
+    assert admission.load_seconds == before
+    admission.record_order_result(LoadOrder('m/slow', 0), accepted=True, now=200.0)
+    admission.update_engine_state(('m',), {'m/slow': 1}, (), 200.8)
+    assert admission.load_seconds > before
--- a/tamarackfield/platform/tests/test_shutdown.py
+++ b/tamarackfield/platform/tests/test_shutdown.py
@@ -7,6 +7,7 @@
 
 from tamarackfield.core.problems import split_address
 from tamarackfield.testing.platform_site import read_events
+from tamarackfield.web import ClientError
 
 ADAPTER = ('Tamarackfield-Model', 'base/a7')
 CONNECTING_TASKS = 12
@@ -33,6 +34,11 @@
     await asyncio.wait(tasks)
 
 
+async def read_until_end(chunks):
+    """Return the remaining chunks of an answer."""
+    return [chunk async for chunk in chunks]
+
+
 def faults_after_stop(process):
     """Return the lines of a log that report faults, and those written after the process had stopped."""
     lines = process.read_log().splitlines()
@@ -67,3 +73,22 @@
     assert await sidecar.terminate() == 0
     assert faults_after_stop(sidecar) == []
     await model_site.entries[0].wait_for_log_text('event=sidecar_stopping')
+
+
+async def test_stream_that_outlasts_the_grace_period_is_cut_before_the_process_ends(model_site):
+    worker = model_site.workers['m1']
+    worker.event_count = 10_000
+    worker.event_interval_seconds = 0.1
+    entry = model_site.entries[0]
+    long_call = [ADAPTER, ('Tamarackfield-Deadline-Ms', '60000'), ('Tamarackfield-Request-Id', 'long')]
+    async with model_site.stream('/draft/x', long_call) as response:
+        chunks = response.chunks()
+        await anext(chunks)
+        with pytest.raises(ClientError):
+            await asyncio.gather(entry.terminate(), read_until_end(chunks))
+    assert await entry.terminate() == 0
+    assert faults_after_stop(entry) == []
+    log = entry.read_log()
+    assert 'event=requests_cut_at_end_of_grace' in log
+    ended = next(number for number, line in enumerate(log.splitlines()) if 'event=request ' in line and 'long' in line)
+    assert ended < next(number for number, line in enumerate(log.splitlines()) if 'event=stopped' in line)
--- a/tamarackfield/policy/load_pacing.py
+++ b/tamarackfield/policy/load_pacing.py
@@ -22,6 +22,11 @@
 RELOAD_FACTOR = 0.5
 
 
+def is_reload(seconds: float) -> bool:
+    """Return whether a load was so short that the adapter came from the engine's memory."""
+    return seconds <= RELOAD_FACTOR * FULL_SPEED_SECONDS
+
+
 @dataclass(slots=True)
 class LoadPacer:
     """Limit of the concurrent adapter loads of one engine.
@@ -44,5 +49,5 @@
         """Adapt the limit to the duration of a load."""
         if seconds > SLOW_FACTOR * FULL_SPEED_SECONDS:
             self.limit = MIN_CONCURRENT_LOADS
-        elif seconds > RELOAD_FACTOR * FULL_SPEED_SECONDS:
+        elif not is_reload(seconds):
             self.limit = min(MAX_CONCURRENT_LOADS, self.limit + 1)
--- a/tamarackfield/policy/tests/test_load_pacing.py
+++ b/tamarackfield/policy/tests/test_load_pacing.py
@@ -40,7 +40,8 @@
     def progress(self, work, now):
         for load in self.loads:
             load[1] += work
-        for load in [load for load in self.loads if load[1] >= FULL_SPEED_SECONDS]:
+        finished = [load for load in self.loads if load[1] >= FULL_SPEED_SECONDS]
+        for load in finished:
             self.loads.remove(load)
             self.pacer.record_load(now - load[0])
             self.prefilled_at = max(now, self.prefilled_at) + PREFILL_SECONDS
