A load report costs an entry the view of one target, and a sidecar one reading for many entries

Cause: each report made an entry walk all targets and decode all adapters of the one that reported, and a sidecar listed its adapters anew for each entry, 68 times in a report's interval.

An entry keeps its targets by machine and decodes holdings when they change; a sidecar's report serves all entries that report within 20 ms. test_fleet.py: a report visits no other target (fails before).

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -46,6 +46,8 @@
         Limit of connections that this entry opens to it; a target resets those beyond what it accepts.
     evicted : dict
         Adapters that were evicted lately as keys, the latest last.
+    viewed_holdings : tuple
+        Holdings of its sidecar that the view shows, and the count of announced versions that it takes into account.
     """
 
     record: TargetRecord
@@ -57,6 +59,7 @@
     address_reassigned: bool = False
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
+    viewed_holdings: tuple[object, int] = (None, 0)
 
     def accepts_requests(self, now: float) -> bool:
         """Return whether new requests may be sent to it."""
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from loguru import logger
-
 from tamarackfield.core import BOOT_CLOCK, Address, Application
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.gateway.directory import Directory, Target
@@ -17,7 +15,7 @@
 from tamarackfield.policy.health import select_usable
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
 from tamarackfield.policy.service_routing import choose_service_target
-from tamarackfield.wire.messages import Hello
+from tamarackfield.wire.messages import Hello, Holdings
 from tamarackfield.wire.reservations import Facts
 
 #: Share of the load rate of the weight store that all sidecars together may use.
@@ -124,10 +122,14 @@
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
         self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
+        # Model targets by the IP number of their machine, as of the last change of the directory.
+        self.targets_by_host: dict[str, list[Target]] = {}
+        self.engine_target_count = 0
 
     def sync_links(self) -> None:
         """Open links to the sidecars of new targets and close those of removed targets."""
-        wanted = {target.record.address[0]: target for target in self._engine_targets()}
+        self._index_targets()
+        wanted = self.targets_by_host
         for host in self.links.keys() - wanted.keys():
             self.links.pop(host)
             self.tasks.pop(host).cancel()
@@ -139,9 +141,11 @@
 
     def refresh_views(self) -> None:
         """Update the connection limits of all targets, and their views from the reports of their sidecars."""
+        self._index_targets()
         self._limit_connections()
-        for target in self._engine_targets():
-            self._refresh_view(target, self.links.get(target.record.address[0]))
+        for host, targets in self.targets_by_host.items():
+            for target in targets:
+                self._refresh_view(target, self.links.get(host))
 
     def granting_link(self, target: Target) -> ManagerLink | None:
         """Return the link to the sidecar of a target if it can grant requests for this incarnation."""
@@ -236,22 +240,21 @@
 
     def _facts_for(self, host: str) -> Facts | None:
         """Return the message that describes the target on a machine to its sidecar, None if it is not known."""
-        targets = [target for target in self._engine_targets() if target.record.address[0] == host]
+        targets = self.targets_by_host.get(host)
         if not targets or self.catalog is None:
             return None
         record = max(targets, key=lambda target: target.record.started_ms).record
         engine = self.catalog.services[record.service].engine
         if engine is None:
             return None
-        return make_facts(record.name, record.started_ms, self.catalog.version, engine, len(self._engine_targets()))
+        return make_facts(record.name, record.started_ms, self.catalog.version, engine, self.engine_target_count)
 
     def _refresh_host(self, host: str) -> None:
         link = self.links.get(host)
         if link is None:
             return
-        for target in self._engine_targets():
-            if target.record.address[0] == host:
-                self._refresh_view(target, link)
+        for target in self.targets_by_host.get(host, ()):
+            self._refresh_view(target, link)
 
     def _refresh_view(self, target: Target, link: ManagerLink | None) -> None:
         view = target.view
@@ -260,6 +263,7 @@
         if report is None or holdings is None or report.incarnation != target.record.started_ms:
             view.residents = frozenset(self._current_adapters(target.record.holdings))
             view.loading = frozenset()
+            target.viewed_holdings = (None, 0)
             view.unreported = 0
             view.unreported_tokens = 0
             return
@@ -275,8 +279,7 @@
         view.load_seconds = report.load_ms / MS_PER_SECOND
         view.service_seconds = report.service_ms / MS_PER_SECOND
         view.concurrent_loads = MAX_CONCURRENT_LOADS
-        target.replace_residents(frozenset(self._current_adapters(holdings.residents)))
-        view.loading = frozenset(holdings.loading)
+        self._refresh_holdings(target, holdings)
         view.token_seconds = report.token_ns / NS_PER_SECOND
         if link is not None and link.reported_at != view.reported_at:
             view.reported_at = link.reported_at
@@ -284,6 +287,22 @@
             view.unreported = 0
             view.unreported_tokens = 0
 
+    def _refresh_holdings(self, target: Target, holdings: Holdings) -> None:
+        """Update the adapters in the view of a target; most reports change only its load."""
+        viewed, version_changes = target.viewed_holdings
+        if viewed is holdings and version_changes == self.versions.changes:
+            return
+        target.viewed_holdings = (holdings, self.versions.changes)
+        target.replace_residents(frozenset(self._current_adapters(holdings.residents)))
+        target.view.loading = frozenset(holdings.loading)
+
+    def _index_targets(self) -> None:
+        self.targets_by_host = {}
+        targets = self._engine_targets()
+        self.engine_target_count = len(targets)
+        for target in targets:
+            self.targets_by_host.setdefault(target.record.address[0], []).append(target)
+
     def _current_adapters(self, holdings: Iterable[str]) -> Iterable[str]:
         """Yield the models, and the adapters whose newest version is resident."""
         for holding in holdings:
@@ -316,7 +335,6 @@
     """
     # At least one load in 1000 seconds, so that the interval is finite.
     loads_per_second = max(engine.loads_per_second, 1 / MS_PER_SECOND)
-    logger.bind(target=name, started_ms=started_ms, version=revision).debug('facts')
     return Facts(
         revision=revision,
         target=name,
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -246,13 +246,15 @@
 
 @dataclass(slots=True)
 class Versions:
-    """Newest version of each adapter that operators announced, by ``model/adapter``."""
+    """Newest version of each adapter that operators announced, by ``model/adapter``; ``changes`` counts them."""
 
     newest: dict[str, int] = field(default_factory=dict)
+    changes: int = 0
 
     def record_version(self, adapter: str, version: int) -> bool:
         """Record an announced version; return whether it is newer than all earlier ones."""
         if version <= self.newest.get(adapter, 0):
             return False
         self.newest[adapter] = version
+        self.changes += 1
         return True
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Choice of targets: connection limits, unreachable machines, replaced targets."""
 
+from collections import UserDict
+
 from tamarackfield.core import Application
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.fleet import Fleet, PlacementRequest
@@ -123,3 +125,35 @@
     assert fleet.ring_of('models') is ring
     fleet.directory.upsert(make_target_record('t3', 'models', address=('127.0.0.1', 2)))
     assert fleet.ring_of('models') is not ring
+
+
+class UncountableTargets(UserDict):
+    """Targets that must not be walked through."""
+
+    def values(self):
+        """Fail."""
+        raise AssertionError('a report of one target visits all of them')
+
+
+def test_report_of_one_target_visits_no_other_target():
+    records = [
+        make_target_record(f't{number}', 'models', address=(f'127.0.0.{number}', 1), started_ms=number)
+        for number in range(1, 5)
+    ]
+    fleet = make_fleet(*records)
+    attach_link(fleet, 't3', FakeLink(3, ['base', 'base/a1@1']))
+    fleet.directory.targets = UncountableTargets(fleet.directory.targets)
+    fleet.links['127.0.0.3'].holdings = Holdings(['base', 'base/a2@1'], ['base/a5'])
+    fleet._refresh_host('127.0.0.3')
+    assert target_of(fleet, 't3').view.residents == {'base', 'base/a2'}
+    assert target_of(fleet, 't3').view.loading == {'base/a5'}
+    assert list(target_of(fleet, 't3').view.recent) == ['base/a1']
+
+
+def test_newer_version_of_an_adapter_takes_effect_without_new_holdings():
+    fleet = make_fleet(make_target_record('t1', 'models', address=('127.0.0.1', 1), started_ms=1))
+    attach_link(fleet, 't1', FakeLink(1, ['base', 'base/a1@1']))
+    assert 'base/a1' in target_of(fleet).view.residents
+    fleet.versions.record_version('base/a1', 2)
+    fleet._refresh_host('127.0.0.1')
+    assert 'base/a1' not in target_of(fleet).view.residents
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -18,6 +18,8 @@
 MAX_DECISION_INTERVAL_SECONDS = 0.05
 #: Shortest time in seconds until a decision whose only reason is that time has passed.
 MIN_DECISION_INTERVAL_SECONDS = 0.005
+#: Time in seconds for which one report is sent to further entries; its content changes more slowly than that.
+REPORT_CACHE_SECONDS = 0.02
 
 
 class ManagerServer:
@@ -39,6 +41,9 @@
         self.streams_by_number: dict[int, PeerStream] = {}
         self.stream_numbers = itertools.count(1)
         self.draining = False
+        self.cached_report: EngineReport | None = None
+        self.cached_holdings: Holdings | None = None
+        self.report_cache_expires_at = 0.0
         self.server = ConnectionServer(self.serve_entry)
 
     async def listen(self, host: str, port: int) -> None:
@@ -99,7 +104,26 @@
             await controller.execute_plan(plan if plan.orders else controller.plan_model_load())
 
     def report(self) -> EngineReport:
-        """Return the load report of the engine."""
+        """Return the load report of the engine, made at most `REPORT_CACHE_SECONDS` ago."""
+        self._refresh_reports()
+        return self.cached_report
+
+    def holdings(self) -> Holdings:
+        """Return the loaded and loading adapters, read at most `REPORT_CACHE_SECONDS` ago."""
+        self._refresh_reports()
+        return self.cached_holdings
+
+    def _refresh_reports(self) -> None:
+        now = SYSTEM_CLOCK.monotonic()
+        if now < self.report_cache_expires_at:
+            return
+        self.report_cache_expires_at = now + REPORT_CACHE_SECONDS
+        self.cached_report = self._make_report()
+        holdings = self._make_holdings()
+        if holdings != self.cached_holdings:
+            self.cached_holdings = holdings
+
+    def _make_report(self) -> EngineReport:
         admission = self.controller.admission
         residency = admission.residency
         state = self.controller.state
@@ -120,7 +144,7 @@
             token_ns=round(admission.prefill.effective_token_seconds(now) * NS_PER_SECOND),
         )
 
-    def holdings(self) -> Holdings:
+    def _make_holdings(self) -> Holdings:
         """Return the loaded models and adapters, and the adapters that are loading or that queued requests need."""
         admission = self.controller.admission
         residency = admission.residency
@@ -131,6 +155,7 @@
     def drain(self) -> None:
         """Notify every entry that this process stops."""
         self.draining = True
+        self.report_cache_expires_at = 0.0
         for stream in self.streams:
             _send(stream, Draining('the sidecar stops'))
 
