--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -111,7 +111,7 @@
 async def restart_worker(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
     """Stop a worker and start a new incarnation of it with empty state."""
     worker = _select_worker(site, step, incident)
-    async with site.locks[worker.name]:
+    async with site.worker_lock(worker):
         await worker.stop()
         await _wait_duration(step)
         await worker.restart()
@@ -121,7 +121,7 @@
 async def drain_worker(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
     """Announce that a worker drains, remove it from the list of servers and start it again later."""
     worker = _select_worker(site, step, incident)
-    async with site.locks[worker.name]:
+    async with site.worker_lock(worker):
         worker.state = 'draining'
         site.write_worker_entry(worker)
         await asyncio.sleep(step.duration_seconds / 2)
@@ -139,7 +139,7 @@
     """Stop a worker permanently and start another one at its address as soon as reuse is allowed."""
     worker = select_by_share(site.get_service_workers(PLAIN_SERVICE), step.target_share)
     incident.where = worker.name
-    async with site.locks[worker.name]:
+    async with site.worker_lock(worker):
         await worker.stop()
         site.store.delete(f'servers/{worker.name}')
         await asyncio.sleep(ADDRESS_REUSE_SECONDS)
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -57,6 +57,10 @@
         self.configuration_version = 1
         self.adapter_versions: dict[str, int] = collections.defaultdict(int)
 
+    def worker_lock(self, worker: PlatformWorker) -> asyncio.Lock:
+        """Return the lock of a worker's address: a worker that replaces another there has a new name."""
+        return self.locks[f'{worker.host}:{worker.port}']
+
     async def build(self, entries: int, models: int, plain: int) -> None:
         """Start all workers and processes and wait until all entries are ready."""
         for number in range(plain):
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -3,10 +3,11 @@
 import pytest
 
 from tamarackfield.testing.platform_site import RETRY_ALLOWANCE
-from tamarackfield.testing.platform_worker import Run
+from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import Call
 from tamarackfield.testing.soak.main import run_soak
 from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
+from tamarackfield.testing.soak.site import SoakSite
 
 EVENTS = 5
 COMPLETE_STREAM = b''.join(b'id: %d\ndata: event %d\n\n' % (number, number) for number in range(1, EVENTS + 1))
@@ -81,3 +82,12 @@
     retries = [(101.0, request_id) for _, request_id in first_attempts]
     assert list(check_retries(first_attempts + retries[: RETRY_ALLOWANCE + 20], requested)) == []
     assert list(check_retries(first_attempts + retries[: RETRY_ALLOWANCE + 21], requested))
+
+
+def test_faults_of_a_worker_exclude_each_other_after_it_was_replaced(tmp_path):
+    # Seed 40216 (12 s, beside load): two restarts overlapped, and the second could not bind the address.
+    site = SoakSite(tmp_path)
+    worker = PlatformWorker('w1', 'ledger', '127.0.0.1', 9)
+    lock = site.worker_lock(worker)
+    worker.name = 'w1-next'
+    assert site.worker_lock(worker) is lock
