--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -4,16 +4,24 @@
 here, where their order is known, and not in the engine's own queue. Under overload, requests that can still
 start in time are served first, and those that are already late are served with the remaining capacity, so that
 a burst does not make every request late. A request that cannot start in time is declined as soon as that is
-known, so that its entry can try another target. A request that could start, but not within its latency objective, is
-redirected while another target would still have the time to load its adapter. No request whose adapter is resident waits while
-a batch slot is free, except for prefill pacing.
+known, so that its entry can try another target. A request that would start later than its latency objective is
+redirected while another target still has the time to load its adapter: popular adapters fill the batches of their
+engines while others idle. No request whose adapter is resident waits while a batch slot is free, except for prefill
+pacing.
 """
 
-import enum
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
+from tamarackfield.manager.tickets import (
+    Decline,
+    LoadRefusal,
+    ModelOrder,
+    Plan,
+    Ticket,
+    TicketKey,
+    find_wait_cause,
+)
 from tamarackfield.policy.prefill import PrefillPacer
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
 from tamarackfield.wire.reservations import REDIRECT_CODE
@@ -35,116 +43,6 @@
 #: Shortest retry delay, in seconds, that a declined request gets.
 MIN_RETRY_SECONDS = 0.1
 
-#: Number of an entry's connection (`PeerStream`), and number of the request on it.
-TicketKey = tuple[int, int]
-
-
-class WaitCause(enum.StrEnum):
-    """What a queued request waits for."""
-
-    #: Its adapter is being loaded, or waits for its turn to be loaded.
-    LOAD = 'load'
-    #: Every adapter slot is taken by an adapter that runs or that queued requests need.
-    SLOT = 'slot'
-    #: The batch is full.
-    BATCH = 'batch'
-    #: The engine still prefills the prompts of earlier requests.
-    PREFILL = 'prefill'
-
-
-@dataclass(slots=True)
-class WaitTimes:
-    """Seconds that a request spent queued by cause, up to ``counted_until`` in monotonic seconds."""
-
-    counted_until: float = 0.0
-    cause: WaitCause | None = None
-    seconds: dict[WaitCause, float] = field(default_factory=dict)
-
-    def count(self, cause: WaitCause | None, now: float) -> None:
-        """Attribute the time since the last decision to the cause that held then; ``cause`` holds from now on."""
-        if self.cause is not None:
-            self.seconds[self.cause] = self.seconds.get(self.cause, 0.0) + now - self.counted_until
-        self.cause = cause
-        self.counted_until = now
-
-
-@dataclass(slots=True)
-class Ticket:
-    """A queued or granted request.
-
-    Parameters
-    ----------
-    key : tuple of int
-        Numbers of the stream and of the request.
-    adapter : str
-        Requested ``model/adapter`` or ``model``.
-    version : int
-        Least acceptable version.
-    priority : int
-        Priority; 0 is the most urgent.
-    enqueued_at, deadline : float
-        Arrival time and deadline in monotonic seconds.
-    start_by : float
-        Monotonic seconds by which the run should start to meet the caller's latency objective.
-    tokens : int
-        Length of the prompt.
-    caller_request_id : str
-        Request id of the caller, used in logs.
-    redirectable : bool
-        Whether its entry tries another target if the run cannot start here by ``start_by``.
-    granted_at : float
-        Time of the grant in monotonic seconds; 0 while the request is queued.
-    waits : WaitTimes
-        Time that it spent queued, by what it waited for.
-    """
-
-    key: TicketKey
-    adapter: str
-    version: int
-    priority: int
-    enqueued_at: float
-    deadline: float
-    start_by: float
-    tokens: int = 0
-    caller_request_id: str = ''
-    redirectable: bool = False
-    granted_at: float = 0.0
-    waits: WaitTimes = field(default_factory=WaitTimes)
-
-
-@dataclass(frozen=True, slots=True)
-class ModelOrder:
-    """Order to load a base model."""
-
-    model: str
-
-
-@dataclass(frozen=True, slots=True)
-class Decline:
-    """A ticket that ended without a grant for the reason ``code``; the entry may retry after ``retry_seconds``."""
-
-    ticket: Ticket
-    code: str
-    retry_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class LoadRefusal:
-    """An engine's refusal to load an adapter in versions up to ``version``, until ``until`` in monotonic seconds."""
-
-    version: int
-    until: float
-
-
-@dataclass(slots=True)
-class Plan:
-    """Grants, declines and orders of one decision, made at ``made_at`` in monotonic seconds."""
-
-    made_at: float = 0.0
-    grants: list[Ticket] = field(default_factory=list)
-    declines: list[Decline] = field(default_factory=list)
-    orders: list[Order | ModelOrder] = field(default_factory=list)
-
 
 class AdmissionController:
     """Queued and granted requests and adapter state of one engine.
@@ -264,7 +162,8 @@
                 ahead += 1
                 tokens_ahead += ticket.tokens
                 self._order_load(plan, ticket, waiting_adapters)
-                ticket.waits.count(self._wait_cause(ticket, waiting_adapters), now)
+                batch_full = self.used_batch_slots() >= self.batch if self._is_adapter_available(ticket) else None
+                ticket.waits.count(find_wait_cause(ticket, self.residency, waiting_adapters, batch_full), now)
         return plan
 
     def used_batch_slots(self) -> int:
@@ -309,7 +208,7 @@
             return 'target_away'
         if self.draining:
             return 'target_leaving'
-        if self._is_load_refused(ticket):
+        if _is_load_refused(ticket, self.load_refusals):
             return 'no_such_adapter'
         wait_until = ticket.enqueued_at + MAX_WAIT_FRACTION * (ticket.deadline - ticket.enqueued_at)
         load_wait_seconds = 0.0 if self._is_adapter_available(ticket) else self.load_seconds
@@ -318,20 +217,16 @@
         return 'full' if now + self.expected_wait_seconds(ahead) > wait_until else ''
 
     def _should_redirect(self, ticket: Ticket, ahead: int, tokens_ahead: int, now: float) -> bool:
-        """Return whether another target should run a request: here it starts too late, elsewhere its load takes less."""
+        """Return whether a request starts too late here while another target still has the time to load its adapter."""
         slack = ticket.start_by - now
         if not ticket.redirectable or slack < self.load_seconds:
             return False
         prefill_wait = self.prefill.prefill_seconds(tokens_ahead) / self.prefill.current_share(now)
         return max(self.expected_wait_seconds(ahead), prefill_wait) > slack
 
-    def _is_load_refused(self, ticket: Ticket) -> bool:
-        refusal = self.load_refusals.get(ticket.adapter)
-        return refusal is not None and refusal.version >= ticket.version
-
     def _retry_seconds(self, ticket: Ticket, ahead: int, now: float) -> float:
         wait_seconds = self.expected_wait_seconds(ahead)
-        if self._is_load_refused(ticket):
+        if _is_load_refused(ticket, self.load_refusals):
             wait_seconds = max(wait_seconds, self.load_refusals[ticket.adapter].until - now)
         return max(MIN_RETRY_SECONDS, wait_seconds)
 
@@ -339,13 +234,6 @@
         has_slot = self._is_adapter_available(ticket) and self.used_batch_slots() < self.batch
         return has_slot and self.prefill.can_dispatch(ticket.tokens, now)
 
-    def _wait_cause(self, ticket: Ticket, waiting_adapters: frozenset[str]) -> WaitCause:
-        if self._is_adapter_available(ticket):
-            return WaitCause.BATCH if self.used_batch_slots() >= self.batch else WaitCause.PREFILL
-        residency = self.residency
-        has_slot = residency.used_slots() < residency.slots or residency.find_victim(waiting_adapters) is not None
-        return WaitCause.LOAD if ticket.adapter in residency.loading or has_slot else WaitCause.SLOT
-
     def _is_adapter_available(self, ticket: Ticket) -> bool:
         if '/' not in ticket.adapter:
             return ticket.adapter in self.models
@@ -377,3 +265,8 @@
         if order is not None:
             self.pending_orders.append(order)
             plan.orders.append(order)
+
+
+def _is_load_refused(ticket: Ticket, refusals: dict[str, LoadRefusal]) -> bool:
+    refusal = refusals.get(ticket.adapter)
+    return refusal is not None and refusal.version >= ticket.version
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -6,8 +6,9 @@
 
 from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.manager.admission import AdmissionController, ModelOrder, Plan
+from tamarackfield.manager.admission import AdmissionController
 from tamarackfield.manager.engine_client import EngineClient, EngineState, OrderResult, OrderTerms
+from tamarackfield.manager.tickets import ModelOrder, Plan
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
 from tamarackfield.wire.reservations import Facts
 
--- a/tamarackfield/manager/engine_client.py
+++ b/tamarackfield/manager/engine_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from tamarackfield.manager.admission import ModelOrder
+from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.policy.residency import Order
 
 
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -7,7 +7,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, ConnectionServer, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
-from tamarackfield.manager.admission import Decline, Ticket
+from tamarackfield.manager.tickets import Decline, Ticket
 from tamarackfield.manager.engine import EngineController
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Decisions of admission control, each with the load pattern that requires it."""
 
-from tamarackfield.manager.admission import AdmissionController, Ticket
+from tamarackfield.manager.admission import AdmissionController
+from tamarackfield.manager.tickets import Ticket
 from tamarackfield.policy.residency import LoadOrder
 
 
--- a/tamarackfield/manager/tests/test_admission_machine.py
+++ b/tamarackfield/manager/tests/test_admission_machine.py
@@ -4,7 +4,8 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tamarackfield.manager.admission import AdmissionController, ModelOrder, Ticket
+from tamarackfield.manager.admission import AdmissionController
+from tamarackfield.manager.tickets import ModelOrder, Ticket
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS, LoadOrder, UnloadOrder
 
 BATCH = 3
--- a/tamarackfield/manager/tests/test_engine.py
+++ b/tamarackfield/manager/tests/test_engine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackfield.manager.admission import ModelOrder, Plan, Ticket
+from tamarackfield.manager.tickets import ModelOrder, Plan, Ticket
 from tamarackfield.manager.engine import EngineController
 from tamarackfield.manager.engine_client import EngineState, OrderResult
 from tamarackfield.policy.residency import LoadOrder
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from tamarackfield.core import Address, TamarackfieldError
-from tamarackfield.manager.admission import ModelOrder
+from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.manager.engine_client import EngineState, OrderResult, OrderTerms
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
 from tamarackfield.policy.residency import LoadOrder, Order
--- a/tamarackfield/policy/affine.py
+++ b/tamarackfield/policy/affine.py
@@ -5,8 +5,8 @@
 Most adapters receive a request now and then, and are best served where they are resident.
 
 The candidates for a request are the targets on which its adapter is resident or loading or from which it was
-evicted lately, and the first few targets of its ring order. Further targets of the ring are examined only while all candidates so far are
-under pressure.
+evicted lately, and the first few targets of its ring order. Further targets of the ring are examined only while all
+candidates so far are under pressure.
 """
 
 import random
