Request lines say how the answer of a target was framed and how it ended

They tell apart an answer that ends with its connection, a reset and a framed answer that was not complete; no decision reads them.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -171,6 +171,8 @@
                 record_target_result(target, succeeded=False)
                 return NotRun(exc.message, sent=False)
             return MaybeRan(exc.message)
+        finally:
+            call_state.record_answer_end(exchange.framing or '', exchange.describe_end())
 
     async def _receive(
         self, call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -60,6 +60,12 @@
         Monotonic seconds at which the first and the latest event of a stream were sent to the caller.
     longest_pause_seconds : float
         Longest time between two consecutive events sent to the caller.
+    answer_framing : str
+        How the end of the latest answer's body is marked; empty without an answer.
+    answer_end : str
+        How the latest answer ended.
+    partial_event_bytes : int
+        Bytes after the last complete event of the latest stream.
     """
 
     call: Call
@@ -84,6 +90,9 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_pause_seconds: float = 0.0
+    answer_framing: str = ''
+    answer_end: str = ''
+    partial_event_bytes: int = 0
 
     def adapter_key(self) -> str:
         """Return ``model/adapter`` or ``model``; empty for a plain service."""
@@ -124,6 +133,11 @@
             self.first_event_at = now
         self.last_event_at = now
 
+    def record_answer_end(self, framing: str, end: str) -> None:
+        """Record how the end of an answer was marked, and how it ended."""
+        self.answer_framing = framing
+        self.answer_end = end
+
     def record_sent(self, target: Target) -> None:
         """Record that bytes of the call may reach a target from now on."""
         self.sent_to.add(target.record.name)
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -129,6 +129,9 @@
             longest_pause_ms=round(MS_PER_SECOND * call_state.longest_pause_seconds),
             total_ms=round(MS_PER_SECOND * (now - call.received_at)),
             left_ms=round(MS_PER_SECOND * (call.deadline - now)),
+            framing=call_state.answer_framing,
+            answer_end=call_state.answer_end,
+            partial_event_bytes=call_state.partial_event_bytes,
             notes=' | '.join(call_state.notes),
             ending=ending,
         ).info('request')
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -11,7 +11,7 @@
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
 from tamarackfield.web.client import ClientError
-from tamarackfield.web.connection import TargetConnection
+from tamarackfield.web.connection import BodyFraming, TargetConnection, find_framing
 from tamarackfield.web.pool import ConnectionPool
 
 #: Limit of an answer that is buffered completely, in bytes; equals the largest request body of callers.
@@ -108,6 +108,11 @@
         Call to send.
     target : Target
         Target that receives the call.
+
+    Attributes
+    ----------
+    framing : BodyFraming or None
+        Framing of the answer, None before its head.
     """
 
     def __init__(self, pool: ConnectionPool, dialect: Dialect, call: Call, target: Target) -> None:
@@ -117,6 +122,7 @@
         self.call = call
         self.target = target
         self.connection: TargetConnection | None = None
+        self.framing: BodyFraming | None = None
         self.sent_at = 0.0
 
     async def send(self, options: CallOptions, max_idle_seconds: float, authorize_send: Callable[[], str]) -> str:
@@ -159,6 +165,7 @@
             head = self.dialect.read_head(event.status_code, list(event.headers.raw_items()))
             if head.request_id == self.call.request_id:
                 connection.idle_timeout_seconds = head.keep_alive_seconds
+                self.framing = find_framing(event)
                 return head
             if not head.request_id:
                 raise ClientError('answer names no request', 'read_head', connection.peer, sent=True)
@@ -194,6 +201,10 @@
         event = await self._require_connection().receive()
         return b'' if isinstance(event, h11.EndOfMessage) else bytes(event.data)
 
+    def describe_end(self) -> str:
+        """Return how the answer ended, for logs; empty without an answer."""
+        return '' if self.connection is None or self.framing is None else self.connection.describe_end()
+
     def close(self) -> None:
         """Return the connection to the pool, or close it if the call was not sent.
 
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -50,7 +50,10 @@
     if call_state.route.resumable:
         return await _relay_events(call_state, exchange, reservation, responder)
     chunks = 0
+    splitter = EventSplitter()
     async for chunk in _read_chunks(exchange, reservation, None):
+        splitter.feed(chunk)
+        call_state.partial_event_bytes = len(splitter.buffered)
         call_state.record_event(BOOT_CLOCK.monotonic())
         await responder.send_body(chunk)
         chunks += 1
@@ -68,7 +71,9 @@
         async for chunk in _read_chunks(
             exchange, reservation, None if is_last_target else STREAM_SILENCE_TIMEOUT_SECONDS
         ):
-            await _send_events(call_state, splitter.feed(chunk), responder)
+            events = splitter.feed(chunk)
+            call_state.partial_event_bytes = len(splitter.buffered)
+            await _send_events(call_state, events, responder)
     except TimeoutError:
         return MaybeRan('stream is silent')
     if splitter.buffered:
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from enum import StrEnum
 from typing import Any
 
 import h11
@@ -30,9 +31,19 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
 
+_FINISHED_STATES = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
+
 RawHeaders = list[tuple[bytes, bytes]]
 
 
+class BodyFraming(StrEnum):
+    """How the end of an answer's body is marked; ``CLOSE`` is the end of the connection."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 def set_keepalive(transport: asyncio.BaseTransport) -> None:
     """Enable TCP keep-alive and the TCP user time-out, so that the kernel closes connections to dead peers.
 
@@ -196,6 +207,18 @@
         if unparsed:
             self.parser.receive_data(unparsed)
 
+    def describe_end(self) -> str:
+        """Return how the current answer ended, for logs.
+
+        Returns
+        -------
+        str
+            ``complete``, ``unfinished``, or the failure.
+        """
+        if self.failure:
+            return self.failure
+        return 'complete' if self.parser.their_state in _FINISHED_STATES else 'unfinished'
+
     def release(self) -> bool:
         """End the exchange; return whether the connection can be reused. It is aborted if it cannot."""
         states = {self.parser.our_state, self.parser.their_state}
@@ -228,3 +251,19 @@
         message = f'{reason}: {self.failure}' if self.failure else reason
         self.fail(reason)
         return ClientError(message, 'read_answer', self.peer, sent=True)
+
+
+def find_framing(response: h11.Response) -> BodyFraming:
+    """Return how the body of an answer is framed.
+
+    Examples
+    --------
+    >>> find_framing(h11.Response(status_code=200, headers=[('Content-Length', '3')]))
+    <BodyFraming.LENGTH: 'length'>
+    >>> find_framing(h11.Response(status_code=200, headers=[]))
+    <BodyFraming.CLOSE: 'close'>
+    """
+    names = {name for name, _ in response.headers}
+    if b'transfer-encoding' in names:
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if b'content-length' in names else BodyFraming.CLOSE
