--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -271,6 +271,22 @@
             await read_events(response)
 
 
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+@pytest.mark.parametrize('fault', ['cut', 'unframed_cut', 'unframed_reset'])
+async def test_stream_that_breaks_off_is_not_forwarded_as_complete(model_site, fault, path):
+    model_site.workers['m1'].fault = WorkerFault(fault, 1)
+    with pytest.raises(ClientError):
+        async with model_site.stream(path, [ADAPTER]) as response:
+            await read_events(response)
+
+
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+async def test_unframed_stream_that_ends_between_events_is_complete(model_site, path):
+    model_site.workers['m1'].fault = WorkerFault('unframed', 1)
+    async with model_site.stream(path, [ADAPTER]) as response:
+        assert len(await read_events(response)) == 5
+
+
 async def test_overloaded_entry_sheds_callers_until_it_recovers(one_worker_site):
     entry = one_worker_site.entries[0]
     while 'event=overload' not in entry.read_log():
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import itertools
 import json
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -43,7 +43,8 @@
     ----------
     kind : str
         Fault: empty, or ``errors``, ``shed``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
-        ``unframed_reset``, ``garbage``, ``cut``, ``unsigned``, ``encoded``.
+        ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``. An unframed answer
+        ends with its connection; ``cut`` and ``unframed_cut`` close it in order before the answer is complete.
     remaining_requests : int
         Number of further requests with the fault.
     """
@@ -294,7 +295,7 @@
             run.finished = True
             return
         if self.model:
-            await self._send_stream(protocol, writer, run)
+            await self._send_stream(protocol, writer, run, fault)
         else:
             await self._send_reply(protocol, writer, run, fault)
 
@@ -303,7 +304,7 @@
         run.finished = True
         if fault == 'extra':
             writer.write(_encode_answer('another-request', b'not for you'))
-        if fault in {'unframed', 'unframed_reset'}:
+        if fault.startswith('unframed'):
             writer.write(_encode_answer(run.request_id, body, framed=False))
             await writer.drain()
             if fault == 'unframed_reset':
@@ -318,31 +319,31 @@
         encoding = [('Content-Encoding', 'gzip')] if fault == 'encoded' else []
         await _send_response(protocol, writer, 200, body, [*_echo_request_id(run), *signature, *encoding])
 
-    async def _send_stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run) -> None:
-        header_lines = [
-            *_echo_request_id(run),
-            _SIGNATURE,
-            ('Content-Type', 'text/event-stream'),
-            ('Transfer-Encoding', 'chunked'),
-        ]
-        writer.write(protocol.send(h11.Response(status_code=200, headers=header_lines)))
+    async def _send_stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+        framed = not fault.startswith('unframed')
+        encode = _chunk_encoder(protocol) if framed else bytes
+        writer.write(_encode_stream_head(protocol, run, framed))
         first = int(run.headers.get('last-event-id', '0')) + 1
-        for number in itertools.count(first):
-            if number > self.event_count:
-                break
-            writer.write(protocol.send(h11.Data(data=f'id: {number}\ndata: event {number}\n\n'.encode())))
+        last = self.event_count - 1 if fault in _CUTTING_FAULTS else self.event_count
+        for number in range(first, last + 1):
+            writer.write(encode(f'id: {number}\ndata: event {number}\n\n'.encode()))
             await writer.drain()
             await asyncio.sleep(self.event_interval_seconds)
             if number == self.cut_after_event:
-                writer.write(protocol.send(h11.Data(data=b'id: 99\ndata: ha')))
+                writer.write(encode(_PARTIAL_EVENT))
                 await writer.drain()
                 writer.transport.abort()
                 return
+        if fault in _CUTTING_FAULTS:
+            writer.write(encode(_PARTIAL_EVENT))
+            writer.close()
+            return
         run.finished = True
-        writer.write(protocol.send(h11.EndOfMessage()))
-        await writer.drain()
+        await _end_stream(protocol, writer, fault)
 
 
+_CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
+_PARTIAL_EVENT = b'id: 99\ndata: ha'
 _SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
 
 
@@ -357,10 +358,37 @@
     return [('Tamarackfield-Request-Id', run.request_id)]
 
 
+def _encode_stream_head(protocol: h11.Connection, run: Run, framed: bool) -> bytes:
+    header_lines = [*_echo_request_id(run), _SIGNATURE, ('Content-Type', 'text/event-stream')]
+    if not framed:
+        return _encode_head(header_lines)
+    header_lines.append(('Transfer-Encoding', 'chunked'))
+    return protocol.send(h11.Response(status_code=200, headers=header_lines)) or b''
+
+
+async def _end_stream(protocol: h11.Connection, writer: asyncio.StreamWriter, fault: str) -> None:
+    if not fault.startswith('unframed'):
+        writer.write(protocol.send(h11.EndOfMessage()))
+    await writer.drain()
+    if fault == 'unframed_reset':
+        _reset_connection(writer)
+    elif fault == 'unframed':
+        writer.close()
+
+
+def _chunk_encoder(protocol: h11.Connection) -> Callable[[bytes], bytes]:
+    """Return a function that encodes a part of a body as a chunk."""
+    return lambda part: protocol.send(h11.Data(data=part)) or b''
+
+
+def _encode_head(header_lines: list[tuple[str, str]]) -> bytes:
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in header_lines)
+    return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
+
+
 def _encode_answer(request_id: str, body: bytes, framed: bool = True) -> bytes:
-    length = f'Content-Length: {len(body)}\r\n' if framed else ''
-    echo_headers = f'Tamarackfield-Request-Id: {request_id}\r\nTamarackfield-Server-Signature: signed\r\n'
-    return f'HTTP/1.1 200 OK\r\n{echo_headers}{length}\r\n'.encode() + body
+    length = [('Content-Length', str(len(body)))] if framed else []
+    return _encode_head([('Tamarackfield-Request-Id', request_id), _SIGNATURE, *length]) + body
 
 
 async def _send_response(
