Split event streams whose lines end with CR LF or CR

Callers of a resumable route got nothing until the end of such a stream, and then a cut: only LF LF ended an event. The format allows three line ends. Failed before: test_events_with_any_line_end_are_split_wherever_chunks_begin for CR LF and CR.

--- a/tamarackfield/gateway/events.py
+++ b/tamarackfield/gateway/events.py
@@ -2,8 +2,11 @@
 
 import re
 
-_EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d{1,18})(?=\n|$)')
-_EVENT_END = b'\n\n'
+_EVENT_ID = re.compile(rb'(?:^|[\r\n])id: ?(\d{1,18})(?=[\r\n]|$)')
+_LINE_ENDS = b'\r\n'
+#: A blank line; lines end with LF, CR LF or CR.
+_EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
+_LONGEST_EVENT_END = 4
 
 
 class EventSplitter:
@@ -13,31 +16,38 @@
     --------
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
-    [(1, b'id: 1\ndata: a\n\n')]
+    [b'id: 1\ndata: a\n\n']
+    >>> splitter.is_inside_event()
+    True
     >>> splitter.feed(b'ta: b\n\n')
-    [(2, b'id: 2\ndata: b\n\n')]
+    [b'id: 2\ndata: b\n\n']
     """
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
         self.buffered = b''
 
-    def feed(self, chunk: bytes) -> list[tuple[int, bytes]]:
-        """Append bytes and return the events that are now complete, each with its number.
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Append bytes and return the events that are now complete, each with its blank line.
 
         Parameters
         ----------
         chunk : bytes
             Next bytes of the stream; events may be split between chunks.
-
-        Returns
-        -------
-        list of tuple
-            Number, 0 if the event has none, and the bytes including the blank line.
         """
-        *complete, remainder = (self.buffered + chunk).split(_EVENT_END)
-        self.buffered = remainder
-        return [(event_number(event), event + _EVENT_END) for event in complete]
+        scan_from = max(0, len(self.buffered) - _LONGEST_EVENT_END + 1)
+        self.buffered += chunk
+        events = []
+        event_start = 0
+        for end in _EVENT_END.finditer(self.buffered, scan_from):
+            events.append(self.buffered[event_start : end.end()])
+            event_start = end.end()
+        self.buffered = self.buffered[event_start:]
+        return events
+
+    def is_inside_event(self) -> bool:
+        """Return whether the bytes after the last complete event begin a further one."""
+        return bool(self.buffered.strip(_LINE_ENDS))
 
 
 def event_number(event: bytes) -> int:
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -6,7 +6,7 @@
 
 from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.call_state import CallState
-from tamarackfield.gateway.events import EventSplitter
+from tamarackfield.gateway.events import EventSplitter, event_number
 from tamarackfield.gateway.exchange import AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import Reservation
 from tamarackfield.gateway.model import AnswerHead
@@ -76,7 +76,7 @@
             await _send_events(call_state, events, responder)
     except TimeoutError:
         return MaybeRan('stream is silent')
-    if splitter.buffered:
+    if splitter.is_inside_event():
         return MaybeRan('stream ended inside an event')
     await responder.finish()
     return Streamed(call_state.last_event)
@@ -97,8 +97,9 @@
         waiting_since = BOOT_CLOCK.monotonic()
 
 
-async def _send_events(call_state: CallState, events: list[tuple[int, bytes]], responder: Responder) -> None:
-    for number, event in events:
+async def _send_events(call_state: CallState, events: list[bytes], responder: Responder) -> None:
+    for event in events:
+        number = event_number(event)
         if number > call_state.last_event or not number:
             call_state.last_event = max(number, call_state.last_event)
             call_state.record_event(BOOT_CLOCK.monotonic())
