A stream that ends inside an event is broken off, also without framing

Cause: an answer with neither a length nor chunks ends with its connection, so a target that broke off and closed it in order looked like one that had finished; only the path of resumable streams looked at the bytes.

One path now relays all streams in whole events and asks for an end between two of them; without framing, a stream that closes before its first event is broken off too. It works since the end is judged by what was received, whatever marked it.

--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -126,13 +126,26 @@
         return Outcome.NOT_RUN
 
     def record_event(self, now: float) -> None:
-        """Record that an event or a chunk of a stream is sent to the caller."""
+        """Record that events of a stream are sent to the caller."""
         if self.first_event_at:
             self.longest_pause_seconds = max(self.longest_pause_seconds, now - self.last_event_at)
         else:
             self.first_event_at = now
         self.last_event_at = now
 
+    def has_events(self) -> bool:
+        """Return whether the caller has received an event of the stream, in this call or before it."""
+        return bool(self.first_event_at or self.last_event)
+
+    def advance_to_event(self, number: int) -> bool:
+        """Record an event of a resumable stream; return whether the caller does not have it yet.
+
+        Events without a number, 0, are always new.
+        """
+        is_new = number > self.last_event or not number
+        self.last_event = max(number, self.last_event)
+        return is_new
+
     def record_answer_end(self, framing: str, end: str) -> None:
         """Record how the end of an answer was marked, and how it ended."""
         self.answer_framing = framing
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -53,12 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Streamed:
-    """Result of a stream that was relayed to its end.
-
-    ``events`` is the number of the last event of a resumable stream, or the number of chunks of another.
-    """
-
-    events: int
+    """Result of a stream that was relayed to its end."""
 
 
 AttemptResult = NotRun | MaybeRan | Answered | Streamed
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -1,4 +1,8 @@
-"""Relaying of streams from targets to callers, event by event if they are resumable."""
+"""Relaying of streams from targets to callers, in whole events.
+
+An answer without framing ends with its connection, whether the target finished it or broke off. A stream is
+complete only if it also ends between two events.
+"""
 
 import asyncio
 import math
@@ -11,6 +15,7 @@
 from tamarackfield.gateway.links import Reservation
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.web import Responder
+from tamarackfield.web.connection import BodyFraming
 
 #: Seconds of silence within a stream after which it is resumed at another target, if that is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
@@ -37,40 +42,19 @@
     Returns
     -------
     AttemptResult
-        `Streamed`, or `MaybeRan` if a resumable stream fell silent or ended inside an event.
+        `Streamed`, or `MaybeRan` if a resumable stream fell silent or any stream broke off.
 
     Raises
     ------
     ClientError
-        If the answer of the target breaks off.
+        If the framing of the answer shows that it broke off.
     """
     if not call_state.head_sent:
         call_state.head_sent = True
         await responder.send_head(head.status, head.headers)
-    if call_state.route.resumable:
-        return await _relay_events(call_state, exchange, reservation, responder)
-    chunks = 0
-    splitter = EventSplitter()
-    async for chunk in _read_chunks(exchange, reservation, None):
-        splitter.feed(chunk)
-        call_state.partial_event_bytes = len(splitter.buffered)
-        call_state.record_event(BOOT_CLOCK.monotonic())
-        await responder.send_body(chunk)
-        chunks += 1
-    await responder.finish()
-    return Streamed(chunks)
-
-
-async def _relay_events(
-    call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
-) -> AttemptResult:
-    """Relay complete events, each once, so that the stream can be resumed after any of them."""
     splitter = EventSplitter()
-    is_last_target = len(call_state.sent_to) >= call_state.route.max_targets
     try:
-        async for chunk in _read_chunks(
-            exchange, reservation, None if is_last_target else STREAM_SILENCE_TIMEOUT_SECONDS
-        ):
+        async for chunk in _read_chunks(exchange, reservation, _silence_timeout(call_state)):
             events = splitter.feed(chunk)
             call_state.partial_event_bytes = len(splitter.buffered)
             await _send_events(call_state, events, responder)
@@ -78,8 +62,18 @@
         return MaybeRan('stream is silent')
     if splitter.is_inside_event():
         return MaybeRan('stream ended inside an event')
+    if exchange.framing is BodyFraming.CLOSE and not (call_state.has_events() or responder.head_only):
+        return MaybeRan('connection was closed before the first event')
+    await responder.send_body(splitter.buffered)
     await responder.finish()
-    return Streamed(call_state.last_event)
+    return Streamed()
+
+
+def _silence_timeout(call_state: CallState) -> float | None:
+    """Return the seconds of silence after which a stream is resumed at another target, None if it cannot be."""
+    if not call_state.route.resumable or len(call_state.sent_to) >= call_state.route.max_targets:
+        return None
+    return STREAM_SILENCE_TIMEOUT_SECONDS
 
 
 async def _read_chunks(
@@ -98,9 +92,9 @@
 
 
 async def _send_events(call_state: CallState, events: list[bytes], responder: Responder) -> None:
-    for event in events:
-        number = event_number(event)
-        if number > call_state.last_event or not number:
-            call_state.last_event = max(number, call_state.last_event)
-            call_state.record_event(BOOT_CLOCK.monotonic())
-            await responder.send_body(event)
+    """Send complete events; those that the caller has already received from an earlier run are left out."""
+    if call_state.route.resumable:
+        events = [event for event in events if call_state.advance_to_event(event_number(event))]
+    if events:
+        call_state.record_event(BOOT_CLOCK.monotonic())
+        await responder.send_body(b''.join(events))
--- a/tamarackfield/gateway/tests/test_redirects.py
+++ b/tamarackfield/gateway/tests/test_redirects.py
@@ -29,7 +29,7 @@
         """Redirect the call, or run it once it may not be redirected any more."""
         redirectable = call_state.may_be_redirected()
         self.asked.append((target.record.name, redirectable))
-        return NotRun('busy', sent=False, redirected=True) if redirectable else Streamed(1)
+        return NotRun('busy', sent=False, redirected=True) if redirectable else Streamed()
 
 
 async def serve(names):
--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -287,6 +287,17 @@
         assert len(await read_events(response)) == 5
 
 
+async def test_unframed_stream_without_any_event_is_not_forwarded_as_complete(model_site):
+    worker = model_site.workers['m1']
+    worker.event_count = 0
+    worker.fault = WorkerFault('unframed', 1)
+    with pytest.raises(ClientError):
+        async with model_site.stream('/draft/x', [ADAPTER]) as response:
+            await read_events(response)
+    async with model_site.stream('/draft/x', [ADAPTER]) as response:
+        assert await read_events(response) == []
+
+
 async def test_overloaded_entry_sheds_callers_until_it_recovers(one_worker_site):
     entry = one_worker_site.entries[0]
     while 'event=overload' not in entry.read_log():
