An event without end ends its stream

A worker that sends bytes without a blank line filled the memory of the entry: 100 MB in 20 s, in a test with the real programs, until the deadline; on the path of resumable streams since they exist, on the other one since its streams are relayed in whole events. An event is now limited to 256 KiB; heads and bodies of plain answers were limited already. Failed before: test_event_without_end_ends_the_stream, both routes.

--- a/tamarackfield/gateway/events.py
+++ b/tamarackfield/gateway/events.py
@@ -7,6 +7,8 @@
 #: A blank line; lines end with LF, CR LF or CR.
 _EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
 _LONGEST_EVENT_END = 4
+#: Limit of one event, in bytes; the events of model workers have some hundred bytes.
+MAX_EVENT_BYTES = 262_144
 
 
 class EventSplitter:
@@ -45,6 +47,10 @@
         self.buffered = self.buffered[event_start:]
         return events
 
+    def exceeds_limit(self) -> bool:
+        """Return whether the incomplete event is larger than `MAX_EVENT_BYTES`."""
+        return len(self.buffered) > MAX_EVENT_BYTES
+
     def is_inside_event(self) -> bool:
         """Return whether the bytes after the last complete event begin a further one."""
         return bool(self.buffered.strip(_LINE_ENDS))
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -58,6 +58,8 @@
             events = splitter.feed(chunk)
             call_state.partial_event_bytes = len(splitter.buffered)
             await _send_events(call_state, events, responder)
+            if splitter.exceeds_limit():
+                return MaybeRan('event is too large')
     except TimeoutError:
         return MaybeRan('stream is silent')
     if splitter.is_inside_event():
--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -298,6 +298,22 @@
         assert await read_events(response) == []
 
 
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+async def test_event_without_end_ends_the_stream(model_site, path):
+    model_site.workers['m1'].fault = WorkerFault('endless_body', 1)
+    with pytest.raises(ClientError):
+        async with model_site.stream(path, [ADAPTER, ('Tamarackfield-Deadline-Ms', '60000')]) as response:
+            await read_events(response)
+    assert 'event is too large' in model_site.entries[0].read_log()
+
+
+@pytest.mark.parametrize('fault', ['endless_head', 'endless_body'])
+async def test_answer_without_end_gives_502(one_worker_site, fault):
+    one_worker_site.workers['w1'].fault = WorkerFault(fault, 1)
+    status, _, _ = await one_worker_site.call('/file/x', 'POST', b'{}')
+    assert status == 502
+
+
 async def test_overloaded_entry_sheds_callers_until_it_recovers(one_worker_site):
     entry = one_worker_site.entries[0]
     while 'event=overload' not in entry.read_log():
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -43,8 +43,9 @@
     ----------
     kind : str
         Fault: empty, or ``errors``, ``shed``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
-        ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``. An unframed answer
-        ends with its connection; ``cut`` and ``unframed_cut`` close it in order before the answer is complete.
+        ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``, ``endless_head``,
+        ``endless_body``. An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
+        before the answer is complete.
     remaining_requests : int
         Number of further requests with the fault.
     """
@@ -290,6 +291,10 @@
             writer.write(b'\x00\x01 this is no answer\r\n\r\n')
             writer.close()
             return
+        if fault.startswith('endless'):
+            content_type = 'text/event-stream' if self.model else 'text/plain'
+            head = _encode_head([*_echo_request_id(run), _SIGNATURE, ('Content-Type', content_type)])
+            await _send_endless_bytes(writer, head if fault == 'endless_body' else b'HTTP/1.1 200 OK\r\nPad: ')
         if fault == 'errors':
             await _send_response(protocol, writer, 500, {'error': 'failed'}, [*_echo_request_id(run), _SIGNATURE])
             run.finished = True
@@ -343,6 +348,7 @@
 
 
 _CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
+_ENDLESS_PART = 65_536 * b'x'
 _PARTIAL_EVENT = b'id: 99\ndata: ha'
 _SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
 
@@ -354,6 +360,14 @@
     writer.transport.abort()
 
 
+async def _send_endless_bytes(writer: asyncio.StreamWriter, start: bytes) -> None:
+    """Send bytes until the peer closes the connection, which raises `ConnectionError`."""
+    writer.write(start)
+    while True:
+        writer.write(_ENDLESS_PART)
+        await writer.drain()
+
+
 def _echo_request_id(run: Run) -> list[tuple[str, str]]:
     return [('Tamarackfield-Request-Id', run.request_id)]
 
