Retrieve the error that ends a connection where the connection ends

Cause: asyncio's protocol of a stream keeps the error in a second future, which nothing awaits. Its __del__ retrieves it, but the raised error refers to the frames of the reader and so back to the protocol: a cycle, which the collector finalizes in any order, the future first at times. Ruled out: a reading task without owner (all are awaited). Owners now retrieve it: the server of connections, the peer stream, the client.

--- a/tamarackfield/core/connections.py
+++ b/tamarackfield/core/connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -33,6 +34,17 @@
         _, remaining = await asyncio.wait(remaining, timeout=CANCEL_INTERVAL_SECONDS)
 
 
+async def retrieve_close_error(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Mark the error that ended a connection as retrieved; return at once if none did.
+
+    The reader has reported the same error. Without this, the event loop may report it once more when the
+    connection is garbage collected.
+    """
+    if reader.exception() is not None:
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+
+
 class ConnectionServer:
     """TCP server that owns the task of each connection.
 
@@ -107,3 +119,5 @@
             logger.debug('connection_cancelled')
         except Exception as exc:  # the connection ends, the server goes on
             logger.bind(error=repr(exc)).opt(exception=exc).error('connection_failed')
+        finally:
+            await retrieve_close_error(reader, writer)
--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
 
 #: Time limit for connecting.
@@ -165,6 +166,7 @@
         yield response
     finally:
         writer.transport.abort()
+        await retrieve_close_error(reader, writer)
 
 
 async def fetch(
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.wire.codec import FrameDecoder, encode
 from tamarackfield.wire.messages import Heartbeat, Hello, Message
@@ -190,6 +191,7 @@
         try:
             chunk = await self.reader.read(_MAX_READ_BYTES)
         except (OSError, ssl.SSLError) as exc:
+            await retrieve_close_error(self.reader, self.writer)
             raise StreamClosedError(repr(exc), step='receive', peer=self.peer) from exc
         if not chunk:
             reason = 'peer is silent' if self.timed_out else 'peer closed the stream'
