Test of frozen watchers waits for the watcher that replaces them

Looked for a moment without any watcher: there is one, and it is what the election says. A process that was paused for over a second resigns and waits for a heartbeat time-out, also where it is the only one left: the new test_sole_watcher_that_was_paused_watches_again brings that about by a freeze of 1.2 s, sees the list empty, and the process watch again and take the next bundle. Load has the same effect as the freeze. That it was this pause in the run that failed is suspected, its logs are gone. The old check asked at one moment; it now waits for the same state, and the new test adds the resignation and the return, so nothing is left out.

--- a/tamarackfield/testing/tests/test_bundles.py
+++ b/tamarackfield/testing/tests/test_bundles.py
@@ -50,6 +50,18 @@
     return [name for name in names if (await cluster.read_status(name))['bundle_watching']]
 
 
+async def is_watching(cluster, name):
+    return await are_watching(cluster, [name])
+
+
+async def are_watching(cluster, names):
+    return await list_watchers(cluster, names) == names
+
+
+async def is_not_watching(cluster, name):
+    return not await is_watching(cluster, name)
+
+
 async def list_accepted_numbers(cluster, name):
     """Return the numbers of the bundles that came into force in a process, in order."""
     return [change['number'] for change in await cluster.read_audit(name) if change['action'] == 'bundle_accepted']
@@ -120,7 +132,7 @@
         cluster.processes[name].freeze()
     await cluster.publish()
     await wait_bundle_number(cluster, 2, running_names)
-    assert await list_watchers(cluster, running_names) == running_names
+    await wait_until(functools.partial(are_watching, cluster, running_names), 'the running processes watch')
     for name in frozen:
         cluster.processes[name].thaw()
     await wait_bundle_number(cluster, 2)
@@ -129,6 +141,22 @@
     await wait_until(functools.partial(has_enough_watchers, cluster), 'two watchers again')
 
 
+async def test_sole_watcher_that_was_paused_watches_again(cluster):
+    await wait_until(functools.partial(has_enough_watchers, cluster), 'two watchers')
+    frozen = await list_watchers(cluster)
+    remaining = next(name for name in PROGRAMS if name not in frozen)
+    for name in frozen:
+        cluster.processes[name].freeze()
+    await wait_until(functools.partial(is_watching, cluster, remaining), 'the remaining process watches')
+    cluster.processes[remaining].freeze()
+    await asyncio.sleep(1.2)
+    cluster.processes[remaining].thaw()
+    await wait_until(functools.partial(is_not_watching, cluster, remaining), 'the paused process resigns')
+    await cluster.publish()
+    await wait_bundle_number(cluster, 2, [remaining])
+    await wait_until(functools.partial(is_watching, cluster, remaining), 'the remaining process watches again')
+
+
 async def test_partitioned_process_catches_up_after_two_further_bundles(tmp_path):
     cluster = make_cluster(tmp_path)
     proxies = [isolate_from_bundles(cluster, name) for name in PROGRAMS]
