Follow a store that comes back from an older copy

Seen by reading and confirmed: entries never replaced an item by one with a lower number, and did not read the header. After a return, new configurations and workers were ignored until their numbers had overtaken the old ones; where they had, a watch skipped what lay between.

Changes are now ordered by (era, number). A later era in any answer of the store starts a complete read; earlier answers change nothing. Configurations, versions of adapters and departures stay in force; a worker that the copy lacks is served for the time in which lapsed entries come back. Entries exchange the era packed into the integers of their messages, only with peers that state one.

--- a/tamarackfield/cli/request_timeline.py
+++ b/tamarackfield/cli/request_timeline.py
@@ -14,6 +14,7 @@
         'store_lost',
         'store_regained',
         'items_of_peer',
+        'store_era_changed',
         'settings_reloaded',
         'resumed_after_suspension',
         'draining',
--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -199,7 +199,13 @@
         self.followers = [
             Follower(platform.store_prefix, platform.store, self.replica, self.configuration.apply_item, watch_pause)
         ]
-        self.peers = PeerExchange(self.replica, self.followers, self.hello, lambda: list(self.settings.seeds))
+        self.peers = PeerExchange(
+            self.replica,
+            self.followers,
+            self.hello,
+            lambda: list(self.settings.seeds),
+            self.configuration.kept_items,
+        )
 
     def _add_gauges(self) -> None:
         gauges: dict[str, Callable[[], float]] = {
@@ -211,7 +217,8 @@
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'shedding_callers': lambda: int(self.maintenance.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
-            'store_revision': lambda: self.replica.revision,
+            'store_revision': lambda: self.replica.revision.number,
+            'store_era': lambda: self.replica.era,
             'store_down': lambda: sum(store_status.down for store_status in self.replica.store_statuses),
         }
         for name, read in gauges.items():
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -54,6 +54,7 @@
         self.directory = directory
         self.versions = Versions()
         self.catalog: Catalog | None = None
+        self.catalog_item: Item | None = None
         self.routes: RouteTable | None = None
         self.listeners: list[Callable[[], None]] = []
 
@@ -73,31 +74,39 @@
         """
         match self.decode(item):
             case Catalog() as catalog:
-                self._apply_catalog(catalog)
+                self._apply_catalog(catalog, item)
             case TargetRecord() as record:
                 self.directory.upsert(record)
             case TargetRemoved(name, fault):
                 self._remove_target(item, name, fault, store_unreliable)
             case AdapterVersion(adapter, version):
                 if self.versions.record_version(adapter, version):
-                    logger.bind(adapter=adapter, version=version, revision=item.revision).info('adapter_version')
+                    logger.bind(adapter=adapter, version=version, revision=item.revision.number).info('adapter_version')
             case UnreadableItem(reason):
-                logger.bind(key=item.key, revision=item.revision, reason=reason).warning('item_passed_over')
+                logger.bind(key=item.key, revision=item.revision.number, reason=reason).warning('item_passed_over')
         for listener in self.listeners:
             listener()
 
     def _remove_target(self, item: Item, name: str, fault: str, store_unreliable: bool) -> None:
         if fault:
-            bound = logger.bind(key=item.key, revision=item.revision, target=name, reason=fault)
+            bound = logger.bind(key=item.key, revision=item.revision.number, target=name, reason=fault)
             bound.warning('target_entry_malformed')
         self.directory.remove(name, store_unreliable)
 
-    def _apply_catalog(self, catalog: Catalog) -> None:
+    def kept_items(self) -> list[Item]:
+        """Return the item of the configuration in force, for peers that have not read it from the store."""
+        return [] if self.catalog_item is None else [self.catalog_item]
+
+    def _apply_catalog(self, catalog: Catalog, item: Item) -> None:
         previous = self.catalog
-        if previous is not None and catalog.version <= previous.version:
+        if previous is not None and catalog.version == previous.version:
+            self.catalog_item = item
+            return
+        if previous is not None and catalog.version < previous.version:
             logger.bind(version=catalog.version, in_force=previous.version).warning('older_configuration_ignored')
             return
         self.catalog = catalog
+        self.catalog_item = item
         self.routes = RouteTable(catalog)
         logger.bind(version=catalog.version, routes=len(catalog.routes), services=len(catalog.services)).info(
             'configuration_in_force'
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -17,6 +17,8 @@
 
 #: Number of evicted adapters that count as evicted lately, as a multiple of the adapters that a target holds.
 RECENT_PLACES = 4
+#: Number of departed targets that are remembered, so that an older copy of the store does not bring them back.
+MAX_DEPARTED = 1024
 #: Limit of connections to a target until the number that it accepts and the number of entries that share
 #: them are known.
 DEFAULT_MAX_CONNECTIONS = 32
@@ -99,12 +101,17 @@
         """Create an empty directory."""
         self.clock = clock
         self.targets: dict[str, Target] = {}
+        # Start of the latest incarnation that drained and was removed, by name, the latest removal last.
+        self.departed: dict[str, int] = {}
 
     def upsert(self, record: TargetRecord) -> Target | None:
         """Add or update a listed target; a later incarnation, or a later target at the same address, replaces it."""
         known = self.targets.get(record.name)
         if known is None and self._is_superseded(record):
             return None
+        if record.started_ms <= self.departed.get(record.name, record.started_ms - 1):
+            logger.bind(target=record.name, started_ms=record.started_ms).info('departed_target_ignored')
+            return None
         if known is not None and record.started_ms < known.record.started_ms:
             logger.bind(target=record.name, started_ms=record.started_ms).info('earlier_incarnation_ignored')
             return known
@@ -189,6 +196,11 @@
 
     def _remove_target(self, target: Target, reason: str) -> None:
         target.removed = True
+        if target.record.draining:
+            self.departed.pop(target.record.name, None)
+            self.departed[target.record.name] = target.record.started_ms
+            for name in tuple(self.departed)[:-MAX_DEPARTED]:
+                self.departed.pop(name)
         if self.targets.get(target.record.name) is target:
             self.targets.pop(target.record.name)
         logger.bind(target=target.record.name, reason=reason).info('target_gone')
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -9,6 +9,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import MIN_JITTER_SHARE, Follower, Item, Replica
+from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
 from tamarackfield.wire.messages import Hello
 from tamarackfield.wire.reservations import AskItems, Items
 from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
@@ -34,6 +35,8 @@
         Returns the greeting that identifies this process.
     seeds : callable
         Returns the addresses of some peers.
+    kept_items : callable
+        Returns the items that are in force although the store has an older state of them.
     """
 
     def __init__(
@@ -42,8 +45,10 @@
         followers: list[Follower],
         hello: Callable[[], Hello],
         seeds: Callable[[], list[Address]],
+        kept_items: Callable[[], list[Item]] = list,
     ) -> None:
         """Store the collaborators."""
+        self.kept_items = kept_items
         self.replica = replica
         self.followers = followers
         self.hello = hello
@@ -65,8 +70,8 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
                 query = await stream.receive()
-                if isinstance(query, AskItems) and query.revision < self.replica.revision:
-                    stream.send(self._build_items())
+                if isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
+                    stream.send(self.build_items(knows_eras=query.revision > MAX_NUMBER))
             await stream.finish()
         except (TamarackfieldError, TimeoutError) as exc:
             logger.bind(peer=stream.peer, error=repr(exc)).debug('peer_query_not_answered')
@@ -80,36 +85,57 @@
             if self._is_store_down():
                 await self._query_peers()
 
+    def build_items(self, knows_eras: bool) -> Items:
+        """Return all items for a peer; one that knows of no era gets plain revision numbers.
+
+        A configuration that stays in force though the store lost it precedes the older one that the store has.
+        """
+        known = [*self._superseded_items(), *self.replica.items.values()]
+
+        def encode(revision: Revision) -> int:
+            return revision.pack() if knows_eras else revision.number
+
+        answered_at = min(store_status.answered_at for store_status in self.replica.store_statuses)
+        age_ms = round((SYSTEM_CLOCK.monotonic() - answered_at) * MS_PER_SECOND)
+        return Items(
+            revision=encode(self.replica.revision),
+            age_ms=max(0, age_ms),
+            prefixes=list(self.replica.complete),
+            positions=[encode(position) for position in self.replica.complete.values()],
+            keys=[item.key for item in known],
+            revisions=[encode(item.revision) for item in known],
+            payloads=[item.content or b'' for item in known],
+        )
+
     def apply_items(self, items: Items, peer: str) -> None:
         """Apply the items and deletions of a peer that are newer than those of this process."""
         previous_revision = self.replica.revision
         rows = zip(items.keys, items.revisions, items.payloads, strict=True)
-        reported = [Item(key, revision, payload) for key, revision, payload in rows]
+        reported = [Item(key, unpack_revision(revision), payload) for key, revision, payload in rows]
         present = set(items.keys)
         for item in reported:
             self._apply_item(item)
-        for prefix, position in zip(items.prefixes, items.positions, strict=True):
+        for prefix, packed in zip(items.prefixes, items.positions, strict=True):
+            position = unpack_revision(packed)
             for deletion in self.replica.find_deleted(prefix, present, position):
                 self._apply_item(deletion)
             self.replica.mark_complete(prefix, position)
         if self.replica.revision != previous_revision:
-            logger.bind(peer=peer, age_ms=items.age_ms, revision=items.revision, before=previous_revision).info(
-                'items_of_peer'
-            )
-
-    def _build_items(self) -> Items:
-        known = list(self.replica.items.values())
-        answered_at = min(store_status.answered_at for store_status in self.replica.store_statuses)
-        age_ms = round((SYSTEM_CLOCK.monotonic() - answered_at) * MS_PER_SECOND)
-        return Items(
-            revision=self.replica.revision,
-            age_ms=max(0, age_ms),
-            prefixes=list(self.replica.complete),
-            positions=list(self.replica.complete.values()),
-            keys=[item.key for item in known],
-            revisions=[item.revision for item in known],
-            payloads=[item.content or b'' for item in known],
-        )
+            revision = self.replica.revision
+            logger.bind(
+                peer=peer,
+                age_ms=items.age_ms,
+                era=revision.era,
+                revision=revision.number,
+                before=previous_revision.number,
+            ).info('items_of_peer')
+
+    def _superseded_items(self) -> list[Item]:
+        """Return the items in force whose state in the store is another one."""
+        stored = self.replica.items
+        return [
+            item for item in self.kept_items() if item.key not in stored or stored[item.key].content != item.content
+        ]
 
     def _is_store_down(self) -> bool:
         now = SYSTEM_CLOCK.monotonic()
@@ -132,7 +158,7 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 stream = await connect(*address, None)
                 await stream.exchange_hellos(self.hello())
-                stream.send(AskItems(self.replica.revision))
+                stream.send(AskItems(self.replica.revision.pack()))
                 answer = await stream.receive()
             if isinstance(answer, Items):
                 self.apply_items(answer, stream.peer)
--- a/tamarackfield/gateway/tests/test_follower.py
+++ b/tamarackfield/gateway/tests/test_follower.py
@@ -1,6 +1,7 @@
 """Followers of one store: deletions that are reported while the store is unreliable."""
 
 from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS, Follower, Item, Replica
+from tamarackfield.gateway.revisions import Revision
 from tamarackfield.gateway.tests.samples import ManualTime
 
 
@@ -17,9 +18,9 @@
 def test_deletion_is_unreliable_while_store_fails_for_another_follower():
     time = ManualTime()
     (configuration, instances), changes = make_followers(time)
-    instances.apply_item(Item('servers/a', 1, b'{}'))
+    instances.apply_item(Item('servers/a', Revision(0, 1), b'{}'))
     configuration.store_status.record_failure(time.now)
-    instances.apply_item(Item('servers/a', 2, None))
+    instances.apply_item(Item('servers/a', Revision(0, 2), None))
     assert changes == [('servers/a', False), ('servers/a', True)]
 
 
@@ -29,7 +30,7 @@
     configuration.store_status.record_failure(time.now)
     time.now += 5
     configuration.store_status.record_answer(time.now)
-    instances.apply_item(Item('servers/a', 2, None))
+    instances.apply_item(Item('servers/a', Revision(0, 2), None))
     time.now += STORE_RECOVERY_SECONDS
-    instances.apply_item(Item('servers/b', 3, None))
+    instances.apply_item(Item('servers/b', Revision(0, 3), None))
     assert changes == [('servers/a', True), ('servers/b', False)]
--- a/tamarackfield/gateway/tests/test_replica_machine.py
+++ b/tamarackfield/gateway/tests/test_replica_machine.py
@@ -5,6 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tamarackfield.gateway.replica import Item, Replica
+from tamarackfield.gateway.revisions import ORIGIN, Revision
 
 KEYS = st.sampled_from(('op/config', 'servers/a', 'servers/b'))
 
@@ -21,15 +22,15 @@
 
     @rule(key=KEYS, deleted=st.booleans())
     def change(self, key, deleted):
-        revision = len(self.history) + 1
-        self.history.append(Item(key, revision, None if deleted else str(revision).encode()))
+        number = len(self.history) + 1
+        self.history.append(Item(key, Revision(0, number), None if deleted else str(number).encode()))
 
     @rule(data=st.data())
     def report(self, data):
         if self.history:
             item = data.draw(st.sampled_from(self.history))
             self.replica.apply(item)
-            self.reported[item.key] = max(item.revision, self.reported.get(item.key, 0))
+            self.reported[item.key] = max(item.revision, self.reported.get(item.key, ORIGIN))
 
     @rule(data=st.data())
     def read_all(self, data):
@@ -38,22 +39,23 @@
         present = {key for key, item in state.items() if item.content is not None}
         for key in present:
             self.replica.apply(state[key])
-            self.reported[key] = max(state[key].revision, self.reported.get(key, 0))
-        for deletion in self.replica.find_deleted('', present, revision):
+            self.reported[key] = max(state[key].revision, self.reported.get(key, ORIGIN))
+        for deletion in self.replica.find_deleted('', present, Revision(0, revision)):
             self.replica.apply(deletion)
-            self.reported[deletion.key] = max(deletion.revision, self.reported.get(deletion.key, 0))
+            self.reported[deletion.key] = max(deletion.revision, self.reported.get(deletion.key, ORIGIN))
 
     @invariant()
     def no_item_reverts_to_earlier_revision(self):
         for key, item in self.replica.items.items():
-            assert item.revision >= self.observed.get(key, 0)
+            assert item.revision >= self.observed.get(key, ORIGIN)
             self.observed[key] = item.revision
 
     @invariant()
     def replica_has_newest_reported_revision(self):
         for key, revision in self.reported.items():
             observed = self.replica.items.get(key)
-            assert revision in {self.replica.deleted.get(key), observed and observed.revision}
+            deletion = self.replica.deleted.get(key)
+            assert revision in {deletion and deletion.revision, observed and observed.revision}
 
 
 TestReplica = ReplicaMachine.TestCase
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -51,13 +51,11 @@
         ClientError
             If the report cannot be read or is malformed.
         """
-        status, document = await call_json(
-            self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS
-        )
-        if status != HTTPStatus.OK:
-            raise ClientError(f'worker answered with status {status}', 'report', str(self.address), sent=True)
+        answer = await call_json(self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS)
+        if answer.status != HTTPStatus.OK:
+            raise ClientError(f'worker answered with status {answer.status}', 'report', str(self.address), sent=True)
         try:
-            return decode_report(document)
+            return decode_report(answer.document)
         except MALFORMED as exc:
             raise ClientError(f'worker report is malformed: {exc!r}', 'report', str(self.address), sent=True) from exc
 
@@ -66,13 +64,13 @@
         headers = (('Tamarackfield-Expect-Instance', terms.target),)
         document = encode_order(order, terms, self.holder)
         try:
-            status, _ = await call_json(
+            answer = await call_json(
                 self.pool, self.address, 'POST', '/v1/order', document, headers, timeout_seconds=CALL_TIMEOUT_SECONDS
             )
         except TamarackfieldError as exc:
             logger.bind(step=exc.step, error=exc.message).warning('order_not_answered')
             return OrderResult.UNKNOWN
-        return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
+        return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
 
 def decode_report(document: dict[str, Any]) -> EngineState:
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -9,6 +9,7 @@
 from tamarackfield.core import Address
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
+from tamarackfield.gateway.revisions import MAX_ERA, MAX_NUMBER, Revision
 from tamarackfield.platform.holdings import MALFORMED
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import call_json
@@ -21,6 +22,8 @@
 _STATUS_OK = 200
 #: Status of a watch whose start revision is older than the history that the store keeps.
 _STATUS_GONE = 410
+#: Header that counts how often the store came back from an older copy.
+_ERA_HEADER = 'store-era'
 
 
 class PlatformStore:
@@ -30,12 +33,18 @@
     ----------
     address : tuple of str and int
         Address of the store; may be changed at any time.
+
+    Attributes
+    ----------
+    era : int
+        Highest era that the store has stated; an answer without the header is taken to be of this era.
     """
 
     def __init__(self, address: Address) -> None:
         """Create a client without connections."""
         self.address = address
         self.pool = ConnectionPool()
+        self.era = 0
 
     async def read_range(self, prefix: str, after_key: str) -> Page:
         """Return one page of the items after a key.
@@ -48,10 +57,10 @@
         query = {'path_prefix': prefix}
         if after_key:
             query['after'] = after_key
-        document = await self._call_store('kv-range', query, READ_TIMEOUT_SECONDS)
-        return _decode_page(document, 'items')
+        era, document = await self._call_store('kv-range', query, READ_TIMEOUT_SECONDS)
+        return _decode_page(document, 'items', era)
 
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> Page:
+    async def watch(self, prefix: str, after: Revision, wait_seconds: float) -> Page:
         """Return the changes since a revision; wait until there is one or the wait is over.
 
         Raises
@@ -62,33 +71,53 @@
             If the store no longer has all changes since the revision.
         """
         wait_ms = int(wait_seconds * MS_PER_SECOND)
-        query = {'path_prefix': prefix, 'after': str(after_revision), 'wait_ms': str(wait_ms)}
-        document = await self._call_store('kv-watch', query, wait_seconds + WATCH_MARGIN_SECONDS)
-        return _decode_page(document, 'events')
+        query = {'path_prefix': prefix, 'after': str(after.number), 'wait_ms': str(wait_ms)}
+        era, document = await self._call_store('kv-watch', query, wait_seconds + WATCH_MARGIN_SECONDS)
+        return _decode_page(document, 'events', era)
 
-    async def _call_store(self, call: str, query: dict[str, str], timeout_seconds: float) -> Any:
+    async def _call_store(self, call: str, query: dict[str, str], timeout_seconds: float) -> tuple[int, Any]:
+        """Return the era and the document of an answer."""
         path = f'/v1/{call}?{urllib.parse.urlencode(query)}'
         try:
-            status, document = await call_json(self.pool, self.address, 'GET', path, timeout_seconds=timeout_seconds)
+            answer = await call_json(self.pool, self.address, 'GET', path, timeout_seconds=timeout_seconds)
         except ClientError as exc:
             raise StoreError(exc.message, exc.step, exc.peer) from exc
-        if status == _STATUS_GONE:
-            raise HistoryLostError('store discarded the changes since the requested revision', call, str(self.address))
-        if status != _STATUS_OK or not isinstance(document, dict):
-            raise StoreError(f'store answered with status {status}', call, str(self.address))
-        return document
-
-
-def _decode_page(document: dict[str, Any], member: str) -> Page:
+        peer = str(self.address)
+        era = self._read_era(answer.headers)
+        if answer.status == _STATUS_GONE:
+            raise HistoryLostError('store discarded the changes since the requested revision', call, peer, era)
+        if answer.status != _STATUS_OK or not isinstance(answer.document, dict):
+            raise StoreError(f'store answered with status {answer.status}', call, peer, era)
+        return era, answer.document
+
+    def _read_era(self, headers: dict[str, str]) -> int:
+        """Return the era that an answer states; one that is malformed or missing reads as the latest known one."""
+        text = headers.get(_ERA_HEADER, '')
+        if not text:
+            return self.era
+        era = int(text) if text.isascii() and text.isdigit() else MAX_ERA + 1
+        if era > MAX_ERA:
+            logger.bind(era=text).warning('store_era_malformed')
+            return self.era
+        self.era = max(self.era, era)
+        return era
+
+
+def _decode_page(document: dict[str, Any], member: str, era: int) -> Page:
     """Decode a page; ``at`` is the revision of the store at the time of the answer."""
     revision, raw_items = document.get('at'), document.get(member)
-    if not isinstance(revision, int) or not isinstance(raw_items, list):
+    if not _is_number(revision) or not isinstance(raw_items, list):
         raise StoreError(f"store answer lacks an integer 'at' or a list {member!r}", 'read_answer')
-    items = [item for item in map(_decode_item, raw_items) if item is not None]
-    return Page(tuple(items), revision, bool(document.get('has_more')))
+    decoded = [_decode_item(raw, era) for raw in raw_items]
+    items = tuple(item for item in decoded if item is not None)
+    return Page(items, Revision(era, revision), bool(document.get('has_more')))
+
+
+def _is_number(revision: Any) -> bool:
+    return isinstance(revision, int) and 0 <= revision <= MAX_NUMBER
 
 
-def _decode_item(raw: Any) -> Item | None:
+def _decode_item(raw: Any, era: int) -> Item | None:
     """Decode an item or an event; return None if it is malformed.
 
     ``tombstone`` marks a deletion; ``lease`` and ``created`` are unused.
@@ -96,7 +125,9 @@
     try:
         deleted = bool(raw.get('tombstone'))
         content = None if deleted else base64.b64decode(raw['value'], validate=True)
-        return Item(str(raw['key']), int(raw['revision']), content)
+        if not _is_number(raw['revision']):
+            raise ValueError('revision is not a number in range')
+        return Item(str(raw['key']), Revision(era, raw['revision']), content)
     except MALFORMED as exc:
         logger.bind(error=repr(exc)).warning('item_malformed')
         return None
--- a/tamarackfield/platform/tests/test_decoding.py
+++ b/tamarackfield/platform/tests/test_decoding.py
@@ -8,6 +8,7 @@
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.model import DEFAULT_PAUSE_SECONDS
 from tamarackfield.gateway.replica import Item
+from tamarackfield.gateway.revisions import Revision
 from tamarackfield.platform.entry import read_entry_settings
 from tamarackfield.platform.items import decode_catalog, decode_item
 from tamarackfield.testing.platform_site import MODEL_SERVICE, make_config, make_route
@@ -28,7 +29,7 @@
 @pytest.mark.parametrize('content', [b'\xff not json', b'[]', b'{"service": "s", "address": 7}', b'5'])
 def test_malformed_entry_of_a_worker_is_logged_with_its_key_and_fault(warnings, content):
     configuration = Configuration(decode_item, Directory())
-    configuration.apply_item(Item('servers/w1', 7, content), store_unreliable=False)
+    configuration.apply_item(Item('servers/w1', Revision(0, 7), content), store_unreliable=False)
     assert [(record['event'], record['key'], record['revision']) for record in warnings] == [
         ('target_entry_malformed', 'servers/w1', 7)
     ]
@@ -37,7 +38,7 @@
 
 def test_deleted_entry_of_a_worker_is_no_fault(warnings):
     configuration = Configuration(decode_item, Directory())
-    configuration.apply_item(Item('servers/w1', 7, None), store_unreliable=False)
+    configuration.apply_item(Item('servers/w1', Revision(0, 7), None), store_unreliable=False)
     assert warnings == []
 
 
--- a/tamarackfield/testing/platform_store.py
+++ b/tamarackfield/testing/platform_store.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import urllib.parse
+from dataclasses import dataclass
 from typing import Any
 
 from tamarackfield.web import HttpRequest, HttpServer, Responder
@@ -15,6 +16,15 @@
 _MS_PER_SECOND = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of a store at one moment."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+
+
 class PlatformStore:
     """Stored items, their change history and the paths of requests; tests write with `put` and `delete`."""
 
@@ -25,6 +35,8 @@
         self.revisions = itertools.count(2)
         self.revision = 1
         self.compacted = 0
+        #: Number of returns from an older copy, stated in every answer; 0 for a store that does not state it.
+        self.era = 1
         self.changed = asyncio.Event()
         #: Fault that callers receive: empty, or ``busy``, ``limited``, ``reset``, ``silent``.
         self.fault = ''
@@ -56,8 +68,39 @@
         """Discard the history; pending watches receive status 410."""
         self.compacted = self.revision
         self.history.clear()
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake_watches()
+
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(dict(self.items), list(self.history), self.revision)
+
+    def return_from_copy(self, copy: StoreCopy) -> None:
+        """Continue from an older copy: later changes are lost and their revisions are given out again."""
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.revisions = itertools.count(copy.revision + 1)
+        self.era += 1
+        self._wake_watches()
+
+    def write_again(self, present: dict[str, dict[str, Any]], copy: StoreCopy) -> None:
+        """Write the items that a return from a copy lost, and delete again what it brought back.
+
+        Keys that were written since then are left alone.
+
+        Parameters
+        ----------
+        present : dict
+            Items before the return, by key.
+        copy : StoreCopy
+            Copy that the store returned to.
+        """
+        for key, item in present.items():
+            if item != copy.items.get(key) and self.items.get(key) == copy.items.get(key):
+                self._append_change(key, dict(item))
+        for key in copy.items.keys() - present.keys():
+            if self.items.get(key) == copy.items[key]:
+                self.delete(key)
 
     async def handle_request(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -68,11 +111,11 @@
             await self._answer_with_fault(responder)
             return
         if request.path == '/v1/kv-range':
-            await responder.send_json(200, self._read_range(query))
+            await self._send(responder, 200, self._read_range(query))
         elif request.path == '/v1/kv-watch':
             await self._answer_watch(query, responder)
         else:
-            await responder.send_json(404, {})
+            await self._send(responder, 404, {})
 
     def _append_change(self, key: str, item: dict[str, Any]) -> int:
         self.revision = next(self.revisions)
@@ -82,9 +125,18 @@
         else:
             self.items[key] = item
         self.history.append(item)
+        self._wake_watches()
+        return self.revision
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.revision
+
+    def _headers(self) -> tuple[tuple[str, str], ...]:
+        return (('Store-Era', str(self.era)),) if self.era else ()
+
+    async def _send(self, responder: Responder, status: int, document: dict[str, Any]) -> None:
+        await responder.send_json(status, document, self._headers())
 
     def _read_range(self, query: dict[str, str]) -> dict[str, Any]:
         prefix, after = query['path_prefix'], query.get('after', '')
@@ -96,17 +148,20 @@
         after = int(query['after'])
         try:
             async with asyncio.timeout(int(query['wait_ms']) / _MS_PER_SECOND):
-                while not self._list_events(query['path_prefix'], after) and after >= self.compacted:
+                while not self._list_events(query['path_prefix'], after) and self._has_history(after):
                     await self.changed.wait()
         except TimeoutError:
             pass  # noqa: WPS420 the answer without events is sent below
         if self.fault == 'silent':
             await asyncio.Event().wait()
-        if after < self.compacted:
-            await responder.send_json(410, {})
+        if not self._has_history(after):
+            await self._send(responder, 410, {})
             return
         events = self._list_events(query['path_prefix'], after)
-        await responder.send_json(200, {'events': events, 'at': self.revision})
+        await self._send(responder, 200, {'events': events, 'at': self.revision})
+
+    def _has_history(self, after: int) -> bool:
+        return self.compacted <= after <= self.revision
 
     def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [item for item in self.history if item['key'].startswith(prefix) and item['revision'] > after]
@@ -114,9 +169,9 @@
     async def _answer_with_fault(self, responder: Responder) -> None:
         match self.fault:
             case 'busy':
-                await responder.send_json(503, {})
+                await self._send(responder, 503, {})
             case 'limited':
-                await responder.send_json(429, {})
+                await self._send(responder, 429, {})
             case 'reset':
                 responder.writer.transport.abort()
             case _:
--- a/tamarackfield/testing/processes.py
+++ b/tamarackfield/testing/processes.py
@@ -72,8 +72,7 @@
 
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
-        settings_path = self.directory / f'{self.name}.json'
-        settings_path.write_text(json.dumps(self.settings, indent=2))
+        settings_path = self.write_settings()
         command = [sys.executable, '-m', self.module, *self.arguments]
         environment = dict(os.environ)
         if self.settings_variable:
@@ -90,6 +89,17 @@
                 env=environment,
             )
 
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings file and return its path."""
+        settings_path = self.directory / f'{self.name}.json'
+        settings_path.write_text(json.dumps(self.settings, indent=2))
+        return settings_path
+
+    def reload(self) -> None:
+        """Write the settings file and let the running process read it."""
+        self.write_settings()
+        self.send_signal(signal.SIGHUP)
+
     async def wait_ready(self) -> None:
         """Wait until the health page answers.
 
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -211,6 +211,16 @@
     site.store.compact()
 
 
+async def return_store_from_copy(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
+    """Let the store lose its last changes; the operator and the workers write them again later."""
+    copy = site.store.make_copy()
+    await asyncio.sleep(step.duration_seconds)
+    present = dict(site.store.items)
+    site.store.return_from_copy(copy)
+    await asyncio.sleep(step.variant_share * RELIST_SECONDS)
+    site.store.write_again(present, copy)
+
+
 async def disrupt_link(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
     """Cut, freeze or silence the connections of one link."""
     name, relay = _select_relay(site, step)
@@ -298,6 +308,7 @@
     'store_failed': fail_store,
     'leases_lapsed': expire_leases,
     'history_lost': compact_history,
+    'store_returned': return_store_from_copy,
     'link_disturbed': disrupt_link,
     'link_delayed': delay_link,
     'connections_reset': reset_connections,
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -17,6 +18,15 @@
 MAX_IDLE_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class JsonAnswer:
+    """Answer to a JSON request; header names are in lower case, the document is None for an empty body."""
+
+    status: int
+    headers: dict[str, str]
+    document: Any
+
+
 async def call_json(  # noqa: WPS211 the parts of one request
     pool: ConnectionPool,
     address: Address,
@@ -25,7 +35,7 @@
     document: Any = None,
     headers: tuple[tuple[str, str], ...] = (),
     timeout_seconds: float = 1.0,
-) -> tuple[int, Any]:
+) -> JsonAnswer:
     """Send one request and decode the JSON answer.
 
     Parameters
@@ -45,8 +55,8 @@
 
     Returns
     -------
-    tuple
-        Status and decoded body; the body is None if it is empty.
+    JsonAnswer
+        Status, headers and decoded body.
 
     Raises
     ------
@@ -61,18 +71,21 @@
     request = h11.Request(method=method, target=path, headers=header_lines)
     try:
         async with asyncio.timeout(timeout_seconds):
-            status, answer = await _exchange(pool, address, request, body)
+            head, answer = await _exchange(pool, address, request, body)
     except TimeoutError:
         raise ClientError(f'no answer within {timeout_seconds} s', 'call', peer, sent=True) from None
-    return status, _decode(answer, peer)
+    answer_headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
+    return JsonAnswer(head.status_code, answer_headers, _decode(answer, peer))
 
 
-async def _exchange(pool: ConnectionPool, address: Address, request: h11.Request, body: bytes) -> tuple[int, bytes]:
+async def _exchange(
+    pool: ConnectionPool, address: Address, request: h11.Request, body: bytes
+) -> tuple[h11.Response, bytes]:
     connection = await pool.acquire(address, MAX_IDLE_SECONDS)
     try:
         connection.send(request, body)
         head = await connection.receive()
-        return head.status_code, await _read_body(connection)
+        return head, await _read_body(connection)
     finally:
         pool.release(address, connection)
 
