A worker that says in its answers that it leaves gets nothing new

Entries ignored the header, passed it on to callers and went on sending until the store said so, which it may not do while it is away. The first answer with it, of any status, now marks the target for good, like a departure in the store; only another incarnation at its address ends that. Sidecars read it in reports and tell entries. A 421 is of another instance and marks nothing.

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -69,6 +69,12 @@
             return False
         return not self.removal_due_at or now < self.removal_due_at
 
+    def mark_leaving(self, source: str) -> None:
+        """Record that this incarnation leaves, for good; ``source`` is what said so."""
+        if not self.record.draining:
+            self.record.draining = True
+            logger.bind(target=self.record.name, source=source).info('target_leaving')
+
     def replace_residents(self, residents: frozenset[str]) -> None:
         """Update the resident adapters; those that are no longer resident count as evicted lately."""
         if residents == self.view.residents:
@@ -189,7 +195,7 @@
         if target.record.draining:
             record.draining = True
         elif record.draining:
-            logger.bind(target=record.name).info('target_leaving')
+            logger.bind(target=record.name, source='store').info('target_leaving')
         target.record = record
         target.listed_at = self.clock.monotonic()
         target.removal_due_at = 0.0
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -158,6 +158,9 @@
         while True:
             event = await connection.receive()
             head = self.dialect.read_head(event.status_code, list(event.headers.raw_items()))
+            # Another instance at the address refuses the call with this status; what it says is not of the target.
+            if head.leaving and head.status != HTTPStatus.MISDIRECTED_REQUEST:
+                self.target.mark_leaving('answer')
             if head.request_id == self.call.request_id:
                 connection.idle_timeout_seconds = head.keep_alive_seconds
                 self.framing = find_framing(event)
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -271,6 +271,8 @@
             # Never decreased: an entry that is partitioned from some sidecars must not take the shares of others.
             self.entries = report.entries
             self._limit_connections()
+        if report.leaving:
+            target.mark_leaving('sidecar')
         view.batch = max(1, report.batch)
         view.slots = report.slots
         view.running = report.running
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -232,6 +232,8 @@
         Name of the target that answered; empty if not stated.
     keep_alive_seconds : float
         Idle time-out of the connection at the target, in seconds; 0 if not stated.
+    leaving : bool
+        Whether the target states that it leaves.
     """
 
     status: int
@@ -242,6 +244,7 @@
     event_stream: bool
     answered_by: str = ''
     keep_alive_seconds: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -30,7 +30,7 @@
     """Link to a sidecar with a fixed report."""
 
     def __init__(self, started_ms, residents, suspect=False, up=True):
-        self.report = EngineReport(0, started_ms, True, 8, 0, 0, 4, 0, 250, 500, 3, 0, 40_000)
+        self.report = EngineReport(0, started_ms, True, 8, 0, 0, 4, 0, 250, 500, 3, 0, 40_000, leaving=False)
         self.holdings = Holdings(residents, [])
         self.reported_at = 0.0
         self.suspect = suspect
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -142,6 +142,7 @@
             entries=len(self.streams),
             prompt_ms=round(admission.prefill_backlog_seconds(now) * MS_PER_SECOND),
             token_ns=round(admission.prefill.effective_token_seconds(now) * NS_PER_SECOND),
+            leaving=admission.draining,
         )
 
     def _make_holdings(self) -> Holdings:
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -9,6 +9,7 @@
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import CallOptions
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
+from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
 from tamarackfield.web import HttpRequest
 
 #: Header with the id of one attempt of a caller, in requests and in answers.
@@ -44,7 +45,7 @@
     )
 )
 #: Headers of an answer that are not forwarded; the request id is set again by the entry.
-_UNFORWARDED_HEADERS = _HOP_BY_HOP_HEADERS | {_REQUEST_ID_LOWER}
+_UNFORWARDED_HEADERS = _HOP_BY_HOP_HEADERS | {_REQUEST_ID_LOWER, LEAVING_HEADER.encode()}
 #: Headers of a request to a worker that only the system may set; those of callers are dropped.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -135,6 +136,7 @@
             genuine=_SIGNATURE_HEADER in fields and encoding == b'identity',
             event_stream=content_type.startswith(b'text/event-stream'),
             answered_by=fields.get(_INSTANCE_HEADER, b'').decode('latin-1'),
+            leaving=fields.get(LEAVING_HEADER.encode()) == LEAVING_VALUE.encode(),
             keep_alive_seconds=_parse_keep_alive_seconds(fields.get(b'keep-alive', b'')),
         )
 
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -1,5 +1,6 @@
 """Client of the model worker on the same machine: reads its reports and sends orders to it."""
 
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
@@ -9,6 +10,7 @@
 from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.manager.engine_client import EngineState, OrderResult, OrderTerms
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
+from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import call_json
@@ -55,9 +57,11 @@
         if answer.status != HTTPStatus.OK:
             raise ClientError(f'worker answered with status {answer.status}', 'report', str(self.address), sent=True)
         try:
-            return decode_report(answer.document)
+            state = decode_report(answer.document)
         except MALFORMED as exc:
             raise ClientError(f'worker report is malformed: {exc!r}', 'report', str(self.address), sent=True) from exc
+        says_leaving = answer.headers.get(LEAVING_HEADER) == LEAVING_VALUE
+        return replace(state, draining=True) if says_leaving else state
 
     async def send_order(self, order: Order | ModelOrder, terms: OrderTerms) -> OrderResult:
         """Send an order to one incarnation of the worker; any other incarnation refuses it."""
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -70,8 +70,15 @@
         Name, service and address in its entry in the store.
     model : str
         Name of its base model, empty for a plain worker.
+
+    Attributes
+    ----------
+    announces_leaving : bool
+        Whether every answer says that the worker leaves.
     """
 
+    announces_leaving = False
+
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
     ) -> None:
@@ -175,10 +182,10 @@
         headers = {name.decode(): text.decode() for name, text in head.headers}
         target = head.target.decode()
         if target == '/v1/report':
-            await _send_response(protocol, writer, 200, self.make_report())
+            await _send_response(protocol, writer, 200, self.make_report(), self.leaving_header())
         elif target == '/v1/order':
             status = self.execute_order(headers, json.loads(body))
-            await _send_response(protocol, writer, status, {})
+            await _send_response(protocol, writer, status, {}, self.leaving_header())
         else:
             await self._serve_run(
                 protocol,
@@ -186,6 +193,10 @@
                 Run(headers.get('tamarackfield-request-id', ''), head.method.decode(), target, headers, body),
             )
 
+    def leaving_header(self) -> list[tuple[str, str]]:
+        """Return the header that says that the worker leaves, if it does."""
+        return [('Server-Leaving', '1')] if self.announces_leaving else []
+
     def make_report(self) -> dict[str, Any]:
         """Return the status report of the worker."""
         return {
@@ -258,7 +269,9 @@
             status = refusal_status or 503
             self.refusals.append((run.request_id, status, run.began_at))
             extra = [] if status == 421 else [('Tamarackfield-Not-Executed', '1')]
-            await _send_response(protocol, writer, status, None, [*_echo_request_id(run), *extra])
+            await _send_response(
+                protocol, writer, status, None, [*_echo_request_id(run), *extra, *self.leaving_header()]
+            )
             return
         self.runs.append(run)
         self.running.add(run.request_id)
@@ -296,7 +309,8 @@
             head = _encode_head([*_echo_request_id(run), _SIGNATURE, ('Content-Type', content_type)])
             await _send_endless_bytes(writer, head if fault == 'endless_body' else b'HTTP/1.1 200 OK\r\nPad: ')
         if fault == 'errors':
-            await _send_response(protocol, writer, 500, {'error': 'failed'}, [*_echo_request_id(run), _SIGNATURE])
+            header_lines = [*_echo_request_id(run), _SIGNATURE, *self.leaving_header()]
+            await _send_response(protocol, writer, 500, {'error': 'failed'}, header_lines)
             run.finished = True
             return
         if self.model:
@@ -322,12 +336,13 @@
             return
         signature = [] if fault == 'unsigned' else [_SIGNATURE]
         encoding = [('Content-Encoding', 'gzip')] if fault == 'encoded' else []
-        await _send_response(protocol, writer, 200, body, [*_echo_request_id(run), *signature, *encoding])
+        header_lines = [*_echo_request_id(run), *signature, *encoding, *self.leaving_header()]
+        await _send_response(protocol, writer, 200, body, header_lines)
 
     async def _send_stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
         framed = not fault.startswith('unframed')
         encode = _chunk_encoder(protocol) if framed else bytes
-        writer.write(_encode_stream_head(protocol, run, framed))
+        writer.write(_encode_stream_head(protocol, run, framed, self.leaving_header()))
         first = int(run.headers.get('last-event-id', '0')) + 1
         last = self.event_count - 1 if fault in _CUTTING_FAULTS else self.event_count
         for number in range(first, last + 1):
@@ -372,8 +387,10 @@
     return [('Tamarackfield-Request-Id', run.request_id)]
 
 
-def _encode_stream_head(protocol: h11.Connection, run: Run, framed: bool) -> bytes:
-    header_lines = [*_echo_request_id(run), _SIGNATURE, ('Content-Type', 'text/event-stream')]
+def _encode_stream_head(
+    protocol: h11.Connection, run: Run, framed: bool, further_headers: list[tuple[str, str]]
+) -> bytes:
+    header_lines = [*_echo_request_id(run), _SIGNATURE, ('Content-Type', 'text/event-stream'), *further_headers]
     if not framed:
         return _encode_head(header_lines)
     header_lines.append(('Transfer-Encoding', 'chunked'))
--- a/tamarackfield/wire/reservations.py
+++ b/tamarackfield/wire/reservations.py
@@ -136,11 +136,13 @@
     """State of an engine as known to its sidecar.
 
     ``prompt_ms`` is the prefill time of all requests that have not started, ``token_ns`` that of one token.
+    ``leaving`` is whether the engine leaves and begins no new request.
     """
 
     kind = 68
     prompt_ms: int
     token_ns: int
+    leaving: bool
 
 
 #: Message types of this module by kind.
