Send nothing to a target until the time that it asked for

Entries ignored the header and went on sending; the callers of a service whose workers all asked for a pause used up their attempts.

The end of the pause is stored as a deadline of the target and checked where it is chosen and again where the request is sent, so what waited for a place or a connection is not sent either. A late answer counts from its arrival: when it was sent is not known, so a pause may last longer by its delay, never shorter. Sidecars keep to it in reports and orders.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -149,8 +149,9 @@
         def authorize_send() -> str:
             """Return why the call may not be sent; if it may, spend the retry budget and record the call as sent."""
             now = BOOT_CLOCK.monotonic()
-            if not target.accepts_requests(now):
-                return 'target left before the call was sent'
+            refusal = target.explain_refusal(now)
+            if refusal:
+                return f'{refusal} before the call was sent'
             if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
                 return 'deadline passed before the call was sent'
             budget = self.budget_for(call_state.service)
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -14,6 +14,7 @@
 from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS
 from tamarackfield.policy import TargetView
 from tamarackfield.policy.health import TargetHealth
+from tamarackfield.policy.pauses import extend_pause
 
 #: Number of evicted adapters that count as evicted lately, as a multiple of the adapters that a target holds.
 RECENT_PLACES = 4
@@ -48,6 +49,8 @@
         Limit of connections that this entry opens to it; a target resets those beyond what it accepts.
     evicted : dict
         Adapters that were evicted lately as keys, the latest last.
+    paused_until : float
+        Monotonic seconds until which the target wants no request; 0 if it has not asked for a pause.
     viewed_holdings : tuple
         Holdings of its sidecar that the view shows, and the count of announced versions that it takes into account.
     """
@@ -61,6 +64,7 @@
     address_reassigned: bool = False
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
+    paused_until: float = 0.0
     viewed_holdings: tuple[object, int] = (None, 0)
 
     def accepts_requests(self, now: float) -> bool:
@@ -69,6 +73,23 @@
             return False
         return not self.removal_due_at or now < self.removal_due_at
 
+    def explain_refusal(self, now: float) -> str:
+        """Return why no request may be sent to the target now, empty if one may."""
+        if not self.accepts_requests(now):
+            return 'target left'
+        return 'target asked for a pause' if self.is_paused(now) else ''
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the target wants no request now."""
+        return now < self.paused_until
+
+    def pause(self, seconds: float, now: float) -> None:
+        """Send nothing to the target for a time that it asked for."""
+        until = extend_pause(self.paused_until, seconds, now)
+        if not self.is_paused(now):
+            logger.bind(target=self.record.name, seconds=round(until - now, 3)).info('target_paused')
+        self.paused_until = until
+
     def mark_leaving(self, source: str) -> None:
         """Record that this incarnation leaves, for good; ``source`` is what said so."""
         if not self.record.draining:
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -90,6 +90,7 @@
         for _ in range(MAX_ATTEMPTS):
             target = self._choose_target(call_state)
             if target is None:
+                self._record_pauses(call_state)
                 break
             _log_choice(call_state, target)
             result = await self.attempt_runner.run_attempt(call_state, target, responder)
@@ -124,6 +125,13 @@
             return self.fleet.choose_target(placement, call_state.allows)
         return target
 
+    def _record_pauses(self, call_state: CallState) -> None:
+        """Record when the caller may come back if no target wants a request now."""
+        seconds = self.fleet.seconds_until_return(call_state.service)
+        if seconds:
+            call_state.notes.append('every target asked for a pause')
+            call_state.retry_seconds = seconds
+
     def _handle_result(self, call_state: CallState, target: Target, result: AttemptResult) -> Answered | None:
         """Record the result of an attempt; return the answer for the caller if there is one."""
         match result:
@@ -142,7 +150,8 @@
                 self._add_note(call_state, target, f'answered {head.status}')
                 call_state.record_maybe_ran(target)
                 call_state.failure = result
-                record_target_result(target, succeeded=False)
+                if not head.pause_seconds:
+                    record_target_result(target, succeeded=False)
             case _:
                 call_state.in_flight = None
                 record_target_result(target, succeeded=True)
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -158,9 +158,7 @@
         while True:
             event = await connection.receive()
             head = self.dialect.read_head(event.status_code, list(event.headers.raw_items()))
-            # Another instance at the address refuses the call with this status; what it says is not of the target.
-            if head.leaving and head.status != HTTPStatus.MISDIRECTED_REQUEST:
-                self.target.mark_leaving('answer')
+            self.record_notices(head)
             if head.request_id == self.call.request_id:
                 connection.idle_timeout_seconds = head.keep_alive_seconds
                 self.framing = find_framing(event)
@@ -170,6 +168,16 @@
             await self._discard_body()
             connection.skip_answer()
 
+    def record_notices(self, head: AnswerHead) -> None:
+        """Record what an answer says of its target: that it leaves, or wants no request for a while."""
+        # Another instance at the address refuses the call with this status.
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        if head.leaving:
+            self.target.mark_leaving('answer')
+        if head.pause_seconds:
+            self.target.pause(head.pause_seconds, BOOT_CLOCK.monotonic())
+
     async def read_body(self) -> bytes:
         """Read the complete body.
 
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -14,6 +14,7 @@
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
+from tamarackfield.policy.pauses import draw_return_seconds
 from tamarackfield.policy.service_routing import choose_service_target
 from tamarackfield.wire.messages import Hello, Holdings
 from tamarackfield.wire.reservations import Facts
@@ -173,7 +174,7 @@
         permitted = [
             target
             for target in self.directory.usable_targets(placement.service)
-            if allowed(target) and target.has_connection_capacity()
+            if allowed(target) and target.has_connection_capacity() and not target.is_paused(now)
         ]
         usable = [target for target in permitted if self._can_serve(target, placement.adapter)]
         healthy = [usable[index] for index in select_usable([target.health for target in usable], now)]
@@ -188,6 +189,12 @@
             view = choose_service_target(views, self.zone, self.rng)
         return next(target for target in healthy if target.view is view)
 
+    def seconds_until_return(self, service: str) -> float:
+        """Return after how many seconds a caller of a service may come back; 0 unless all its targets pause."""
+        now = BOOT_CLOCK.monotonic()
+        ends = [target.paused_until for target in self.directory.usable_targets(service)]
+        return draw_return_seconds(ends, now, self.rng) if ends and min(ends) > now else 0.0
+
     def ring_of(self, service: str) -> Ring:
         """Return the hash ring of a service, rebuilt when its set of targets changes."""
         names = frozenset(
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -234,6 +234,8 @@
         Idle time-out of the connection at the target, in seconds; 0 if not stated.
     leaving : bool
         Whether the target states that it leaves.
+    pause_seconds : float
+        Time for which a target that turned the request away wants no more, in seconds; 0 if not stated.
     """
 
     status: int
@@ -245,6 +247,7 @@
     answered_by: str = ''
     keep_alive_seconds: float = 0.0
     leaving: bool = False
+    pause_seconds: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -7,8 +7,9 @@
 from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.admission import AdmissionController
-from tamarackfield.manager.engine_client import EngineClient, EngineState, OrderResult, OrderTerms
+from tamarackfield.manager.engine_client import EngineClient, EnginePausedError, EngineState, OrderResult, OrderTerms
 from tamarackfield.manager.tickets import ModelOrder, Plan
+from tamarackfield.policy.pauses import extend_pause
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
 from tamarackfield.wire.reservations import Facts
 
@@ -42,6 +43,7 @@
         self.state_read_at = 0.0
         self.read_failures = 0
         self.min_fencing = 0
+        self.paused_until = 0.0
         self.next_model_load_at = 0.0
         self.accepted_loads = 0
         self.sent_orders = 0
@@ -55,10 +57,16 @@
         self.facts = facts
         self.admission.batch = facts.batch
         self.admission.residency.slots = facts.places
+        if (facts.target, facts.started_ms) != (current.target, current.started_ms):
+            self.paused_until = 0.0
         if facts.target != current.target:
             logger.bind(target=facts.target, started_ms=facts.started_ms, revision=facts.revision).info('target_named')
         self.decision_due.set()
 
+    def is_paused(self) -> bool:
+        """Return whether the engine wants no call now."""
+        return BOOT_CLOCK.monotonic() < self.paused_until
+
     def is_ready(self) -> bool:
         """Return whether requests can be granted."""
         return self.admission.reachable and not self.admission.draining and self.has_current_facts()
@@ -77,8 +85,13 @@
 
     async def refresh_state(self) -> bool:
         """Read the engine's state once; return whether that succeeded."""
+        if self.is_paused():
+            return False
         try:
             state = await self.client.read_state()
+        except EnginePausedError as exc:
+            self._record_pause(exc)
+            return False
         except TamarackfieldError as exc:
             self._record_read_failure(exc)
             return False
@@ -115,12 +128,18 @@
 
     async def _execute_order(self, order: Order | ModelOrder) -> bool:
         now = BOOT_CLOCK.monotonic()
+        if self.is_paused():
+            return False
         is_fresh = now - self.state_read_at <= MAX_STATE_AGE_SECONDS or await self.refresh_state()
         if not is_fresh or not self.has_current_facts() or not self._can_execute(order):
             return False
         state = self.state
         fencing = max(self.min_fencing, state.sequence + 1)
-        result = await self.client.send_order(order, OrderTerms(self.facts.target, state.sequence, fencing))
+        try:
+            result = await self.client.send_order(order, OrderTerms(self.facts.target, state.sequence, fencing))
+        except EnginePausedError as exc:
+            self._record_pause(exc)
+            return False
         self.sent_orders += 1
         logger.bind(
             order=type(order).__name__,
@@ -186,6 +205,10 @@
         self.admission.engine_request_count = state.running + state.queued
         self.decision_due.set()
 
+    def _record_pause(self, exc: EnginePausedError) -> None:
+        self.paused_until = extend_pause(self.paused_until, exc.seconds, BOOT_CLOCK.monotonic())
+        logger.bind(seconds=round(exc.seconds, 3)).info('engine_paused')
+
     def _record_read_failure(self, exc: TamarackfieldError) -> None:
         self.read_failures += 1
         if self.read_failures == UNREACHABLE_AFTER_FAILURES and self.admission.reachable:
--- a/tamarackfield/manager/engine_client.py
+++ b/tamarackfield/manager/engine_client.py
@@ -4,10 +4,28 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from tamarackfield.core import TamarackfieldError
 from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.policy.residency import Order
 
 
+class EnginePausedError(TamarackfieldError):
+    """The engine turned a call away and wants no further one for a while.
+
+    Parameters
+    ----------
+    message, step, peer : str
+        As in `TamarackfieldError`.
+    seconds : float
+        Time for which it wants none.
+    """
+
+    def __init__(self, message: str, step: str, peer: str, seconds: float) -> None:
+        """Store the fields of the error."""
+        super().__init__(message, step, peer)
+        self.seconds = seconds
+
+
 @dataclass(frozen=True, slots=True)
 class EngineState:
     """State of an engine as it reports it.
--- a/tamarackfield/manager/tests/test_engine.py
+++ b/tamarackfield/manager/tests/test_engine.py
@@ -4,7 +4,7 @@
 
 from tamarackfield.manager.tickets import ModelOrder, Plan, Ticket
 from tamarackfield.manager.engine import EngineController
-from tamarackfield.manager.engine_client import EngineState, OrderResult
+from tamarackfield.manager.engine_client import EnginePausedError, EngineState, OrderResult
 from tamarackfield.policy.residency import LoadOrder
 from tamarackfield.web.client import ClientError
 from tamarackfield.wire.reservations import Facts
@@ -22,18 +22,23 @@
         self.orders = []
         self.reads = 0
         self.unreachable = False
+        self.pause_seconds = 0.0
 
     async def read_state(self):
         """Return the engine's state, or fail if unreachable."""
         self.reads += 1
         if self.unreachable:
             raise ClientError('refused', 'connect', 'engine', sent=False)
+        if self.pause_seconds:
+            raise EnginePausedError('paused', 'call', 'engine', self.pause_seconds)
         return EngineState(
             self.started_ms, self.sequence, self.models, dict(self.resident_versions), (), 0, 0, False, False
         )
 
     async def send_order(self, order, terms):
         """Record an order and return the next prepared result."""
+        if self.pause_seconds:
+            raise EnginePausedError('paused', 'call', 'engine', self.pause_seconds)
         self.orders.append((order, terms))
         result = self.answers.pop(0) if self.answers else OrderResult.ACCEPTED
         self.sequence += result is OrderResult.ACCEPTED
@@ -174,3 +179,23 @@
     with pytest.raises(RuntimeError):
         await controller.execute_plan(Plan(orders=[order]))
     assert not controller.admission.pending_orders
+
+
+async def test_engine_gets_no_call_until_its_pause_ends(controller, engine):
+    engine.pause_seconds = 30.0
+    await controller.execute_plan(Plan(orders=[LoadOrder('m/a1', 1)]))
+    reads = engine.reads
+    engine.pause_seconds = 0.0
+    assert not await controller.refresh_state()
+    await controller.execute_plan(Plan(orders=[LoadOrder('m/a1', 1)]))
+    assert (engine.reads, engine.orders) == (reads, [])
+    assert controller.admission.reachable
+
+
+async def test_pause_ends_with_the_incarnation_of_the_engine(controller, engine):
+    engine.pause_seconds = 3600.0
+    assert not await controller.refresh_state()
+    engine.pause_seconds = 0.0
+    engine.restart()
+    controller.update_facts(make_facts(engine.started_ms))
+    assert await controller.refresh_state()
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -5,11 +5,12 @@
 import math
 from http import HTTPStatus
 
-from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.clock import MS_PER_SECOND, SYSTEM_CLOCK
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import CallOptions
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
 from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
+from tamarackfield.platform.retry_after import RETRY_AFTER_HEADER, parse_retry_after
 from tamarackfield.web import HttpRequest
 
 #: Header with the id of one attempt of a caller, in requests and in answers.
@@ -136,11 +137,20 @@
             genuine=_SIGNATURE_HEADER in fields and encoding == b'identity',
             event_stream=content_type.startswith(b'text/event-stream'),
             answered_by=fields.get(_INSTANCE_HEADER, b'').decode('latin-1'),
+            pause_seconds=_read_pause_seconds(status, fields),
             leaving=fields.get(LEAVING_HEADER.encode()) == LEAVING_VALUE.encode(),
             keep_alive_seconds=_parse_keep_alive_seconds(fields.get(b'keep-alive', b'')),
         )
 
 
+def _read_pause_seconds(status: int, fields: dict[bytes, bytes]) -> float:
+    """Return for how many seconds a worker that turned a request away wants no more, 0 if it does not say."""
+    text = fields.get(RETRY_AFTER_HEADER.encode(), b'')
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or not text:
+        return 0.0
+    return parse_retry_after(text.decode('latin-1'), SYSTEM_CLOCK.unix_ms() / MS_PER_SECOND)
+
+
 def _parse_number(text: str) -> int | None:
     stripped = text.strip()
     if not stripped.isascii() or not stripped.isdigit() or len(stripped) > _MAX_NUMBER_DIGITS:
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -6,14 +6,16 @@
 
 from loguru import logger
 
-from tamarackfield.core import Address, TamarackfieldError
+from tamarackfield.core import SYSTEM_CLOCK, Address, TamarackfieldError
+from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.tickets import ModelOrder
-from tamarackfield.manager.engine_client import EngineState, OrderResult, OrderTerms
+from tamarackfield.manager.engine_client import EnginePausedError, EngineState, OrderResult, OrderTerms
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
 from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
+from tamarackfield.platform.retry_after import RETRY_AFTER_HEADER, parse_retry_after
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.client import ClientError
-from tamarackfield.web.json_calls import call_json
+from tamarackfield.web.json_calls import JsonAnswer, call_json
 from tamarackfield.web.pool import ConnectionPool
 
 #: Time-out of a call to the worker, which is on the same machine and answers within a millisecond.
@@ -52,8 +54,11 @@
         ------
         ClientError
             If the report cannot be read or is malformed.
+        EnginePausedError
+            If the worker wants no request now.
         """
         answer = await call_json(self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS)
+        self._require_no_pause(answer)
         if answer.status != HTTPStatus.OK:
             raise ClientError(f'worker answered with status {answer.status}', 'report', str(self.address), sent=True)
         try:
@@ -64,7 +69,13 @@
         return replace(state, draining=True) if says_leaving else state
 
     async def send_order(self, order: Order | ModelOrder, terms: OrderTerms) -> OrderResult:
-        """Send an order to one incarnation of the worker; any other incarnation refuses it."""
+        """Send an order to one incarnation of the worker; any other incarnation refuses it.
+
+        Raises
+        ------
+        EnginePausedError
+            If the worker turned it away and wants no request for a while.
+        """
         headers = (('Tamarackfield-Expect-Instance', terms.target),)
         document = encode_order(order, terms, self.holder)
         try:
@@ -74,8 +85,16 @@
         except TamarackfieldError as exc:
             logger.bind(step=exc.step, error=exc.message).warning('order_not_answered')
             return OrderResult.UNKNOWN
+        self._require_no_pause(answer)
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
+    def _require_no_pause(self, answer: JsonAnswer) -> None:
+        """Raise `EnginePausedError` if a 503 says for how long the worker wants no request."""
+        text = answer.headers.get(RETRY_AFTER_HEADER, '')
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE and text:
+            seconds = parse_retry_after(text, SYSTEM_CLOCK.unix_ms() / MS_PER_SECOND)
+            raise EnginePausedError('worker asked for a pause', 'call', str(self.address), seconds)
+
 
 def decode_report(document: dict[str, Any]) -> EngineState:
     """Decode a report.
--- /dev/null
+++ b/tamarackfield/platform/retry_after.py
@@ -0,0 +1,40 @@
+"""Header with which a worker that turns a request away says for how long it wants no more."""
+
+import email.utils
+import re
+from datetime import UTC
+
+from loguru import logger
+
+#: Name of the header in lower case.
+RETRY_AFTER_HEADER = 'retry-after'
+_SECONDS = re.compile(r'\d+(?:\.\d*)?')
+
+
+def parse_retry_after(text: str, now: float) -> float:
+    """Return the seconds in a Retry-After header, 0 if it has none; a malformed one is logged and reads as none.
+
+    Parameters
+    ----------
+    text : str
+        Seconds, which may have a fraction, or a date; empty without the header.
+    now : float
+        Unix seconds.
+
+    Examples
+    --------
+    >>> parse_retry_after('1.5', 0.0), parse_retry_after('Thu, 01 Jan 1970 00:00:09 GMT', 4.0)
+    (1.5, 5.0)
+    """
+    stripped = text.strip()
+    if not stripped:
+        return 0.0
+    if _SECONDS.fullmatch(stripped):
+        return float(stripped)
+    try:
+        date = email.utils.parsedate_to_datetime(stripped)
+    except ValueError:
+        logger.bind(text=stripped).info('retry_after_malformed')
+        return 0.0
+    aware_date = date if date.tzinfo else date.replace(tzinfo=UTC)
+    return max(0.0, aware_date.timestamp() - now)
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -23,7 +23,11 @@
 
 @dataclass(slots=True)
 class Run:
-    """One request that a worker started; ``worker`` is the name at that time, ``began_at`` is in monotonic seconds."""
+    """One request that a worker started.
+
+    ``worker`` and ``incarnation`` are its name and start at that time, ``began_at`` is in monotonic seconds;
+    ``announced_leaving`` is whether its answer said that the worker leaves.
+    """
 
     request_id: str
     method: str
@@ -33,6 +37,17 @@
     worker: str = ''
     began_at: float = 0.0
     finished: bool = False
+    incarnation: int = 0
+    announced_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """One request that a worker turned away; ``retry_after`` is empty unless the worker asked for a pause."""
+
+    request_id: str
+    at: float
+    retry_after: str = ''
 
 
 @dataclass(slots=True)
@@ -42,7 +57,7 @@
     Parameters
     ----------
     kind : str
-        Fault: empty, or ``errors``, ``shed``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
+        Fault: empty, or ``errors``, ``shed``, ``pause``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
         ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``, ``endless_head``,
         ``endless_body``. An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
         before the answer is complete.
@@ -75,9 +90,12 @@
     ----------
     announces_leaving : bool
         Whether every answer says that the worker leaves.
+    retry_after : str
+        ``Retry-After`` of the answers to requests that it turns away with the fault ``pause``.
     """
 
     announces_leaving = False
+    retry_after = '1'
 
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
@@ -99,7 +117,7 @@
         self.orders: list[dict[str, Any]] = []
         self.running: set[str] = set()
         self.runs: list[Run] = []
-        self.refusals: list[tuple[str, int, float]] = []
+        self.refusals: list[Refusal] = []
         self.fault = WorkerFault()
         self.event_count = 5
         self.event_interval_seconds = 0.005
@@ -155,7 +173,7 @@
     def list_arrivals(self) -> list[tuple[float, str]]:
         """Return the monotonic time and id of every request received, refused ones included."""
         started = [(run.began_at, run.request_id) for run in self.runs]
-        return started + [(at, request_id) for request_id, _, at in self.refusals]
+        return started + [(refusal.at, refusal.request_id) for refusal in self.refusals]
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve requests on one connection."""
@@ -263,12 +281,17 @@
     async def _serve_run(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run) -> None:
         run.worker = self.name
         run.began_at = SYSTEM_CLOCK.monotonic()
+        run.incarnation = self.started_unix_ms
+        run.announced_leaving = self.announces_leaving
         refusal_status = self._refusal_status(run.headers)
         fault = self.fault.next_fault()
-        if fault == 'shed' or refusal_status:
+        if fault in {'shed', 'pause'} or refusal_status:
             status = refusal_status or 503
-            self.refusals.append((run.request_id, status, run.began_at))
+            pause = self.retry_after if fault == 'pause' else ''
+            self.refusals.append(Refusal(run.request_id, run.began_at, pause))
             extra = [] if status == 421 else [('Tamarackfield-Not-Executed', '1')]
+            if pause:
+                extra.append(('Retry-After', pause))
             await _send_response(
                 protocol, writer, status, None, [*_echo_request_id(run), *extra, *self.leaving_header()]
             )
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -26,15 +26,14 @@
     'extra',
     'unframed',
     'unframed_reset',
-    'unframed_cut',
-    'endless_head',
-    'endless_body',
     'garbage',
     'cut',
     'unsigned',
     'encoded',
 )
+_FURTHER_WORKER_FAULTS = ('pause', 'unframed_cut', 'endless_head', 'endless_body')
 _MAX_FAULTY_REQUESTS = 10
+_PAUSE_SECONDS = '1.5'
 _MAX_EVENT_SECONDS = 0.3
 _MAX_DELAY_SECONDS = 0.3
 _UPDATED_ADAPTER_COUNT = 3
@@ -138,6 +137,17 @@
         site.write_worker_entry(worker)
 
 
+async def announce_leaving(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
+    """Let a worker say in its answers, but not in the store, that it leaves; then start a new incarnation of it."""
+    worker = _select_worker(site, step, incident)
+    async with site.worker_lock(worker):
+        worker.announces_leaving = True
+        await asyncio.sleep(DRAIN_SECONDS + step.duration_seconds)
+        worker.announces_leaving = False
+        await worker.restart()
+        site.write_worker_entry(worker)
+
+
 async def replace_worker(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
     """Stop a worker permanently and start another one at its address as soon as reuse is allowed."""
     worker = select_by_share(site.get_service_workers(PLAIN_SERVICE), step.target_share)
@@ -151,14 +161,19 @@
         site.write_worker_entry(worker)
 
 
-async def fail_requests(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
-    """Make a worker fail some of its next requests."""
-    worker = _select_worker(site, step, incident)
-    kind = select_by_share(_WORKER_FAULTS, step.variant_share)
-    incident.where = f'{worker.name} {kind}'
-    worker.fault = WorkerFault(kind, 1 + int(step.variant_share * _MAX_FAULTY_REQUESTS))
-    await _wait_duration(step)
-    worker.fault = WorkerFault()
+def make_request_fault(kinds: Sequence[str]) -> Fault:
+    """Return a fault that makes a worker fail some of its next requests in one of several ways."""
+
+    async def inject(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
+        worker = _select_worker(site, step, incident)
+        kind = select_by_share(kinds, step.variant_share)
+        incident.where = f'{worker.name} {kind}'
+        worker.retry_after = _PAUSE_SECONDS
+        worker.fault = WorkerFault(kind, 1 + int(step.variant_share * _MAX_FAULTY_REQUESTS))
+        await _wait_duration(step)
+        worker.fault = WorkerFault()
+
+    return inject
 
 
 async def slow_worker(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
@@ -302,16 +317,21 @@
     'worker_restarted': restart_worker,
     'worker_left': drain_worker,
     'worker_replaced': replace_worker,
-    'worker_misbehaved': fail_requests,
+    'worker_misbehaved': make_request_fault(_WORKER_FAULTS),
     'worker_slow': slow_worker,
     'streams_cut': cut_streams,
     'store_failed': fail_store,
     'leases_lapsed': expire_leases,
     'history_lost': compact_history,
-    'store_returned': return_store_from_copy,
     'link_disturbed': disrupt_link,
     'link_delayed': delay_link,
     'connections_reset': reset_connections,
     'configuration_changed': change_configuration,
     'version_announced': announce_version,
 }
+#: Later additions, drawn in a series of their own, so that former seeds still give the faults that they gave.
+FURTHER_FAULTS: dict[str, Fault] = {
+    'store_returned': return_store_from_copy,
+    'worker_announced_leaving': announce_leaving,
+    'worker_answered_oddly': make_request_fault(_FURTHER_WORKER_FAULTS),
+}
--- a/tamarackfield/testing/soak/plan.py
+++ b/tamarackfield/testing/soak/plan.py
@@ -42,7 +42,9 @@
     variant_share: float
 
 
-def draw_plan(seed: int, seconds: float, kinds: tuple[str, ...]) -> list[PlannedFault]:
+def draw_plan(
+    seed: int, seconds: float, kinds: tuple[str, ...], further_kinds: tuple[str, ...] = ()
+) -> list[PlannedFault]:
     """Return the faults of one run.
 
     Parameters
@@ -53,6 +55,8 @@
         Length of the period in which faults start.
     kinds : tuple of str
         Names of the faults to draw from.
+    further_kinds : tuple of str
+        Names of the faults of one further series.
 
     Returns
     -------
@@ -68,12 +72,19 @@
     True
     """
     steps: list[PlannedFault] = []
-    for series in range(SERIES_COUNT):
+    series_kinds = [kinds for _ in range(SERIES_COUNT)]
+    if further_kinds:
+        series_kinds.append(further_kinds)
+    for series, kinds_of_series in enumerate(series_kinds):
         rng = random.Random(f'{seed}-{series}')
         at = INITIAL_DELAY_SECONDS + rng.uniform(0, MAX_GAP_SECONDS)
         while at < seconds:
             step = PlannedFault(
-                at, rng.choice(kinds), rng.random(), rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS), rng.random()
+                at,
+                rng.choice(kinds_of_series),
+                rng.random(),
+                rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
+                rng.random(),
             )
             steps += [step, *_draw_repeats(step, rng, seconds)]
             at += rng.uniform(MIN_GAP_SECONDS, MAX_GAP_SECONDS)
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -17,6 +17,7 @@
 )
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import AT_MOST_ONCE_PATHS, STREAM_PATHS, Call
+from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.site import DrainWindow, SoakSite
 
 #: Statuses which guarantee that a request did not run and will not run later.
@@ -35,6 +36,8 @@
 NOTIFICATION_DELAY_SECONDS = 5.0
 #: Faults that may delay a request or the notification that its caller disconnected.
 REQUEST_DELAYING_FAULTS = ('link_disturbed', 'link_delayed', 'entry_paused')
+#: Faults after which a worker's address has another incarnation, which has asked for no pause.
+WORKER_RESTARTING_FAULTS = ('worker_restarted', 'worker_left', 'worker_replaced', 'worker_announced_leaving')
 #: Faults that may delay the notification of an entry that a worker was removed.
 NOTIFICATION_DELAYING_FAULTS = (
     *REQUEST_DELAYING_FAULTS,
@@ -209,6 +212,7 @@
     for worker in site.workers.values():
         if worker.crash_reason:
             site.record_violation(f'{worker.name} exceeded its capacity: {worker.crash_reason}')
+    _check_notices(site, observations)
     for drain_window in site.drain_windows:
         _check_drain_window(site, observations, drain_window)
     for service in (PLAIN_SERVICE, MODEL_SERVICE):
@@ -222,6 +226,17 @@
             site.record_violation(f'{service}: {text}')
 
 
+def _check_notices(site: SoakSite, observations: Observations) -> None:
+    workers = site.workers.values()
+    for text, at in check_leaving(observations.calls, [run for worker in workers for run in worker.runs]):
+        site.record_violation(text, at)
+    for worker in workers:
+        for text, asked_at in check_pauses(observations.calls, worker):
+            ends_at = asked_at + float(worker.retry_after)
+            if not site.overlaps_fault((*REQUEST_DELAYING_FAULTS, *WORKER_RESTARTING_FAULTS), asked_at, ends_at):
+                site.record_violation(text, asked_at)
+
+
 def _check_drain_window(site: SoakSite, observations: Observations, drain_window: DrainWindow) -> None:
     worker: PlatformWorker = drain_window.worker
     begins_at = drain_window.begins_at + observations.lag_seconds
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -3,9 +3,10 @@
 import pytest
 
 from tamarackfield.testing.platform_site import RETRY_ALLOWANCE
-from tamarackfield.testing.platform_worker import PlatformWorker, Run
+from tamarackfield.testing.platform_worker import PlatformWorker, Refusal, Run
 from tamarackfield.testing.soak.callers import Call
 from tamarackfield.testing.soak.main import run_soak
+from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
 from tamarackfield.testing.soak.site import SoakSite
 
@@ -91,3 +92,52 @@
     lock = site.worker_lock(worker)
     worker.name = 'w1-next'
     assert site.worker_lock(worker) is lock
+
+
+def make_timed_call(request_id, sent_at, process_id=1):
+    return Call(
+        request_id,
+        '/look/x',
+        'front-1',
+        process_id,
+        sent_at,
+        sent_at + 5,
+        ended_at=sent_at + 1,
+        status=200,
+        complete=True,
+    )
+
+
+def make_timed_run(call, incarnation=1, announced_leaving=False):
+    headers = {}
+    return Run(
+        call.request_id,
+        'POST',
+        call.path,
+        headers,
+        b'',
+        'w1',
+        call.sent_at,
+        incarnation=incarnation,
+        announced_leaving=announced_leaving,
+    )
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'incarnation', 'process_id', 'violations'),
+    [(4.0, 1, 1, 1), (2.5, 1, 1, 0), (4.0, 2, 1, 0), (4.0, 1, 2, 0)],
+)
+def test_request_to_a_worker_after_its_notice_of_leaving_is_detected(sent_at, incarnation, process_id, violations):
+    first, later = make_timed_call('c1', 0.0), make_timed_call('c2', sent_at, process_id)
+    runs = [make_timed_run(first, announced_leaving=True), make_timed_run(later, incarnation)]
+    found = list(check_leaving({call.request_id: call for call in (first, later)}, runs))
+    assert len(found) == violations
+
+
+@pytest.mark.parametrize(('arrivals', 'violations'), [((0.6, 0.7, 0.8), 1), ((0.1, 0.6, 0.8), 0), ((0.6, 0.7, 2.1), 0)])
+def test_requests_to_a_worker_that_wants_none_are_detected(arrivals, violations):
+    worker = PlatformWorker('w1', 'ledger', '127.0.0.1', 1)
+    calls = {f'c{number}': make_timed_call(f'c{number}', at) for number, at in enumerate((0.0, *arrivals))}
+    worker.refusals = [Refusal('c0', 0.0, '2')]
+    worker.runs = [make_timed_run(call) for call in list(calls.values())[1:]]
+    assert len(list(check_pauses(calls, worker))) == violations
