Status and headers of an error answer count, whatever its body is

A store or worker that refused with a body of plain text, as proxies do, gave 'answer is not JSON': its era, its Retry-After and its 410 were lost. Found by reading the change. A success must be JSON as before.

--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -20,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JsonAnswer:
-    """Answer to a JSON request; header names are in lower case, the document is None for an empty body."""
+    """Answer to a JSON request.
+
+    Header names are in lower case; the document is None for an empty body, and for that of an error that is not JSON.
+    """
 
     status: int
     headers: dict[str, str]
@@ -61,7 +65,7 @@
     Raises
     ------
     ClientError
-        If the exchange fails or exceeds the time limit, or the answer is not JSON.
+        If the exchange fails or exceeds the time limit, or the body of a success is not JSON.
     """
     peer = f'{address[0]}:{address[1]}'
     body = b'' if document is None else json.dumps(document).encode()
@@ -75,7 +79,14 @@
     except TimeoutError:
         raise ClientError(f'no answer within {timeout_seconds} s', 'call', peer, sent=True) from None
     answer_headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
-    return JsonAnswer(head.status_code, answer_headers, _decode(answer, peer))
+    try:
+        document = _decode(answer, peer)
+    except ClientError:
+        if head.status_code < HTTPStatus.MULTIPLE_CHOICES:
+            raise
+        # Proxies and servers under load answer with text; status and headers say what is needed.
+        document = None
+    return JsonAnswer(head.status_code, answer_headers, document)
 
 
 async def _exchange(
