A malformed era of the store reads as the latest known one

An era of thousands of digits ended the follower's task with an unexpected error. Found by reading. Headers that are read in several places of the adapter and their numbers are in one module. Failed before: test_malformed_era_is_logged_and_reads_as_the_latest_known_one.

--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -9,8 +9,13 @@
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import CallOptions
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
-from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
-from tamarackfield.platform.retry_after import RETRY_AFTER_HEADER, parse_retry_after
+from tamarackfield.platform.headers import (
+    LEAVING_HEADER,
+    LEAVING_VALUE,
+    RETRY_AFTER_HEADER,
+    parse_number,
+    parse_retry_after,
+)
 from tamarackfield.web import HttpRequest
 
 #: Header with the id of one attempt of a caller, in requests and in answers.
@@ -26,8 +31,6 @@
 _INSTANCE_HEADER = b'tamarackfield-instance-id'
 #: Largest value of the priority header, which is the least urgent.
 _LEAST_URGENT_PRIORITY = 9
-#: Limit of the digits of a number in a header; longer ones count as missing.
-_MAX_NUMBER_DIGITS = 15
 #: Headers that apply to one connection only, so that they are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -77,7 +80,7 @@
     11.5
     """
     headers = request.headers
-    deadline_ms = _parse_number(headers.get(_DEADLINE_HEADER, ''))
+    deadline_ms = parse_number(headers.get(_DEADLINE_HEADER, ''))
     model, _, adapter = headers.get(_MODEL_HEADER, '').partition('/')
     # The header has the number of prompt tokens, then the number of answer tokens.
     prompt = headers.get(_TOKEN_USAGE_HEADER, '').partition(',')[0]
@@ -94,8 +97,8 @@
         deadline=math.inf if deadline_ms is None else request.received_at + deadline_ms / MS_PER_SECOND,
         model=model,
         adapter=adapter,
-        prompt_tokens=_parse_number(prompt) or 0,
-        last_event=_parse_number(headers.get(_LAST_EVENT_HEADER, '')) or 0,
+        prompt_tokens=parse_number(prompt) or 0,
+        last_event=parse_number(headers.get(_LAST_EVENT_HEADER, '')) or 0,
     )
 
 
@@ -151,17 +154,10 @@
     return parse_retry_after(text.decode('latin-1'), SYSTEM_CLOCK.unix_ms() / MS_PER_SECOND)
 
 
-def _parse_number(text: str) -> int | None:
-    stripped = text.strip()
-    if not stripped.isascii() or not stripped.isdigit() or len(stripped) > _MAX_NUMBER_DIGITS:
-        return None
-    return int(stripped)
-
-
 def _parse_keep_alive_seconds(text: bytes) -> float:
     """Return the time-out of a Keep-Alive header in seconds, 0 if it has none."""
     for part in text.decode('latin-1').split(','):
         name, _, seconds = part.strip().partition('=')
         if name.lower() == 'timeout':
-            return float(_parse_number(seconds) or 0)
+            return float(parse_number(seconds) or 0)
     return 0.0
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -10,9 +10,8 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.manager.engine_client import EnginePausedError, EngineState, OrderResult, OrderTerms
+from tamarackfield.platform.headers import LEAVING_HEADER, LEAVING_VALUE, RETRY_AFTER_HEADER, parse_retry_after
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
-from tamarackfield.platform.leaving import LEAVING_HEADER, LEAVING_VALUE
-from tamarackfield.platform.retry_after import RETRY_AFTER_HEADER, parse_retry_after
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import JsonAnswer, call_json
--- a/tamarackfield/platform/retry_after.py
+++ b/tamarackfield/platform/headers.py
@@ -1,4 +1,4 @@
-"""Header with which a worker that turns a request away says for how long it wants no more."""
+"""Headers of workers and of the store that are read in more than one place, and the numbers in headers."""
 
 import email.utils
 import re
@@ -6,11 +6,30 @@
 
 from loguru import logger
 
-#: Name of the header in lower case.
+#: Header with which a worker says in all its answers that it leaves, in lower case, and its value.
+LEAVING_HEADER = 'server-leaving'
+LEAVING_VALUE = '1'
+#: Header with which a worker that turns a request away says for how long it wants no more, in lower case.
 RETRY_AFTER_HEADER = 'retry-after'
+#: Limit of the digits of a number in a header; longer ones count as missing.
+_MAX_NUMBER_DIGITS = 15
 _SECONDS = re.compile(r'\d+(?:\.\d*)?')
 
 
+def parse_number(text: str) -> int | None:
+    """Return the whole number in a header, None if it has none.
+
+    Examples
+    --------
+    >>> parse_number(' 12 '), parse_number('-1'), parse_number(99 * '9')
+    (12, None, None)
+    """
+    stripped = text.strip()
+    if not stripped.isascii() or not stripped.isdigit() or len(stripped) > _MAX_NUMBER_DIGITS:
+        return None
+    return int(stripped)
+
+
 def parse_retry_after(text: str, now: float) -> float:
     """Return the seconds in a Retry-After header, 0 if it has none; a malformed one is logged and reads as none.
 
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -10,6 +10,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
 from tamarackfield.gateway.revisions import MAX_ERA, MAX_NUMBER, Revision
+from tamarackfield.platform.headers import parse_number
 from tamarackfield.platform.holdings import MALFORMED
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import call_json
@@ -83,20 +84,20 @@
         except ClientError as exc:
             raise StoreError(exc.message, exc.step, exc.peer) from exc
         peer = str(self.address)
-        era = self._read_era(answer.headers)
+        era = self.read_era(answer.headers)
         if answer.status == _STATUS_GONE:
             raise HistoryLostError('store discarded the changes since the requested revision', call, peer, era)
         if answer.status != _STATUS_OK or not isinstance(answer.document, dict):
             raise StoreError(f'store answered with status {answer.status}', call, peer, era)
         return era, answer.document
 
-    def _read_era(self, headers: dict[str, str]) -> int:
+    def read_era(self, headers: dict[str, str]) -> int:
         """Return the era that an answer states; one that is malformed or missing reads as the latest known one."""
         text = headers.get(_ERA_HEADER, '')
         if not text:
             return self.era
-        era = int(text) if text.isascii() and text.isdigit() else MAX_ERA + 1
-        if era > MAX_ERA:
+        era = parse_number(text)
+        if era is None or era > MAX_ERA:
             logger.bind(era=text).warning('store_era_malformed')
             return self.era
         self.era = max(self.era, era)
--- a/tamarackfield/platform/tests/test_decoding.py
+++ b/tamarackfield/platform/tests/test_decoding.py
@@ -8,9 +8,10 @@
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.model import DEFAULT_PAUSE_SECONDS
 from tamarackfield.gateway.replica import Item
-from tamarackfield.gateway.revisions import Revision
+from tamarackfield.gateway.revisions import MAX_ERA, Revision
 from tamarackfield.platform.entry import read_entry_settings
 from tamarackfield.platform.items import decode_catalog, decode_item
+from tamarackfield.platform.store import PlatformStore
 from tamarackfield.testing.platform_site import MODEL_SERVICE, make_config, make_route
 
 
@@ -63,3 +64,12 @@
     ]
     catalog = decode_catalog(make_config(1, routes))
     assert [route.pause_seconds for route in catalog.routes] == [0.25, DEFAULT_PAUSE_SECONDS]
+
+
+@pytest.mark.parametrize('text', ['later', '-1', str(MAX_ERA + 1), 5000 * '9'])
+def test_malformed_era_is_logged_and_reads_as_the_latest_known_one(warnings, text):
+    store = PlatformStore(('127.0.0.1', 1))
+    assert store.read_era({'store-era': '3'}) == 3
+    assert store.read_era({'store-era': text}) == 3
+    assert store.read_era({}) == 3
+    assert [record['event'] for record in warnings] == ['store_era_malformed']
