Soak: every answer of a leaving worker says so

Seed 2003 (12 s, 8 processes) reported two calls to a worker 'which had said that it leaves'. Traced with its logs: the one answer before was an unframed one, which the stand-in sent without the header while it recorded that it had; the entry saw the first notice 50 ms after it had chosen the worker for both calls. A fault of the harness; the check stays, the seed is kept.

--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -345,16 +345,16 @@
         body = f'{self.name} ran {run.request_id}'.encode()
         run.finished = True
         if fault == 'extra':
-            writer.write(_encode_answer('another-request', b'not for you'))
+            writer.write(_encode_answer('another-request', b'not for you', []))
         if fault.startswith('unframed'):
-            writer.write(_encode_answer(run.request_id, body, framed=False))
+            writer.write(_encode_answer(run.request_id, body, self.leaving_header(), framed=False))
             await writer.drain()
             if fault == 'unframed_reset':
                 _reset_connection(writer)
             writer.close()
             return
         if fault == 'cut':
-            writer.write(_encode_answer(run.request_id, body)[:-3])
+            writer.write(_encode_answer(run.request_id, body, self.leaving_header())[:-3])
             writer.close()
             return
         signature = [] if fault == 'unsigned' else [_SIGNATURE]
@@ -440,9 +440,9 @@
     return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
 
 
-def _encode_answer(request_id: str, body: bytes, framed: bool = True) -> bytes:
+def _encode_answer(request_id: str, body: bytes, further_headers: list[tuple[str, str]], framed: bool = True) -> bytes:
     length = [('Content-Length', str(len(body)))] if framed else []
-    return _encode_head([('Tamarackfield-Request-Id', request_id), _SIGNATURE, *length]) + body
+    return _encode_head([('Tamarackfield-Request-Id', request_id), _SIGNATURE, *further_headers, *length]) + body
 
 
 async def _send_response(
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -20,6 +20,8 @@
     (11, 6.0, 5),
     # An entry stopped applying changes after it sent its state to a sidecar whose stream had just closed.
     (213, 10.0, 5),
+    # A worker of the harness ran a request without the notice of leaving in its answer, and the check expected one.
+    (2003, 12.0, 8),
 )
 
 
