--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -393,13 +393,21 @@
 
 def _reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
+    _reset_on_close(writer)
+    writer.transport.abort()
+
+
+def _reset_on_close(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-    writer.transport.abort()
 
 
 async def _send_endless_bytes(writer: asyncio.StreamWriter, start: bytes) -> None:
-    """Send bytes until the peer closes the connection, which raises `ConnectionError`."""
+    """Send bytes until the peer closes the connection, which raises `ConnectionError`.
+
+    If the worker ends it first, the connection is reset: closed in order, these bytes would be a complete answer.
+    """
+    _reset_on_close(writer)
     writer.write(start)
     while True:
         writer.write(_ENDLESS_PART)
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -22,6 +22,8 @@
     (213, 10.0, 5),
     # A worker of the harness ran a request without the notice of leaving in its answer, and the check expected one.
     (2003, 12.0, 8),
+    # A worker of the harness that sent bytes without end was stopped, which closed its unframed answer in order.
+    (1008, 12.0, 8),
 )
 
 
