A relay passes a reset on as a reset

Its cause was suspected, and reading the relay shows it: when its upstream resets, the reading side fails, and the connection to the other side is closed in order. Failed before: test_reset_by_the_upstream_is_not_turned_into_an_orderly_close.

--- a/tamarackfield/testing/relay.py
+++ b/tamarackfield/testing/relay.py
@@ -73,7 +73,7 @@
     def reset_connections(self) -> None:
         """Close every connection with a reset."""
         for writer in self.connections.values():
-            writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO_SECONDS)
+            _reset_on_close(writer)
         self.cut_connections()
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -108,7 +108,11 @@
         writer.transport.set_write_buffer_limits(high=0)
         frame_faults = FrameFaults(self.faults) if self.framed and direction == 'down' else None
         while True:
-            chunk = await reader.read(_READ_BYTES)
+            try:
+                chunk = await reader.read(_READ_BYTES)
+            except ConnectionResetError:
+                _reset_on_close(writer)
+                raise
             while self.faults['mode'] in {'freeze', f'freeze_{direction}'}:
                 await asyncio.sleep(_POLL_SECONDS)
             if not chunk:
@@ -127,6 +131,11 @@
                 return
 
 
+def _reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let the end of a connection be a reset: its peer must be able to tell it from an orderly close."""
+    writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO_SECONDS)
+
+
 async def _apply_frame_faults(frame_faults: FrameFaults, chunk: bytes, writer: asyncio.StreamWriter) -> bytes:
     """Return the bytes of a chunk after frame faults.
 
--- a/tamarackfield/testing/tests/test_relay.py
+++ b/tamarackfield/testing/tests/test_relay.py
@@ -1,6 +1,10 @@
 """The relay of the fault injection: without a fault it passes data unchanged; a reset reaches the caller."""
 
 import asyncio
+import socket
+import struct
+
+import pytest
 
 from tamarackfield.testing.relay import Relay, no_faults
 
@@ -50,3 +54,24 @@
     relay.close()
     upstream.close()
     assert was_reset
+
+
+async def test_reset_by_the_upstream_is_not_turned_into_an_orderly_close():
+    async def reset(_, writer):
+        writer.write(b'part')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        writer.transport.abort()
+
+    upstream = await asyncio.start_server(reset, HOST, 0)
+    relay = Relay(upstream.sockets[0].getsockname(), no_faults())
+    await relay.listen(HOST, 0)
+    reader, writer = await asyncio.open_connection(*relay.server.sockets[0].getsockname())
+    assert await reader.readexactly(4) == b'part'
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    writer.transport.abort()
+    relay.close()
+    upstream.close()
