A notice of leaving counts for the incarnation that had started by then

Answers name no incarnation, but their time tells: the entry keeps when it last saw the notice, and an incarnation that had started before then has left as well; a later one is used. Ruled out: excluding the id for good (a restarted worker must serve again). The clocks of worker and entry must agree to within a restart. The stand-in's starts are real times now. Failed before: test_notice_of_an_incarnation_that_the_store_does_not_list_yet_counts_for_it.

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, Clock
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Clock
 from tamarackfield.gateway.model import TargetRecord
 from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS
 from tamarackfield.policy import TargetView
@@ -51,6 +51,8 @@
         Adapters that were evicted lately as keys, the latest last.
     paused_until : float
         Monotonic seconds until which the target wants no request; 0 if it has not asked for a pause.
+    leaving_noticed_ms : int
+        Unix milliseconds at which an answer last said that the target leaves; 0 if none did.
     viewed_holdings : tuple
         Holdings of its sidecar that the view shows, and the count of announced versions that it takes into account.
     """
@@ -65,6 +67,7 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
     paused_until: float = 0.0
+    leaving_noticed_ms: int = 0
     viewed_holdings: tuple[object, int] = (None, 0)
 
     def accepts_requests(self, now: float) -> bool:
@@ -90,6 +93,11 @@
             logger.bind(target=self.record.name, seconds=round(until - now, 3)).info('target_paused')
         self.paused_until = until
 
+    def record_leaving_answer(self) -> None:
+        """Record that an answer says that the target leaves; answers do not say of which incarnation they are."""
+        self.leaving_noticed_ms = SYSTEM_CLOCK.unix_ms()
+        self.mark_leaving('answer')
+
     def mark_leaving(self, source: str) -> None:
         """Record that this incarnation leaves, for good; ``source`` is what said so."""
         if not self.record.draining:
@@ -128,7 +136,7 @@
         """Create an empty directory."""
         self.clock = clock
         self.targets: dict[str, Target] = {}
-        # Start of the latest incarnation that drained and was removed, by name, the latest removal last.
+        # Latest start of an incarnation that left, by name, the latest removal last.
         self.departed: dict[str, int] = {}
 
     def upsert(self, record: TargetRecord) -> Target | None:
@@ -136,9 +144,9 @@
         known = self.targets.get(record.name)
         if known is None and self._is_superseded(record):
             return None
-        if record.started_ms <= self.departed.get(record.name, record.started_ms - 1):
+        if self._has_left(record, known):
             logger.bind(target=record.name, started_ms=record.started_ms).info('departed_target_ignored')
-            return None
+            return known
         if known is not None and record.started_ms < known.record.started_ms:
             logger.bind(target=record.name, started_ms=record.started_ms).info('earlier_incarnation_ignored')
             return known
@@ -185,6 +193,12 @@
         listed = [target for target in usable if not target.removal_due_at]
         return listed or usable
 
+    def _has_left(self, record: TargetRecord, known: Target | None) -> bool:
+        """Return whether an incarnation has left, or had started when its target last said that it leaves."""
+        if known is None:
+            return record.started_ms <= self.departed.get(record.name, record.started_ms - 1)
+        return known.record.started_ms < record.started_ms <= known.leaving_noticed_ms
+
     def _is_superseded(self, record: TargetRecord) -> bool:
         return any(
             target.record.address == record.address and target.record.started_ms > record.started_ms
@@ -225,7 +239,7 @@
         target.removed = True
         if target.record.draining:
             self.departed.pop(target.record.name, None)
-            self.departed[target.record.name] = target.record.started_ms
+            self.departed[target.record.name] = max(target.record.started_ms, target.leaving_noticed_ms)
             for name in tuple(self.departed)[:-MAX_DEPARTED]:
                 self.departed.pop(name)
         if self.targets.get(target.record.name) is target:
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -174,7 +174,7 @@
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
         if head.leaving:
-            self.target.mark_leaving('answer')
+            self.target.record_leaving_answer()
         if head.pause_seconds:
             self.target.pause(head.pause_seconds, BOOT_CLOCK.monotonic())
 
--- a/tamarackfield/platform/tests/test_leaving.py
+++ b/tamarackfield/platform/tests/test_leaving.py
@@ -101,3 +101,23 @@
         worker.announces_leaving = True
         assert (await queued)[0] == 200
     assert [run.headers['tamarackfield-model'] for run in other.runs] == ['base/a9']
+
+
+async def test_notice_of_an_incarnation_that_the_store_does_not_list_yet_counts_for_it(two_worker_site):
+    worker, entry = two_worker_site.workers['w1'], two_worker_site.entries[0]
+    await worker.restart()
+    worker.announces_leaving = True
+    await call_many(two_worker_site)
+    await entry.wait_for_log_text('event=target_leaving')
+    arrivals = len(worker.list_arrivals())
+    two_worker_site.write_worker_entry(worker)
+    await entry.wait_for_log_text('event=departed_target_ignored')
+    assert set(await call_many(two_worker_site)) == {200}
+    assert len(worker.list_arrivals()) == arrivals
+    worker.announces_leaving = False
+    await asyncio.sleep(0.01)
+    await worker.restart()
+    two_worker_site.write_worker_entry(worker)
+    await entry.wait_for_log_text('target=w1 service', 2)
+    await call_many(two_worker_site, 40)
+    assert len(worker.list_arrivals()) > arrivals
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -106,7 +106,7 @@
         self.host = host
         self.port = port
         self.model = model
-        self.started_unix_ms = 1_700_000_000_000
+        self.started_unix_ms = SYSTEM_CLOCK.unix_ms()
         self.adapter_slots = 3
         self.state = 'ready'
         self.models = [model] if model else []
@@ -162,7 +162,7 @@
     async def restart(self) -> None:
         """Stop and start as a new incarnation with the same name, without models, adapters and fences."""
         await self.stop()
-        self.started_unix_ms += 1000
+        self.started_unix_ms = max(self.started_unix_ms + 1, SYSTEM_CLOCK.unix_ms())
         self.sequence = 0
         self.highest_fence = 0
         self.adapters.clear()
