--- a/tamarackfield/conftest.py
+++ b/tamarackfield/conftest.py
@@ -1,7 +1,6 @@
 """Configuration of all tests: fixed Hypothesis seeds, and expected failures from KNOWN-RED.txt.
 
-A listed test runs and may fail; one that passes fails the run, so that the list has no outdated entries. Only an entry
-whose command begins with ``sometimes`` may pass: its fault depends on timing.
+A listed test runs and may fail; one that passes fails the run, so that the list has no outdated entries.
 """
 
 import pathlib
@@ -42,9 +41,7 @@
     for item in items:
         description = known_red.get(item.nodeid)
         if description is not None:
-            item.add_marker(
-                pytest.mark.xfail(reason=f'KNOWN-RED: {description}', strict=not description.startswith('sometimes'))
-            )
+            item.add_marker(pytest.mark.xfail(reason=f'KNOWN-RED: {description}', strict=True))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
