--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -18,12 +18,12 @@
 from tamarackfield.gateway.fleet import Fleet
 from tamarackfield.gateway.maintenance import BALANCER_DETECTION_SECONDS, MaintenanceLoop
 from tamarackfield.gateway.peers import PeerExchange
-from tamarackfield.gateway.replica import Follower, Item, Replica, StoreReader
+from tamarackfield.gateway.follower import Follower
+from tamarackfield.gateway.replica import Item, Replica, StoreReader
 from tamarackfield.gateway.settings import GatewaySettings
 from tamarackfield.observe.prometheus import MetricRegistry
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
-from tamarackfield.web import HttpLimits, HttpRequest, HttpServer, Responder
-from tamarackfield.web.pool import ConnectionPool
+from tamarackfield.web import ConnectionPool, HttpLimits, HttpRequest, HttpServer, Responder
 from tamarackfield.web.text_answers import answer_error, send_text
 from tamarackfield.wire.messages import Hello
 
--- /dev/null
+++ b/tamarackfield/gateway/follower.py
@@ -0,0 +1,201 @@
+"""Reader of the store that keeps a local copy up to date: it reads all items, then watches for changes.
+
+All is read again if the store has lost its history, or has come back from an older copy and counts a new era.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable
+
+from loguru import logger
+
+from tamarackfield.core import SYSTEM_CLOCK, Clock, TamarackfieldError
+from tamarackfield.gateway.replica import (
+    STORE_RECOVERY_SECONDS,
+    HistoryLostError,
+    Item,
+    Listener,
+    Page,
+    Replica,
+    StoreError,
+    StoreReader,
+    StoreStatus,
+)
+from tamarackfield.gateway.revisions import ORIGIN, Revision
+
+#: Seconds for which a watch waits for a change; short, so that a dead connection is detected.
+WATCH_WAIT_SECONDS = 3.0
+#: Seconds for which an item that an older copy of the store restored counts as deleted; the entry of an instance
+#: that is gone expires earlier, after three missed heartbeats.
+RESTORED_ITEM_SECONDS = 10.0
+#: Initial and maximum backoff, in seconds, before a failed call is retried.
+MIN_RETRY_PAUSE_SECONDS = 0.1
+MAX_RETRY_PAUSE_SECONDS = 1.0
+#: Lower bound of the random share of a pause that is slept; the jitter keeps instances from calling at once.
+MIN_JITTER_SHARE = 0.5
+
+
+class EraChangedError(TamarackfieldError):
+    """The store came back from an older copy: all items must be read again."""
+
+
+class Follower:
+    """Reader of one key prefix: reads all items, then watches for changes; reads all again if the history is lost.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the keys to follow.
+    store : StoreReader
+        Store from which items are read.
+    replica : Replica
+        Local copy that is updated.
+    listener : callable
+        Called with each change.
+    watch_pause_seconds : float
+        Pause between a watch that returned changes and the next one, which batches the changes meanwhile.
+    clock : Clock
+        Monotonic clock.
+    """
+
+    def __init__(  # noqa: WPS211 the parts of one follower
+        self,
+        prefix: str,
+        store: StoreReader,
+        replica: Replica,
+        listener: Listener,
+        watch_pause_seconds: float = 0.0,
+        clock: Clock = SYSTEM_CLOCK,
+    ) -> None:
+        """Prepare a follower that starts with a complete read."""
+        self.prefix = prefix
+        self.store = store
+        self.replica = replica
+        self.listener = listener
+        self.watch_pause_seconds = watch_pause_seconds
+        self.clock = clock
+        self.store_status = StoreStatus()
+        replica.store_statuses.append(self.store_status)
+        # Revision up to which the changes of the prefix are known; None requires a complete read.
+        self.position: Revision | None = None
+        # Era of the last complete read, None before the first.
+        self.read_era: int | None = None
+        self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
+
+    async def run(self) -> None:
+        """Follow the prefix, with retries; never return."""
+        while True:
+            await self.read_next()
+
+    async def read_next(self) -> None:
+        """Read all items, or wait for changes, once; pause after a failure."""
+        self.unhide_items()
+        position = self.position
+        try:
+            if position is None or position.era != self.replica.era:
+                await self._read_all()
+            else:
+                await self._watch(position)
+        except EraChangedError:
+            self.position = None
+        except HistoryLostError as exc:
+            logger.bind(prefix=self.prefix, position=position, error=exc.message).warning('history_lost')
+            self.position = None
+            self._observe_era(exc.era)
+        except StoreError as exc:
+            self._observe_era(exc.era)
+            await self._handle_failure(exc)
+
+    def apply_item(self, item: Item) -> bool:
+        """Apply a change from the store or a peer; notify the listener, and return True, if it is new."""
+        replica = self.replica
+        now = self.clock.monotonic()
+        unreliable = replica.is_unreliable(now)
+        is_restored = replica.is_restored(item)
+        is_new = replica.apply(item, acknowledged=not unreliable)
+        if is_new and is_restored:
+            replica.hidden[item.key] = now + RESTORED_ITEM_SECONDS
+            logger.bind(key=item.key, era=item.revision.era, revision=item.revision.number).info('item_restored')
+        elif is_new:
+            replica.hidden.pop(item.key, None)
+            self.listener(item, unreliable)
+        return is_new
+
+    def unhide_items(self) -> None:
+        """Notify the listener of the restored items that are still listed after their time."""
+        now = self.clock.monotonic()
+        for item in self.replica.take_unhidden(now):
+            self.listener(item, self.replica.is_unreliable(now))
+
+    async def _read_all(self) -> None:
+        present: set[str] = set()
+        changed = 0
+        after = ''
+        start: Revision | None = None
+        more = True
+        while more:
+            page = await self._await_page(self.store.read_range(self.prefix, after))
+            start = start or page.revision
+            _require_era(page, start.era)
+            for item in page.items:
+                present.add(item.key)
+                changed += self.apply_item(item)
+            more = page.more and bool(page.items)
+            after = page.items[-1].key if page.items else ''
+        self._end_read(present, start or ORIGIN, changed)
+
+    def _end_read(self, present: set[str], start: Revision, changed: int) -> None:
+        """Delete the items that a complete read did not find; log if it is the first one of an era."""
+        replica = self.replica
+        store_was_restored = self.read_era not in {None, start.era}
+        if store_was_restored:
+            replica.incomplete_until = self.clock.monotonic() + STORE_RECOVERY_SECONDS
+        missing = replica.find_deleted(self.prefix, present, start)
+        for deletion in missing:
+            self.apply_item(deletion)
+        if store_was_restored:
+            bound = logger.bind(prefix=self.prefix, before=self.read_era, era=start.era)
+            bound.bind(changed=changed, missing=len(missing)).warning('store_era_changed')
+        self.read_era = start.era
+        self._advance_position(start)
+
+    async def _watch(self, position: Revision) -> None:
+        page = await self._await_page(self.store.watch(self.prefix, position, WATCH_WAIT_SECONDS))
+        _require_era(page, position.era)
+        for item in page.items:
+            self.apply_item(item)
+        self._advance_position(page.revision)
+        if page.items and self.watch_pause_seconds:
+            await asyncio.sleep(self.watch_pause_seconds)
+
+    def _advance_position(self, revision: Revision) -> None:
+        self.position = max(self.position or ORIGIN, revision)
+        self.replica.mark_complete(self.prefix, self.position)
+
+    async def _await_page(self, work: Awaitable[Page]) -> Page:
+        page = await work
+        self._observe_era(page.revision.era)
+        if page.revision.era < self.replica.era:
+            raise StoreError('answer is of an earlier era of the store', 'read_answer')
+        self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
+        now = self.clock.monotonic()
+        down_since = self.store_status.failing_since
+        if self.store_status.record_answer(now):
+            logger.bind(prefix=self.prefix, away_seconds=round(now - down_since, 3)).info('store_regained')
+        return page
+
+    def _observe_era(self, era: int) -> None:
+        """Record the era that an answer states; a later one requires a complete read."""
+        self.replica.era = max(self.replica.era, era)
+
+    async def _handle_failure(self, exc: StoreError) -> None:
+        if self.store_status.record_failure(self.clock.monotonic()):
+            logger.bind(prefix=self.prefix, step=exc.step, error=exc.message).warning('store_lost')
+        await asyncio.sleep(self.retry_pause_seconds * random.uniform(MIN_JITTER_SHARE, 1))
+        self.retry_pause_seconds = min(MAX_RETRY_PAUSE_SECONDS, 2 * self.retry_pause_seconds)
+
+
+def _require_era(page: Page, era: int) -> None:
+    """Raise `EraChangedError` if a page is of another era than the call that it answers."""
+    if page.revision.era != era:
+        raise EraChangedError(f'store went from era {era} to {page.revision.era}', 'read_answer')
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -11,7 +11,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.gateway.replica import MIN_JITTER_SHARE
+from tamarackfield.gateway.follower import MIN_JITTER_SHARE
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -8,7 +8,8 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.gateway.replica import MIN_JITTER_SHARE, Follower, Item, Replica
+from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
+from tamarackfield.gateway.replica import Item, Replica
 from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
 from tamarackfield.wire.messages import Hello
 from tamarackfield.wire.reservations import AskItems, Items
--- a/tamarackfield/gateway/tests/test_era_machine.py
+++ b/tamarackfield/gateway/tests/test_era_machine.py
@@ -12,18 +12,10 @@
 
 from tamarackfield.gateway.configuration import Configuration, TargetRemoved, UnreadableItem
 from tamarackfield.gateway.directory import Directory
+from tamarackfield.gateway.follower import RESTORED_ITEM_SECONDS, Follower
 from tamarackfield.gateway.model import Catalog, Limits, TargetRecord
 from tamarackfield.gateway.peers import PeerExchange
-from tamarackfield.gateway.replica import (
-    CAME_BACK_SECONDS,
-    STORE_RECOVERY_SECONDS,
-    Follower,
-    HistoryLostError,
-    Item,
-    Page,
-    Replica,
-    StoreError,
-)
+from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS, HistoryLostError, Item, Page, Replica, StoreError
 from tamarackfield.gateway.revisions import Revision
 from tamarackfield.gateway.tests.samples import ManualTime
 
@@ -223,7 +215,7 @@
         for entry in self.entries:
             entry.directory.remove_expired()
             assert entry.directory.targets.keys() <= self.store.items.keys()
-        self.time.now += CAME_BACK_SECONDS
+        self.time.now += RESTORED_ITEM_SECONDS
         for entry in self.entries:
             asyncio.run(entry.follower.read_next())
             assert entry.directory.targets.keys() == self.store.items.keys() - {CONFIG_KEY}
--- a/tamarackfield/gateway/tests/test_follower.py
+++ b/tamarackfield/gateway/tests/test_follower.py
@@ -1,6 +1,7 @@
 """Followers of one store: deletions that are reported while the store is unreliable."""
 
-from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS, Follower, Item, Replica
+from tamarackfield.gateway.follower import Follower
+from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS, Item, Replica
 from tamarackfield.gateway.revisions import Revision
 from tamarackfield.gateway.tests.samples import ManualTime
 
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -6,15 +6,27 @@
 
 import asyncio
 import json
-import socket
-import struct
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import h11
 
 from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.testing.worker_answers import (
+    CUTTING_FAULTS,
+    PARTIAL_EVENT,
+    SIGNATURE,
+    chunk_encoder,
+    echo_request_id,
+    encode_answer,
+    encode_head,
+    encode_stream_head,
+    end_stream,
+    read_request,
+    reset_connection,
+    send_endless_bytes,
+    send_response,
+)
 
 Headers = dict[str, str]
 _TRANSFER_SECONDS = 0.02
@@ -181,7 +193,7 @@
         protocol = h11.Connection(h11.SERVER)
         try:
             while True:
-                request = await _read_request(protocol, reader)
+                request = await read_request(protocol, reader)
                 if request is None:
                     return
                 await self._answer_request(protocol, writer, *request)
@@ -200,10 +212,10 @@
         headers = {name.decode(): text.decode() for name, text in head.headers}
         target = head.target.decode()
         if target == '/v1/report':
-            await _send_response(protocol, writer, 200, self.make_report(), self.leaving_header())
+            await send_response(protocol, writer, 200, self.make_report(), self.leaving_header())
         elif target == '/v1/order':
             status = self.execute_order(headers, json.loads(body))
-            await _send_response(protocol, writer, status, {}, self.leaving_header())
+            await send_response(protocol, writer, status, {}, self.leaving_header())
         else:
             await self._serve_run(
                 protocol,
@@ -292,8 +304,8 @@
             extra = [] if status == 421 else [('Tamarackfield-Not-Executed', '1')]
             if pause:
                 extra.append(('Retry-After', pause))
-            await _send_response(
-                protocol, writer, status, None, [*_echo_request_id(run), *extra, *self.leaving_header()]
+            await send_response(
+                protocol, writer, status, None, [*echo_request_id(run.request_id), *extra, *self.leaving_header()]
             )
             return
         self.runs.append(run)
@@ -321,7 +333,7 @@
             await writer.wait_closed()
         await asyncio.sleep(self.event_interval_seconds)
         if fault == 'reset_after_run':
-            _reset_connection(writer)
+            reset_connection(writer)
             return
         if fault == 'garbage':
             writer.write(b'\x00\x01 this is no answer\r\n\r\n')
@@ -329,11 +341,11 @@
             return
         if fault.startswith('endless'):
             content_type = 'text/event-stream' if self.model else 'text/plain'
-            head = _encode_head([*_echo_request_id(run), _SIGNATURE, ('Content-Type', content_type)])
-            await _send_endless_bytes(writer, head if fault == 'endless_body' else b'HTTP/1.1 200 OK\r\nPad: ')
+            head = encode_head([*echo_request_id(run.request_id), SIGNATURE, ('Content-Type', content_type)])
+            await send_endless_bytes(writer, head if fault == 'endless_body' else b'HTTP/1.1 200 OK\r\nPad: ')
         if fault == 'errors':
-            header_lines = [*_echo_request_id(run), _SIGNATURE, *self.leaving_header()]
-            await _send_response(protocol, writer, 500, {'error': 'failed'}, header_lines)
+            header_lines = [*echo_request_id(run.request_id), SIGNATURE, *self.leaving_header()]
+            await send_response(protocol, writer, 500, {'error': 'failed'}, header_lines)
             run.finished = True
             return
         if self.model:
@@ -345,141 +357,41 @@
         body = f'{self.name} ran {run.request_id}'.encode()
         run.finished = True
         if fault == 'extra':
-            writer.write(_encode_answer('another-request', b'not for you', []))
+            writer.write(encode_answer('another-request', b'not for you', []))
         if fault.startswith('unframed'):
-            writer.write(_encode_answer(run.request_id, body, self.leaving_header(), framed=False))
+            writer.write(encode_answer(run.request_id, body, self.leaving_header(), framed=False))
             await writer.drain()
             if fault == 'unframed_reset':
-                _reset_connection(writer)
+                reset_connection(writer)
             writer.close()
             return
         if fault == 'cut':
-            writer.write(_encode_answer(run.request_id, body, self.leaving_header())[:-3])
+            writer.write(encode_answer(run.request_id, body, self.leaving_header())[:-3])
             writer.close()
             return
-        signature = [] if fault == 'unsigned' else [_SIGNATURE]
+        signature = [] if fault == 'unsigned' else [SIGNATURE]
         encoding = [('Content-Encoding', 'gzip')] if fault == 'encoded' else []
-        header_lines = [*_echo_request_id(run), *signature, *encoding, *self.leaving_header()]
-        await _send_response(protocol, writer, 200, body, header_lines)
+        header_lines = [*echo_request_id(run.request_id), *signature, *encoding, *self.leaving_header()]
+        await send_response(protocol, writer, 200, body, header_lines)
 
     async def _send_stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
         framed = not fault.startswith('unframed')
-        encode = _chunk_encoder(protocol) if framed else bytes
-        writer.write(_encode_stream_head(protocol, run, framed, self.leaving_header()))
+        encode = chunk_encoder(protocol) if framed else bytes
+        writer.write(encode_stream_head(protocol, run.request_id, framed, self.leaving_header()))
         first = int(run.headers.get('last-event-id', '0')) + 1
-        last = self.event_count - 1 if fault in _CUTTING_FAULTS else self.event_count
+        last = self.event_count - 1 if fault in CUTTING_FAULTS else self.event_count
         for number in range(first, last + 1):
             writer.write(encode(f'id: {number}\ndata: event {number}\n\n'.encode()))
             await writer.drain()
             await asyncio.sleep(self.event_interval_seconds)
             if number == self.cut_after_event:
-                writer.write(encode(_PARTIAL_EVENT))
+                writer.write(encode(PARTIAL_EVENT))
                 await writer.drain()
                 writer.transport.abort()
                 return
-        if fault in _CUTTING_FAULTS:
-            writer.write(encode(_PARTIAL_EVENT))
+        if fault in CUTTING_FAULTS:
+            writer.write(encode(PARTIAL_EVENT))
             writer.close()
             return
         run.finished = True
-        await _end_stream(protocol, writer, fault)
-
-
-_CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
-_ENDLESS_PART = 65_536 * b'x'
-_PARTIAL_EVENT = b'id: 99\ndata: ha'
-_SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
-
-
-def _reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    _reset_on_close(writer)
-    writer.transport.abort()
-
-
-def _reset_on_close(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info('socket')
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-
-
-async def _send_endless_bytes(writer: asyncio.StreamWriter, start: bytes) -> None:
-    """Send bytes until the peer closes the connection, which raises `ConnectionError`.
-
-    If the worker ends it first, the connection is reset: closed in order, these bytes would be a complete answer.
-    """
-    _reset_on_close(writer)
-    writer.write(start)
-    while True:
-        writer.write(_ENDLESS_PART)
-        await writer.drain()
-
-
-def _echo_request_id(run: Run) -> list[tuple[str, str]]:
-    return [('Tamarackfield-Request-Id', run.request_id)]
-
-
-def _encode_stream_head(
-    protocol: h11.Connection, run: Run, framed: bool, further_headers: list[tuple[str, str]]
-) -> bytes:
-    header_lines = [*_echo_request_id(run), _SIGNATURE, ('Content-Type', 'text/event-stream'), *further_headers]
-    if not framed:
-        return _encode_head(header_lines)
-    header_lines.append(('Transfer-Encoding', 'chunked'))
-    return protocol.send(h11.Response(status_code=200, headers=header_lines)) or b''
-
-
-async def _end_stream(protocol: h11.Connection, writer: asyncio.StreamWriter, fault: str) -> None:
-    if not fault.startswith('unframed'):
-        writer.write(protocol.send(h11.EndOfMessage()))
-    await writer.drain()
-    if fault == 'unframed_reset':
-        _reset_connection(writer)
-    elif fault == 'unframed':
-        writer.close()
-
-
-def _chunk_encoder(protocol: h11.Connection) -> Callable[[bytes], bytes]:
-    """Return a function that encodes a part of a body as a chunk."""
-    return lambda part: protocol.send(h11.Data(data=part)) or b''
-
-
-def _encode_head(header_lines: list[tuple[str, str]]) -> bytes:
-    lines = ''.join(f'{name}: {text}\r\n' for name, text in header_lines)
-    return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
-
-
-def _encode_answer(request_id: str, body: bytes, further_headers: list[tuple[str, str]], framed: bool = True) -> bytes:
-    length = [('Content-Length', str(len(body)))] if framed else []
-    return _encode_head([('Tamarackfield-Request-Id', request_id), _SIGNATURE, *further_headers, *length]) + body
-
-
-async def _send_response(
-    protocol: h11.Connection,
-    writer: asyncio.StreamWriter,
-    status: int,
-    content: Any,
-    headers: list[tuple[str, str]] | None = None,
-) -> None:
-    if not isinstance(content, bytes):
-        content = b'' if content is None else json.dumps(content).encode()
-    header_lines = [*(headers or []), ('Content-Length', str(len(content)))]
-    writer.write(protocol.send(h11.Response(status_code=status, headers=header_lines)))
-    writer.write(protocol.send(h11.Data(data=content)) + protocol.send(h11.EndOfMessage()))
-    await writer.drain()
-
-
-async def _read_request(protocol: h11.Connection, reader: asyncio.StreamReader) -> tuple[h11.Request, bytes] | None:
-    head: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await reader.read(65_536))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return head, bytes(body)
-        else:
-            return None
+        await end_stream(protocol, writer, fault)
--- /dev/null
+++ b/tamarackfield/testing/worker_answers.py
@@ -0,0 +1,119 @@
+"""Answers of the stand-in for workers: their encoding, and the ways in which they are spoiled or broken off."""
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+#: Faults that close a connection in order before its answer is complete.
+CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
+_ENDLESS_PART = 65_536 * b'x'
+#: Beginning of an event after which a stream breaks off.
+PARTIAL_EVENT = b'id: 99\ndata: ha'
+SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    _reset_on_close(writer)
+    writer.transport.abort()
+
+
+def _reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let the end of a connection be a reset, whatever ends it."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+
+
+async def send_endless_bytes(writer: asyncio.StreamWriter, start: bytes) -> None:
+    """Send bytes until the peer closes the connection, which raises `ConnectionError`.
+
+    If the worker ends it first, the connection is reset: closed in order, these bytes would be a complete answer.
+    """
+    _reset_on_close(writer)
+    writer.write(start)
+    while True:
+        writer.write(_ENDLESS_PART)
+        await writer.drain()
+
+
+def echo_request_id(request_id: str) -> list[tuple[str, str]]:
+    """Return the header lines that say which request is answered."""
+    return [('Tamarackfield-Request-Id', request_id)]
+
+
+def encode_stream_head(
+    protocol: h11.Connection, request_id: str, framed: bool, further_headers: list[tuple[str, str]]
+) -> bytes:
+    """Encode the head of a stream in chunks or, if it is not framed, of one that ends with its connection."""
+    header_lines = [*echo_request_id(request_id), SIGNATURE, ('Content-Type', 'text/event-stream'), *further_headers]
+    if not framed:
+        return encode_head(header_lines)
+    header_lines.append(('Transfer-Encoding', 'chunked'))
+    return protocol.send(h11.Response(status_code=200, headers=header_lines)) or b''
+
+
+async def end_stream(protocol: h11.Connection, writer: asyncio.StreamWriter, fault: str) -> None:
+    """End a complete stream: with its last chunk or, if it is not framed, with its connection."""
+    if not fault.startswith('unframed'):
+        writer.write(protocol.send(h11.EndOfMessage()))
+    await writer.drain()
+    if fault == 'unframed_reset':
+        reset_connection(writer)
+    elif fault == 'unframed':
+        writer.close()
+
+
+def chunk_encoder(protocol: h11.Connection) -> Callable[[bytes], bytes]:
+    """Return a function that encodes a part of a body as a chunk."""
+    return lambda part: protocol.send(h11.Data(data=part)) or b''
+
+
+def encode_head(header_lines: list[tuple[str, str]]) -> bytes:
+    """Encode the head of a successful answer."""
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in header_lines)
+    return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
+
+
+def encode_answer(request_id: str, body: bytes, further_headers: list[tuple[str, str]], framed: bool = True) -> bytes:
+    """Encode a successful answer; one that is not framed has no length."""
+    length = [('Content-Length', str(len(body)))] if framed else []
+    return encode_head([('Tamarackfield-Request-Id', request_id), SIGNATURE, *further_headers, *length]) + body
+
+
+async def send_response(
+    protocol: h11.Connection,
+    writer: asyncio.StreamWriter,
+    status: int,
+    content: Any,
+    headers: list[tuple[str, str]] | None = None,
+) -> None:
+    """Send a complete answer; content other than bytes is encoded as JSON, None as an empty body."""
+    if not isinstance(content, bytes):
+        content = b'' if content is None else json.dumps(content).encode()
+    header_lines = [*(headers or []), ('Content-Length', str(len(content)))]
+    writer.write(protocol.send(h11.Response(status_code=status, headers=header_lines)))
+    writer.write(protocol.send(h11.Data(data=content)) + protocol.send(h11.EndOfMessage()))
+    await writer.drain()
+
+
+async def read_request(protocol: h11.Connection, reader: asyncio.StreamReader) -> tuple[h11.Request, bytes] | None:
+    """Return the next request and its body, None at the end of the connection."""
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, bytes(body)
+        else:
+            return None
--- a/tamarackfield/web/__init__.py
+++ b/tamarackfield/web/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackfield.web.client import ClientError, ClientResponse, fetch, fetch_json, open_request
 from tamarackfield.web.limits import HTTP_SCHEMA, HttpLimits
+from tamarackfield.web.pool import ConnectionPool
 from tamarackfield.web.request import HttpRequest
 from tamarackfield.web.responder import CallerDisconnectedError, Responder
 from tamarackfield.web.server import HttpServer, make_internal_error
@@ -11,6 +12,7 @@
     'CallerDisconnectedError',
     'ClientError',
     'ClientResponse',
+    'ConnectionPool',
     'HttpLimits',
     'HttpRequest',
     'HttpServer',
