Log the parts of a prompt, and the runs that an engine had when it ended

What on-call saw: engines ended one after the other, and no line said which prompts they had begun to answer.

The `request` line has `prompt_parts` (all but the last, which belongs to the request alone). Entries report each run whose connection broke to the sidecar of its target, with whether its answer had begun and for how long it wrote. A sidecar reads its engine at once then; when nothing listens any more, or a new incarnation answers, it logs `engine_ended` with these runs, the shortest first. No request is treated otherwise.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -88,7 +88,10 @@
             clean_up.callback(_count_attempt_end, target)
             exchange = Exchange(self.pool, self.dialect, call_state.call, target)
             clean_up.callback(exchange.close)
-            return await self._send_and_receive(call_state, exchange, reservation, responder)
+            result = await self._send_and_receive(call_state, exchange, reservation, responder)
+            if isinstance(result, MaybeRan) and exchange.has_connection_ended() and call_state.adapter_key():
+                self.fleet.report_broken_run(call_state.call, exchange)
+            return result
 
     async def _reserve(self, call_state: CallState, target: Target, reservation: Reservation) -> NotRun | None:
         """Reserve a slot in the batch of a target; return `NotRun` if the sidecar does not grant it.
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -122,6 +122,7 @@
             service=call_state.service,
             version=call_state.configuration_version,
             adapter=call_state.adapter_key(),
+            prompt_parts=','.join(call.prompt_parts),
             target=call_state.target_name,
             attempts=call_state.send_count,
             waited_ms=round(MS_PER_SECOND * call_state.waited_seconds),
@@ -141,12 +142,12 @@
     """Return the call with its limits applied.
 
     The deadline is at most the time-out of the route after arrival, the prompt length is at most
-    `MAX_PROMPT_TOKENS`, and a call to a plain service has neither model nor adapter.
+    `MAX_PROMPT_TOKENS`, and a call to a plain service has no model, adapter and prompt parts.
     """
     deadline = min(call.deadline, call.received_at + route.timeout_seconds)
     bounded = replace(call, deadline=deadline, prompt_tokens=min(call.prompt_tokens, MAX_PROMPT_TOKENS))
     if service is None or service.engine is None:
-        return replace(bounded, model='', adapter='')
+        return replace(bounded, model='', adapter='', prompt_parts=())
     return bounded
 
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -108,6 +108,8 @@
     ----------
     framing : BodyFraming or None
         Framing of the answer, None before its head.
+    first_part_at, last_part_at : float
+        Monotonic seconds at which the first and the latest part of the body arrived; 0 before the first.
     """
 
     def __init__(self, pool: ConnectionPool, dialect: Dialect, call: Call, target: Target) -> None:
@@ -119,6 +121,8 @@
         self.connection: TargetConnection | None = None
         self.framing: BodyFraming | None = None
         self.sent_at = 0.0
+        self.first_part_at = 0.0
+        self.last_part_at = 0.0
 
     async def send(self, options: CallOptions, max_idle_seconds: float, authorize_send: Callable[[], str]) -> str:
         """Send the call once a connection is open, unless ``authorize_send`` returns why it may not be sent.
@@ -205,7 +209,15 @@
             If the body is truncated.
         """
         event = await self._require_connection().receive()
-        return b'' if isinstance(event, h11.EndOfMessage) else bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        self.last_part_at = BOOT_CLOCK.monotonic()
+        self.first_part_at = self.first_part_at or self.last_part_at
+        return bytes(event.data)
+
+    def has_connection_ended(self) -> bool:
+        """Return whether the call was sent and its connection has ended since."""
+        return self.sent_at > 0 and self.connection is not None and self.connection.ended
 
     def describe_end(self) -> str:
         """Return how the answer ended, for logs; empty without an answer."""
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -8,14 +8,16 @@
 from tamarackfield.core import BOOT_CLOCK, Address, Application
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.gateway.directory import Directory, Target
+from tamarackfield.gateway.exchange import Exchange
 from tamarackfield.gateway.links import ManagerLink
-from tamarackfield.gateway.model import Catalog, Engine, Versions
+from tamarackfield.gateway.model import Call, Catalog, Engine, Versions
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
 from tamarackfield.policy.pauses import draw_return_seconds
 from tamarackfield.policy.service_routing import choose_service_target
+from tamarackfield.wire.crash_reports import BrokenRun
 from tamarackfield.wire.messages import Hello, Holdings
 from tamarackfield.wire.reservations import Facts
 
@@ -155,6 +157,17 @@
             return None
         return link if link.report.incarnation == target.record.started_ms else None
 
+    def report_broken_run(self, call: Call, exchange: Exchange) -> None:
+        """Report to the sidecar of a target that the connection of a run broke."""
+        record = exchange.target.record
+        link = self.links.get(record.address[0])
+        if link is not None:
+            wrote_ms = round((exchange.last_part_at - exchange.first_part_at) * MS_PER_SECOND)
+            has_begun, parts = exchange.framing is not None, list(call.prompt_parts)
+            link.report_broken_run(
+                BrokenRun(record.name, record.started_ms, call.request_id, has_begun, wrote_ms, parts)
+            )
+
     def choose_target(self, placement: PlacementRequest, allowed: Callable[[Target], bool]) -> Target | None:
         """Choose a target for a call.
 
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -13,6 +13,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
+from tamarackfield.wire.crash_reports import BrokenRun
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
@@ -178,6 +179,10 @@
         """Report to the sidecar for how long the stream of a request paused."""
         self._send_best_effort(Paused(number, round(seconds * MS_PER_SECOND)))
 
+    def report_broken_run(self, run: BrokenRun) -> None:
+        """Report to the sidecar that the connection of a run broke."""
+        self._send_best_effort(run)
+
     def release(self, number: int) -> None:
         """Release a reservation, or cancel it if it is not granted yet."""
         self._send_best_effort(Release(number))
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -193,6 +193,8 @@
         Length of the prompt in tokens, as stated by the caller; 0 if not stated.
     last_event : int
         Number of the last event that the caller received; 0 at the start of a stream.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may have as well, in their order.
     """
 
     request_id: str
@@ -207,6 +209,7 @@
     adapter: str = ''
     prompt_tokens: int = 0
     last_event: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -1,16 +1,26 @@
 """Polls the state of one engine and executes the orders of admission control."""
 
 import asyncio
+import contextlib
 
 from loguru import logger
 
 from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.admission import AdmissionController
-from tamarackfield.manager.engine_client import EngineClient, EnginePausedError, EngineState, OrderResult, OrderTerms
+from tamarackfield.manager.crash_watch import CrashWatch
+from tamarackfield.manager.engine_client import (
+    EngineClient,
+    EngineEndedError,
+    EnginePausedError,
+    EngineState,
+    OrderResult,
+    OrderTerms,
+)
 from tamarackfield.manager.tickets import ModelOrder, Plan
 from tamarackfield.policy.pauses import extend_pause
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
+from tamarackfield.wire.crash_reports import BrokenRun
 from tamarackfield.wire.reservations import Facts
 
 #: Interval in seconds between two readings of the engine's state while a change is expected, and otherwise.
@@ -22,6 +32,8 @@
 MAX_STATE_AGE_SECONDS = 0.6
 #: Seconds for which an adapter load that the engine refused is not ordered again.
 LOAD_REFUSAL_SECONDS = 2.0
+#: Number of runs in the log line about the end of an engine, those that had written for the shortest time.
+MAX_LOGGED_RUNS = 8
 _NO_FACTS = Facts(0, '', 0, 1, 0, 0, [], [], [], 0)
 
 
@@ -48,6 +60,8 @@
         self.accepted_loads = 0
         self.sent_orders = 0
         self.decision_due = asyncio.Event()
+        self.poll_due = asyncio.Event()
+        self.crash_watch = CrashWatch()
 
     def update_facts(self, facts: Facts) -> None:
         """Store what an entry reports about the target, unless the stored facts are as new or newer."""
@@ -81,7 +95,10 @@
         while True:
             await self.refresh_state()
             change_expected = self.admission.residency.loading or self.admission.waiting or not self.admission.reachable
-            await asyncio.sleep(ACTIVE_POLL_SECONDS if change_expected else IDLE_POLL_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ACTIVE_POLL_SECONDS if change_expected else IDLE_POLL_SECONDS):
+                    await self.poll_due.wait()
+            self.poll_due.clear()
 
     async def refresh_state(self) -> bool:
         """Read the engine's state once; return whether that succeeded."""
@@ -92,6 +109,10 @@
         except EnginePausedError as exc:
             self._record_pause(exc)
             return False
+        except EngineEndedError as exc:
+            self._record_end()
+            self._record_read_failure(exc)
+            return False
         except TamarackfieldError as exc:
             self._record_read_failure(exc)
             return False
@@ -100,6 +121,11 @@
         self._apply_state(state)
         return True
 
+    def record_broken_run(self, run: BrokenRun) -> None:
+        """Record a run whose connection broke, and find out whether the engine has ended."""
+        self.crash_watch.record_run(run, BOOT_CLOCK.monotonic())
+        self.poll_due.set()
+
     async def execute_plan(self, plan: Plan) -> None:
         """Execute the orders of a plan one after another."""
         for order in plan.orders:
@@ -192,6 +218,7 @@
     def _apply_state(self, state: EngineState) -> None:
         before = self.state
         if before is None or state.started_ms != before.started_ms:
+            self._record_end()
             logger.bind(started_ms=state.started_ms, sequence=state.sequence).info('engine_life_began')
             self.admission.reset()
             self.min_fencing = 0
@@ -205,6 +232,17 @@
         self.admission.engine_request_count = state.running + state.queued
         self.decision_due.set()
 
+    def _record_end(self) -> None:
+        """Record that the latest known incarnation of the engine has ended."""
+        if self.state is None or not self.crash_watch.record_end(self.state.started_ms, BOOT_CLOCK.monotonic()):
+            return
+        runs = self.crash_watch.list_runs(self.state.started_ms)
+        logger.bind(
+            started_ms=self.state.started_ms,
+            broken_runs=len(runs),
+            begun_last=' '.join(f'{run.label}:{run.wrote_ms}:{"+".join(run.parts)}' for run in runs[:MAX_LOGGED_RUNS]),
+        ).warning('engine_ended')
+
     def _record_pause(self, exc: EnginePausedError) -> None:
         self.paused_until = extend_pause(self.paused_until, exc.seconds, BOOT_CLOCK.monotonic())
         logger.bind(seconds=round(exc.seconds, 3)).info('engine_paused')
--- a/tamarackfield/manager/engine_client.py
+++ b/tamarackfield/manager/engine_client.py
@@ -26,6 +26,10 @@
         self.seconds = seconds
 
 
+class EngineEndedError(TamarackfieldError):
+    """No process listens at the address of the engine."""
+
+
 @dataclass(frozen=True, slots=True)
 class EngineState:
     """State of an engine as it reports it.
@@ -105,8 +109,10 @@
 
         Raises
         ------
+        EngineEndedError
+            If no process listens at the address of the engine.
         ClientError
-            If the state cannot be read.
+            If the state cannot be read for another reason.
         """
 
     async def send_order(self, order: Order | ModelOrder, terms: OrderTerms) -> OrderResult:
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -9,6 +9,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.manager.tickets import Decline, Ticket
 from tamarackfield.manager.engine import EngineController
+from tamarackfield.wire.crash_reports import BrokenRun
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
@@ -84,6 +85,8 @@
                 self.controller.decision_due.set()
             case Paused(_, pause_ms):
                 self._record_pause(pause_ms, now)
+            case BrokenRun():
+                self.controller.record_broken_run(message)
             case Release():
                 admission.release((stream_number, message.request_id), now)
                 self.controller.decision_due.set()
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -25,6 +25,11 @@
 _MODEL_HEADER = 'tamarackfield-model'
 _TOKEN_USAGE_HEADER = 'tamarackfield-token-usage'
 _LAST_EVENT_HEADER = 'last-event-id'
+#: Header with the parts of the prompt in order, as pairs ID:TOKENS separated by commas.
+_PROMPT_PARTS_HEADER = 'tamarackfield-prompt-prefix'
+#: Limits of the number of parts and of the length of an id; parts beyond them are forwarded, but not compared.
+_MAX_PROMPT_PARTS = 64
+_MAX_PART_ID_LENGTH = 64
 _SIGNATURE_HEADER = b'tamarackfield-server-signature'
 #: Header with which a worker states that it did not run the request.
 _NOT_EXECUTED_HEADER = b'tamarackfield-not-executed'
@@ -99,9 +104,16 @@
         adapter=adapter,
         prompt_tokens=parse_number(prompt) or 0,
         last_event=parse_number(headers.get(_LAST_EVENT_HEADER, '')) or 0,
+        prompt_parts=_parse_shared_parts(headers.get(_PROMPT_PARTS_HEADER, '')),
     )
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that requests share: the last part belongs to the request alone."""
+    ids = [pair.partition(':')[0].strip() for pair in text.split(',')[:-1]]
+    return tuple(part for part in ids[:_MAX_PROMPT_PARTS] if 0 < len(part) <= _MAX_PART_ID_LENGTH)
+
+
 class WorkerDialect:
     """Headers of requests to workers and of their answers."""
 
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -9,7 +9,13 @@
 from tamarackfield.core import SYSTEM_CLOCK, Address, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.tickets import ModelOrder
-from tamarackfield.manager.engine_client import EnginePausedError, EngineState, OrderResult, OrderTerms
+from tamarackfield.manager.engine_client import (
+    EngineEndedError,
+    EnginePausedError,
+    EngineState,
+    OrderResult,
+    OrderTerms,
+)
 from tamarackfield.platform.headers import LEAVING_HEADER, LEAVING_VALUE, RETRY_AFTER_HEADER, parse_retry_after
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
 from tamarackfield.policy.residency import LoadOrder, Order
@@ -51,12 +57,19 @@
 
         Raises
         ------
+        EngineEndedError
+            If no process listens at the address.
         ClientError
-            If the report cannot be read or is malformed.
+            If the report cannot be read for another reason, or is malformed.
         EnginePausedError
             If the worker wants no request now.
         """
-        answer = await call_json(self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS)
+        try:
+            answer = await call_json(self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS)
+        except ClientError as exc:
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                raise EngineEndedError(exc.message, exc.step, exc.peer) from exc
+            raise
         self._require_no_pause(answer)
         if answer.status != HTTPStatus.OK:
             raise ClientError(f'worker answered with status {answer.status}', 'report', str(self.address), sent=True)
