--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -52,6 +52,11 @@
     incarnation: int = 0
     announced_leaving: bool = False
 
+    def list_shared_parts(self) -> list[str]:
+        """Return the ids of the parts of its prompt but the last."""
+        pairs = self.headers.get('tamarackfield-prompt-prefix', '').split(',')[:-1]
+        return [pair.partition(':')[0] for pair in pairs]
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -88,7 +93,7 @@
         return self.kind
 
 
-class PlatformWorker:
+class PlatformWorker:  # noqa: WPS230 its faults are attributes
     """Worker that listens at one address.
 
     Parameters
@@ -104,10 +109,18 @@
         Whether every answer says that the worker leaves.
     retry_after : str
         ``Retry-After`` of the answers to requests that it turns away with the fault ``pause``.
+    crashing_parts : frozenset of str
+        Parts of prompts on which it crashes when it begins to write an answer.
+    crashes_after_head : bool
+        Whether the head of such an answer is sent before the crash.
+    crashed_at : list of float
+        Monotonic seconds of its crashes.
     """
 
     announces_leaving = False
     retry_after = '1'
+    crashing_parts: frozenset[str] = frozenset()
+    crashes_after_head = True
 
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
@@ -135,6 +148,7 @@
         self.event_interval_seconds = 0.005
         self.cut_after_event = 0
         self.crash_reason = ''
+        self.crashed_at: list[float] = []
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -171,6 +185,15 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def crash(self) -> None:
+        """End like a process that crashes; `restart` starts it again."""
+        self.crashed_at.append(SYSTEM_CLOCK.monotonic())
+        await self.stop()
+
+    def is_crashed(self) -> bool:
+        """Return whether it has crashed and was not started again."""
+        return bool(self.crashed_at) and self.server is not None and not self.server.is_serving()
+
     async def restart(self) -> None:
         """Stop and start as a new incarnation with the same name, without models, adapters and fences."""
         await self.stop()
@@ -332,6 +355,12 @@
         if fault == 'hang':
             await writer.wait_closed()
         await asyncio.sleep(self.event_interval_seconds)
+        if not self.crashing_parts.isdisjoint(run.list_shared_parts()):
+            if self.crashes_after_head:
+                writer.write(encode_stream_head(protocol, run.request_id, True, []))
+                await writer.drain()
+            await self.crash()
+            return
         if fault == 'reset_after_run':
             reset_connection(writer)
             return
