Quarantine of prompt parts on which engines crash

Cause: a crash was a failure of a target, and of nothing else. No process compared the runs under which engines ended, so nothing was learnt from a crash, and every entry sent the next request with the part to the next engine. Class: a failure is put down to the place where it shows; its cause travels with the request. Ruled out: repeats by entries (19 of 198 broken runs were second attempts; all 14 runs without an event were first ones); orders (none refused for size, none more often before a crash).

Why this works: a sidecar learns from the entries which runs broke off with its engine and how long each had written, reads the engine at once, and reports the crash to all entries; they report it to all sidecars, so that any process that lives tells those that start. policy/quarantine.py finds the part: it is in the runs that had written nothing, in several crashes, once in a run that was sent although the part was suspected, and no run with it wrote on. Crashes of all engines at once give no such run. Reports merge by union: order, repetition and clocks do not matter. The check stands where a request is sent; a request in quarantine gets 400 at once (503 with a time for the first second, while clearances travel). A repeat of a run that broke off at its beginning waits 0.15 s for the report, and is not sent if its prompt is suspected.

Rejected: the part with the highest score alone is the culprit. A part that more requests have than another now needs crashes of its own, and where nearly everything is refused without any sound run, single probes are sent.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -161,6 +161,7 @@
             supervise(follower.run, f'follow-{follower.prefix}')
         supervise(self.peers.run, 'peers')
         supervise(self.maintenance.run, 'upkeep')
+        supervise(self.fleet.quarantine.run, 'quarantine')
 
     async def stop(self) -> None:
         """Fail the readiness check, wait until the load balancer has noticed, then drain connections."""
@@ -217,6 +218,8 @@
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'shedding_callers': lambda: int(self.maintenance.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
+            'prompts_in_quarantine': lambda: len(self.fleet.quarantine.evidence.culprits),
+            'engine_crashes_known': lambda: len(self.fleet.quarantine.evidence.crashes),
             'store_revision': lambda: self.replica.revision.number,
             'store_era': lambda: self.replica.era,
             'store_down': lambda: sum(store_status.down for store_status in self.replica.store_statuses),
--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -89,8 +89,11 @@
             exchange = Exchange(self.pool, self.dialect, call_state.call, target)
             clean_up.callback(exchange.close)
             result = await self._send_and_receive(call_state, exchange, reservation, responder)
-            if isinstance(result, MaybeRan) and exchange.has_connection_ended() and call_state.adapter_key():
-                self.fleet.report_broken_run(call_state.call, exchange)
+            if call_state.adapter_key():
+                link = self.fleet.find_link(target)
+                call_state.broke_off_unproven = self.fleet.quarantine.record_attempt(
+                    exchange, result, call_state.suspected_parts, link
+                )
             return result
 
     async def _reserve(self, call_state: CallState, target: Target, reservation: Reservation) -> NotRun | None:
@@ -151,19 +154,10 @@
 
         def authorize_send() -> str:
             """Return why the call may not be sent; if it may, spend the retry budget and record the call as sent."""
-            now = BOOT_CLOCK.monotonic()
-            refusal = target.explain_refusal(now)
-            if refusal:
-                return f'{refusal} before the call was sent'
-            if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
-                return 'deadline passed before the call was sent'
-            budget = self.budget_for(call_state.service)
-            if call_state.send_count and not budget.can_spend(now):
-                return 'retry budget was spent before the call was sent'
-            if call_state.send_count:
-                budget.spend(now)
-            call_state.record_sent(target)
-            return ''
+            refusal = self._explain_refusal(call_state, target)
+            if not refusal:
+                self._record_sent(call_state, target)
+            return refusal
 
         try:
             refusal = await exchange.send(options, max_idle_seconds, authorize_send)
@@ -178,6 +172,24 @@
         finally:
             call_state.record_answer_end(exchange.framing or '', exchange.describe_end())
 
+    def _explain_refusal(self, call_state: CallState, target: Target) -> str:
+        """Return why a call may not be sent to a target now, empty if it may."""
+        now = BOOT_CLOCK.monotonic()
+        refusal = target.explain_refusal(now)
+        if refusal:
+            return f'{refusal} before the call was sent'
+        if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
+            return 'deadline passed before the call was sent'
+        if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
+            return 'retry budget was spent before the call was sent'
+        return self.fleet.quarantine.explain_refusal(call_state)
+
+    def _record_sent(self, call_state: CallState, target: Target) -> None:
+        if call_state.send_count:
+            self.budget_for(call_state.service).spend(BOOT_CLOCK.monotonic())
+        call_state.suspected_parts = self.fleet.quarantine.find_suspected(call_state.call.prompt_parts)
+        call_state.record_sent(target)
+
     async def _receive(
         self, call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
     ) -> AttemptResult:
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -66,6 +66,12 @@
         How the latest answer ended.
     partial_event_bytes : int
         Bytes after the last complete event of the latest stream.
+    suspected_parts : frozenset of str
+        Parts of the prompt that were suspected of a crash when the call was last sent.
+    broke_off_unproven : bool
+        Whether the last run broke off before it had shown that its prompt does not crash its target.
+    is_probe : bool
+        Whether it is sent although engines crash on its prompt, to find out whether they still do.
     """
 
     call: Call
@@ -93,6 +99,9 @@
     answer_framing: str = ''
     answer_end: str = ''
     partial_event_bytes: int = 0
+    suspected_parts: frozenset[str] = frozenset()
+    broke_off_unproven: bool = False
+    is_probe: bool = False
 
     def adapter_key(self) -> str:
         """Return ``model/adapter`` or ``model``; empty for a plain service."""
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -88,6 +88,7 @@
 
     async def _attempt_until_answered(self, call_state: CallState, responder: Responder) -> None:
         for _ in range(MAX_ATTEMPTS):
+            await self._require_release(call_state)
             target = self._choose_target(call_state)
             if target is None:
                 self._record_pauses(call_state)
@@ -162,6 +163,20 @@
         age = BOOT_CLOCK.monotonic() - target.listed_at
         call_state.notes.append(f'{target.record.name}: {text} (listed {age:.1f} s ago)')
 
+    async def _require_release(self, call_state: CallState) -> None:
+        """Raise the error that ends a call if it is in quarantine, or if its repeat may crash a further target."""
+        quarantine = self.fleet.quarantine
+        parts = call_state.call.prompt_parts
+        may_repeat_crash = call_state.broke_off_unproven and call_state.route.may_run_again and parts
+        if may_repeat_crash and await quarantine.wait_for_suspicion(parts):
+            raise self._make_error(call_state, 'target ended when it began to answer the prompt')
+        if call_state.head_sent or call_state.outcome() is not Outcome.NOT_RUN:
+            refusal = quarantine.explain_refusal(call_state)
+            if refusal:
+                raise self._make_error(call_state, refusal)
+        elif parts:
+            quarantine.require_release(call_state)
+
     def _make_error(self, call_state: CallState, reason: str) -> RequestError | CallerDisconnectedError:
         """Return the error that ends a call; its outcome is ``not_run`` only if no attempt may have run."""
         if call_state.head_sent:
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -8,16 +8,15 @@
 from tamarackfield.core import BOOT_CLOCK, Address, Application
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.gateway.directory import Directory, Target
-from tamarackfield.gateway.exchange import Exchange
 from tamarackfield.gateway.links import ManagerLink
-from tamarackfield.gateway.model import Call, Catalog, Engine, Versions
+from tamarackfield.gateway.quarantine import PromptQuarantine
+from tamarackfield.gateway.model import Catalog, Engine, Versions
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
 from tamarackfield.policy.pauses import draw_return_seconds
 from tamarackfield.policy.service_routing import choose_service_target
-from tamarackfield.wire.crash_reports import BrokenRun
 from tamarackfield.wire.messages import Hello, Holdings
 from tamarackfield.wire.reservations import Facts
 
@@ -122,6 +121,7 @@
         self.catalog: Catalog | None = None
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.quarantine = PromptQuarantine(application, self.links.values)
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
         self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
@@ -157,16 +157,9 @@
             return None
         return link if link.report.incarnation == target.record.started_ms else None
 
-    def report_broken_run(self, call: Call, exchange: Exchange) -> None:
-        """Report to the sidecar of a target that the connection of a run broke."""
-        record = exchange.target.record
-        link = self.links.get(record.address[0])
-        if link is not None:
-            wrote_ms = round((exchange.last_part_at - exchange.first_part_at) * MS_PER_SECOND)
-            has_begun, parts = exchange.framing is not None, list(call.prompt_parts)
-            link.report_broken_run(
-                BrokenRun(record.name, record.started_ms, call.request_id, has_begun, wrote_ms, parts)
-            )
+    def find_link(self, target: Target) -> ManagerLink | None:
+        """Return the link to the sidecar of a target, whether or not it is connected."""
+        return self.links.get(target.record.address[0])
 
     def choose_target(self, placement: PlacementRequest, allowed: Callable[[Target], bool]) -> Target | None:
         """Choose a target for a call.
@@ -255,6 +248,7 @@
     def _open_link(self, address: Address) -> None:
         host = address[0]
         link = ManagerLink(address, self.hello, lambda: self._facts_for(host), lambda: self._refresh_host(host))
+        self.quarantine.attach(link)
         self.links[host] = link
         self.tasks[host] = self.application.supervise(link.run, f'sidecar-{host}')
 
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -12,8 +12,9 @@
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE
+from tamarackfield.policy.quarantine import Crash, CrashKey
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
-from tamarackfield.wire.crash_reports import BrokenRun
+from tamarackfield.wire.crash_reports import CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
@@ -102,6 +103,10 @@
         self.sent_facts: Facts | None = None
         self.draining = False
         self.unreachable = False
+        # Crashes as the sidecar knows them.
+        self.known_crashes: dict[CrashKey, Crash] = {}
+        self.on_crash: Callable[[Crash], None] = _ignore_crash
+        self.list_crashes: Callable[[], Iterable[Crash]] = tuple
 
     def is_up(self) -> bool:
         """Return whether the sidecar responds and can grant requests."""
@@ -132,7 +137,7 @@
     def send_facts(self) -> None:
         """Send the facts about the target if they changed."""
         facts = self.facts()
-        if facts is not None and facts != self.sent_facts and self._send_best_effort(facts):
+        if facts is not None and facts != self.sent_facts and self.send_best_effort(facts):
             self.sent_facts = facts
 
     async def reserve(self, request: ReservationRequest) -> tuple[int, Answer]:
@@ -173,19 +178,21 @@
 
     def report_started(self, number: int) -> None:
         """Report to the sidecar that the answer to a request has begun."""
-        self._send_best_effort(Started(number))
+        self.send_best_effort(Started(number))
 
     def report_pause(self, number: int, seconds: float) -> None:
         """Report to the sidecar for how long the stream of a request paused."""
-        self._send_best_effort(Paused(number, round(seconds * MS_PER_SECOND)))
+        self.send_best_effort(Paused(number, round(seconds * MS_PER_SECOND)))
 
-    def report_broken_run(self, run: BrokenRun) -> None:
-        """Report to the sidecar that the connection of a run broke."""
-        self._send_best_effort(run)
+    def report_crash(self, crash: Crash) -> None:
+        """Report a crash to the sidecar, unless it knows as much."""
+        known = self.known_crashes.get(crash.key())
+        if (known is None or known.merge(crash) != known) and self.send_best_effort(encode_crash(crash)):
+            self.known_crashes[crash.key()] = crash if known is None else known.merge(crash)
 
     def release(self, number: int) -> None:
         """Release a reservation, or cancel it if it is not granted yet."""
-        self._send_best_effort(Release(number))
+        self.send_best_effort(Release(number))
 
     def handle_message(self, message: Message) -> None:
         """Handle a message of the sidecar."""
@@ -197,6 +204,10 @@
             case Holdings():
                 self.holdings = message
                 self.on_change()
+            case CrashReport():
+                crash = decode_crash(message)
+                self.known_crashes[crash.key()] = crash
+                self.on_crash(crash)
             case Draining(reason):
                 self.draining = True
                 logger.bind(sidecar=self._peer_name(), reason=reason).info('sidecar_stopping')
@@ -230,6 +241,8 @@
         self.unreachable = False
         logger.bind(sidecar=self._peer_name()).info('sidecar_connected')
         self.send_facts()
+        for crash in self.list_crashes():
+            self.report_crash(crash)
 
     def _store_report(self, report: EngineReport) -> None:
         previous = self.report
@@ -257,7 +270,7 @@
             # The attempt stopped waiting before the slot was granted.
             self.release(message.request_id)
 
-    def _send_best_effort(self, message: Message) -> bool:
+    def send_best_effort(self, message: Message) -> bool:
         """Send a message that may be lost with the connection; return whether it was sent."""
         if self.stream is None:
             return False
@@ -278,6 +291,7 @@
         self.report = None
         self.sent_facts = None
         self.draining = False
+        self.known_crashes.clear()
         for future in self.pending.values():
             if not future.done():
                 error = StreamClosedError('sidecar is lost', step='reserve', peer=self._peer_name())
@@ -325,6 +339,10 @@
             self.link.report_pause(self.number, seconds)
 
 
+def _ignore_crash(crash: Crash) -> None:
+    logger.bind(target=crash.target, started_ms=crash.started_ms).debug('crash_not_recorded')
+
+
 def _make_reserve(number: int, request: ReservationRequest) -> Reserve:
     return Reserve(
         request_id=number,
--- /dev/null
+++ b/tamarackfield/gateway/quarantine.py
@@ -0,0 +1,201 @@
+"""Quarantine of requests whose prompts crash engines: what this entry knows, and its exchange with the sidecars.
+
+A sidecar reports the end of its engine to all entries, and passes on what they report. Each entry tells every
+sidecar what it knows, so that a process that starts hears of it from any that lives, before a request is granted.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+from loguru import logger
+
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Application, RequestError
+from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.gateway.call_state import CallState
+from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
+from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.policy.quarantine import (
+    PROOF_SECONDS,
+    SETTLED_SECONDS,
+    Crash,
+    Culprit,
+    ProbeGate,
+    Quarantine,
+    make_crash,
+)
+from tamarackfield.web.client import ClientError
+from tamarackfield.web.pool import open_connection
+from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
+
+#: Seconds for which changes are collected before the sidecars are told: most of them have heard from others by then.
+COLLECT_SECONDS = 0.05
+#: Seconds after the break of a run in which its sidecar finds that the target has ended, and tells the entries.
+SUSPICION_SECONDS = 0.15
+#: Attempts to connect to a target whose sidecar does not respond, and seconds between two of them, to find out
+#: whether it has ended.
+END_CHECKS = 3
+END_CHECK_INTERVAL_SECONDS = 0.1
+
+
+class PromptQuarantine:
+    """Crashes that this entry knows of, and the requests that it does not send because of them.
+
+    Parameters
+    ----------
+    application : Application
+        Owns the tasks that find out whether a target has ended.
+    list_links : callable
+        Returns the links to all sidecars.
+    """
+
+    def __init__(self, application: Application, list_links: Callable[[], Iterable[ManagerLink]]) -> None:
+        """Create a quarantine without crashes."""
+        self.application = application
+        self.list_links = list_links
+        self.evidence = Quarantine()
+        self.gate = ProbeGate(BOOT_CLOCK.monotonic())
+        self.changed = asyncio.Event()
+
+    def attach(self, link: ManagerLink) -> None:
+        """Exchange crashes with the sidecar of a new link."""
+        link.on_crash = self.record_crash
+        link.list_crashes = lambda: list(self.evidence.crashes.values())
+
+    def find_culprit(self, call_state: CallState) -> Culprit | None:
+        """Return the culprit because of which a call is not sent, None if it may be sent."""
+        return None if call_state.is_probe else self.evidence.find_culprit(call_state.call.prompt_parts)
+
+    def explain_refusal(self, call_state: CallState) -> str:
+        """Return why a call may not be sent, empty if it may."""
+        culprit = self.find_culprit(call_state)
+        return '' if culprit is None else f'engines crash on prompt part {culprit.label()}'
+
+    def require_release(self, call_state: CallState) -> None:
+        """Let a call pass that is not in quarantine, or that is sent as a probe.
+
+        Raises
+        ------
+        RequestError
+            If the call is in quarantine and did not run. Its status does not invite it back once the culprit is
+            settled; until then, it says when that will be.
+        """
+        now = BOOT_CLOCK.monotonic()
+        self.evidence.record_request(call_state.call.prompt_parts)
+        culprit = self.find_culprit(call_state)
+        if culprit is None:
+            self.gate.record_sent()
+            return
+        if self.gate.admit_probe(now):
+            call_state.is_probe = True
+            logger.bind(request_id=call_state.call.request_id, culprit=culprit.label()).warning('quarantine_probe')
+            return
+        settled = culprit.is_settled(now)
+        raise RequestError(
+            self.explain_refusal(call_state),
+            step='quarantine',
+            status=HTTPStatus.BAD_REQUEST if settled else HTTPStatus.SERVICE_UNAVAILABLE,
+            code='prompt_in_quarantine',
+            retry_after=0 if settled else SETTLED_SECONDS,
+        )
+
+    def find_suspected(self, parts: Iterable[str]) -> frozenset[str]:
+        """Return those parts that are suspected of a crash."""
+        return self.evidence.suspects.intersection(parts)
+
+    def record_crash(self, report: Crash) -> None:
+        """Record what a sidecar or this entry knows of a crash."""
+        if self.evidence.record_crash(report, BOOT_CLOCK.monotonic()):
+            self._announce_change(f'{report.target}/{report.started_ms}')
+
+    async def wait_for_suspicion(self, parts: Iterable[str]) -> bool:
+        """Wait until the end of a target would be known; return whether parts are suspected of it."""
+        await asyncio.sleep(SUSPICION_SECONDS)
+        return bool(self.find_suspected(parts))
+
+    def record_attempt(
+        self, exchange: Exchange, result: AttemptResult, suspected: frozenset[str], link: ManagerLink | None
+    ) -> bool:
+        """Record what the end of an attempt says of the parts of its prompt.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            Exchange of the attempt.
+        result : AttemptResult
+            Result of the attempt.
+        suspected : frozenset of str
+            Parts that were suspected of a crash when it was sent.
+        link : ManagerLink or None
+            Link to the sidecar of its target.
+
+        Returns
+        -------
+        bool
+            Whether the run broke off before it had shown that its prompt does not crash the target.
+        """
+        call = exchange.call
+        wrote_seconds = exchange.last_part_at - exchange.first_part_at
+        is_proven = isinstance(result, Streamed | Answered) or wrote_seconds >= PROOF_SECONDS
+        if is_proven:
+            now = BOOT_CLOCK.monotonic()
+            self.gate.record_proof(now)
+            if self.evidence.record_proof(call.prompt_parts, now):
+                self._announce_change(f'request {call.request_id}')
+        if not isinstance(result, MaybeRan) or not exchange.has_connection_ended():
+            return False
+        record = exchange.target.record
+        run = BrokenRun(
+            record.name,
+            record.started_ms,
+            call.request_id,
+            exchange.framing is not None,
+            round(wrote_seconds * MS_PER_SECOND),
+            list(call.prompt_parts),
+            sorted(suspected),
+        )
+        if link is not None:
+            link.send_best_effort(run)
+        if link is None or link.is_silent():
+            address = record.address
+            self.application.spawn(self._check_end(run, address), f'end-of-{record.name}')
+        return not is_proven
+
+    async def run(self) -> None:
+        """Tell the sidecars what has changed; never return."""
+        while True:
+            await self.changed.wait()
+            await asyncio.sleep(COLLECT_SECONDS)
+            self.changed.clear()
+            for crash in list(self.evidence.crashes.values()):
+                for link in self.list_links():
+                    link.report_crash(crash)
+
+    async def _check_end(self, run: BrokenRun, address: tuple[str, int]) -> None:
+        """Find out whether a target has ended, and record the crash if it has; its sidecar does not respond."""
+        for _ in range(END_CHECKS):
+            if await _is_refused(address):
+                crash = make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)])
+                self.record_crash(crash)
+                return
+            await asyncio.sleep(END_CHECK_INTERVAL_SECONDS)
+
+    def _announce_change(self, source: str) -> None:
+        evidence = self.evidence
+        logger.bind(
+            source=source,
+            crashes=len(evidence.crashes),
+            suspects=len(evidence.suspects),
+            culprits=' '.join(f'{culprit.label()}:{len(culprit.crashes)}' for culprit in evidence.culprits),
+        ).info('crash_evidence')
+        self.changed.set()
+
+
+async def _is_refused(address: tuple[str, int]) -> bool:
+    """Return whether no process listens at an address."""
+    try:
+        connection = await open_connection(address)
+    except ClientError as exc:
+        return isinstance(exc.__cause__, ConnectionRefusedError)
+    connection.fail('not used')
+    return False
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.manager.admission import AdmissionController
 from tamarackfield.manager.crash_watch import CrashWatch
@@ -19,8 +20,9 @@
 )
 from tamarackfield.manager.tickets import ModelOrder, Plan
 from tamarackfield.policy.pauses import extend_pause
+from tamarackfield.policy.quarantine import Crash, make_crash
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
-from tamarackfield.wire.crash_reports import BrokenRun
+from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
 from tamarackfield.wire.reservations import Facts
 
 #: Interval in seconds between two readings of the engine's state while a change is expected, and otherwise.
@@ -37,6 +39,10 @@
 _NO_FACTS = Facts(0, '', 0, 1, 0, 0, [], [], [], 0)
 
 
+def _ignore_crash(crash: Crash) -> None:
+    logger.bind(target=crash.target, started_ms=crash.started_ms).debug('crash_not_reported')
+
+
 class EngineController:
     """Controller of one engine; no other process sends orders to it.
 
@@ -62,6 +68,7 @@
         self.decision_due = asyncio.Event()
         self.poll_due = asyncio.Event()
         self.crash_watch = CrashWatch()
+        self.on_crash: Callable[[Crash], None] = _ignore_crash
 
     def update_facts(self, facts: Facts) -> None:
         """Store what an entry reports about the target, unless the stored facts are as new or newer."""
@@ -124,6 +131,8 @@
     def record_broken_run(self, run: BrokenRun) -> None:
         """Record a run whose connection broke, and find out whether the engine has ended."""
         self.crash_watch.record_run(run, BOOT_CLOCK.monotonic())
+        if run.started_ms in self.crash_watch.ends:
+            self._report_crash(run.started_ms)
         self.poll_due.set()
 
     async def execute_plan(self, plan: Plan) -> None:
@@ -234,11 +243,17 @@
 
     def _record_end(self) -> None:
         """Record that the latest known incarnation of the engine has ended."""
-        if self.state is None or not self.crash_watch.record_end(self.state.started_ms, BOOT_CLOCK.monotonic()):
-            return
-        runs = self.crash_watch.list_runs(self.state.started_ms)
+        if self.state is not None and self.crash_watch.record_end(self.state.started_ms, BOOT_CLOCK.monotonic()):
+            self._report_crash(self.state.started_ms)
+
+    def _report_crash(self, started_ms: int) -> None:
+        """Report the runs that broke off around the end of an incarnation."""
+        runs = self.crash_watch.list_runs(started_ms)
+        if runs:
+            suspect_runs = [make_suspect_run(run) for run in runs]
+            self.on_crash(make_crash(runs[0].target, started_ms, SYSTEM_CLOCK.unix_ms(), suspect_runs))
         logger.bind(
-            started_ms=self.state.started_ms,
+            started_ms=started_ms,
             broken_runs=len(runs),
             begun_last=' '.join(f'{run.label}:{run.wrote_ms}:{"+".join(run.parts)}' for run in runs[:MAX_LOGGED_RUNS]),
         ).warning('engine_ended')
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -9,7 +9,8 @@
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
 from tamarackfield.manager.tickets import Decline, Ticket
 from tamarackfield.manager.engine import EngineController
-from tamarackfield.wire.crash_reports import BrokenRun
+from tamarackfield.policy.quarantine import Crash, Quarantine
+from tamarackfield.wire.crash_reports import BrokenRun, CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
@@ -46,6 +47,8 @@
         self.cached_holdings: Holdings | None = None
         self.report_cache_expires_at = 0.0
         self.server = ConnectionServer(self.serve_entry)
+        self.quarantine = Quarantine()
+        controller.on_crash = self.record_crash
 
     async def listen(self, host: str, port: int) -> None:
         """Listen for connections of entries."""
@@ -58,9 +61,7 @@
         tasks = []
         try:
             await stream.exchange_hellos(self.hello)
-            self.streams.add(stream)
-            self.streams_by_number[stream_number] = stream
-            logger.bind(entry=stream.peer).info('entry_connected')
+            self._add_stream(stream_number, stream)
             tasks = [asyncio.create_task(stream.send_heartbeats()), asyncio.create_task(report_changes(self, stream))]
             while True:
                 self.handle_message(stream_number, await stream.receive())
@@ -85,14 +86,21 @@
                 self.controller.decision_due.set()
             case Paused(_, pause_ms):
                 self._record_pause(pause_ms, now)
-            case BrokenRun():
-                self.controller.record_broken_run(message)
+            case BrokenRun() | CrashReport():
+                self._handle_crash_message(message)
             case Release():
                 admission.release((stream_number, message.request_id), now)
                 self.controller.decision_due.set()
             case _:
                 logger.bind(kind=message.kind).debug('message_ignored')
 
+    def record_crash(self, report: Crash) -> None:
+        """Record what this process or an entry knows of a crash; tell all entries if it is new."""
+        if self.quarantine.record_crash(report, BOOT_CLOCK.monotonic()):
+            message = encode_crash(self.quarantine.crashes[report.key()])
+            for stream in self.streams:
+                _send(stream, message)
+
     async def run_decisions(self) -> None:
         """Decide on queued requests after every change, and at the latest after the decision interval."""
         controller = self.controller
@@ -169,6 +177,12 @@
         await asyncio.gather(*(stream.finish() for stream in self.streams))
         await self.server.close()
 
+    def _handle_crash_message(self, message: BrokenRun | CrashReport) -> None:
+        if isinstance(message, BrokenRun):
+            self.controller.record_broken_run(message)
+        else:
+            self.record_crash(decode_crash(message))
+
     def _seconds_until_next_decision(self) -> float:
         """Return how long to wait for a change before a decision is due by time alone."""
         admission = self.controller.admission
@@ -213,6 +227,14 @@
         ).info('declined')
         _send(self.streams_by_number.get(stream_number), Declined(request_id, decline.code, retry_ms))
 
+    def _add_stream(self, stream_number: int, stream: PeerStream) -> None:
+        self.streams.add(stream)
+        self.streams_by_number[stream_number] = stream
+        # Before any grant, so that the entry knows the culprits when it sends a request.
+        for crash in self.quarantine.crashes.values():
+            _send(stream, encode_crash(crash))
+        logger.bind(entry=stream.peer).info('entry_connected')
+
     def _remove_stream(self, stream_number: int, stream: PeerStream) -> None:
         stream.abort()
         self.streams.discard(stream)
--- a/tamarackfield/platform/tests/test_crashing_prompts.py
+++ b/tamarackfield/platform/tests/test_crashing_prompts.py
@@ -4,8 +4,11 @@
 import itertools
 import random
 
+import pytest
+
 from tamarackfield.core import SYSTEM_CLOCK
-from tamarackfield.testing.platform_site import MODEL_SERVICE, make_config, running_site
+from tamarackfield.testing.platform_site import MODEL_SERVICE, running_site
+from tamarackfield.testing.platform_worker import WorkerFault
 from tamarackfield.web.client import ClientError
 
 #: Time after the fifth crash within which every machine knows of it, in seconds.
@@ -71,15 +74,15 @@
             status = 0
         self.statuses[kind].append((SYSTEM_CLOCK.monotonic(), status))
 
-    async def send_traffic(self, seconds, crashing_interval=0.2, paths=('/draft/x',)):
-        """Send crashing requests at an interval, and five times as many sound ones."""
+    async def send_traffic(self, seconds, crashing_interval=0.2, paths=('/draft/x',), kinds=('sound', 'crashing')):
+        """Send crashing requests at an interval, and five times as many sound ones, or only sound ones."""
         restarting = asyncio.create_task(self.restart_crashed_workers())
         ends_at = SYSTEM_CLOCK.monotonic() + seconds
         running = set()
         for number in itertools.count():
             if SYSTEM_CLOCK.monotonic() > ends_at:
                 break
-            kind = 'sound' if number % 6 else 'crashing'
+            kind = kinds[0] if number % 6 else kinds[-1]
             running.add(asyncio.create_task(self.send(kind, self.rng.choice(paths))))
             await asyncio.sleep(crashing_interval / 6)
         await asyncio.gather(*running)
@@ -103,8 +106,100 @@
 
 
 async def test_prompt_part_that_crashed_five_workers_reaches_no_further_ones(tmp_path):
-    async with running_site(tmp_path, make_config()) as site:
+    async with running_site(tmp_path) as site:
         crashing = CrashingSite(site)
         await crashing.build()
         await crashing.send_traffic(10)
         assert crashing.count_late_runs() <= MAX_LATE_RUNS
+
+
+@pytest.mark.parametrize('crashes_after_head', [True, False])
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+async def test_crashing_part_is_known_everywhere_before_the_fifth_crash(tmp_path, path, crashes_after_head):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=2)
+        await crashing.build(crashes_after_head=crashes_after_head)
+        await crashing.send_traffic(4, paths=(path,))
+        assert len(crashing.list_crashes()) <= 5
+        assert len(crashing.list_crashing_runs()) <= 5 + MAX_LATE_RUNS
+        last_crash = crashing.list_crashes()[-1]
+        assert {status for at, status in crashing.statuses['crashing'] if at > last_crash + 2} == {400}
+        assert 400 not in {status for _, status in crashing.statuses['sound']}
+
+
+async def test_request_in_quarantine_is_refused_at_once_and_not_invited_back(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=3)
+        await crashing.build(entries=1, workers=4)
+        await crashing.send_traffic(3)
+        await asyncio.sleep(1)
+        headers = [('Tamarackfield-Prompt-Prefix', f'a0:20,{CRASHING_PART}:20,own:5'), ('Tamarackfield-Model', 'base')]
+        status, answer_headers, body = await site.call('/draft/x', 'POST', b'prompt', headers)
+        assert status == 400
+        assert body.startswith(b'not_run')
+        assert CRASHING_PART.encode() in body
+        assert 'retry-after' not in answer_headers
+
+
+async def test_restarts_of_all_entries_or_all_sidecars_lose_no_crashing_part(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=4)
+        await crashing.build(workers=4)
+        await crashing.send_traffic(3)
+        runs = len(crashing.list_crashing_runs())
+        for processes in (site.sidecars.values(), site.entries, site.sidecars.values()):
+            await asyncio.gather(*(process.kill() for process in processes))
+            await asyncio.gather(*(process.start() for process in processes))
+            await asyncio.gather(*(process.wait_ready() for process in processes))
+            await asyncio.sleep(1.5)
+            await crashing.send_traffic(1.5)
+        assert len(crashing.list_crashing_runs()) == runs
+        assert {status for _, status in crashing.statuses['sound'][-10:]} == {200}
+
+
+async def test_crashing_part_is_found_without_sidecars(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=5)
+        await crashing.build(entries=1, workers=5)
+        await crashing.send_traffic(1, kinds=('sound',))
+        # Without a sidecar, a worker is used for the adapters that its entry in the store lists.
+        for worker in site.workers.values():
+            site.write_worker_entry(worker)
+        for process in site.sidecars.values():
+            await process.kill()
+        await asyncio.sleep(0.5)
+        await crashing.send_traffic(6)
+        assert 2 <= len(crashing.list_crashes()) < 5
+        assert 'culprits=bad0' in site.entries[0].read_log()
+
+
+async def test_workers_that_crash_for_other_reasons_put_no_part_in_quarantine(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=6)
+        await crashing.build(workers=4)
+        traffic = asyncio.create_task(crashing.send_traffic(8, kinds=('sound',)))
+        for worker in (*site.workers.values(), *site.workers.values()):
+            await asyncio.sleep(0.8)
+            await worker.crash()
+        await traffic
+        assert {400}.isdisjoint(status for _, status in crashing.statuses['sound'])
+        assert 'event=engine_ended' in ''.join(process.read_log() for process in site.sidecars.values())
+
+
+async def test_request_under_which_a_worker_ended_is_not_repeated_while_its_prompt_is_suspected(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=7)
+        await crashing.build(entries=1, workers=3)
+        await crashing.send('crashing', path='/summary/x')
+        assert len(crashing.list_crashing_runs()) == 1
+
+
+async def test_sound_stream_that_breaks_off_early_goes_on_at_another_worker(tmp_path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=8)
+        await crashing.build(entries=1, workers=2)
+        for worker in site.workers.values():
+            worker.fault = WorkerFault('reset_after_run', 1)
+        await crashing.send('sound', path='/summary/x')
+        await crashing.send('sound', path='/summary/x')
+        assert 200 in [status for _, status in crashing.statuses['sound']]
--- /dev/null
+++ b/tamarackfield/policy/quarantine.py
@@ -0,0 +1,388 @@
+"""Quarantine of prompt parts on which engines crash.
+
+Load pattern: requests with one part in their prompts crash each engine that begins to answer them. They come at
+any entry, and share their other parts with sound requests, which run at the same engines when these end. Without
+a quarantine each such request costs an engine, and the streams of all others on it.
+
+A crash makes suspects of the parts of those runs that had written nothing or only for a moment. A part is cleared
+of a crash by a run with it that wrote for longer, at any entry. A part that stays suspect in several crashes, one
+of them under a run that was sent although the part was suspected already, is the culprit; crashes that it explains
+do not count against other parts. While another part may as well be the cause, only requests with both are in
+quarantine: the next ones with one of them decide. Crashes of all engines at the same time give no such run.
+
+Crashes are merged by union, so that processes that have heard of the same crashes and clearances, in any order,
+come to the same culprits.
+"""
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+#: Time in seconds for which a run writes until it has shown that its prompt does not crash the engine. The engines
+#: of the platform end within 0.15 s of the first token.
+PROOF_SECONDS = 0.25
+#: Score of a part in a crash: for a run that had written nothing, and for one that had written for a moment.
+UNWRITTEN_SCORE, BRIEF_SCORE = 3, 2
+#: Score over all crashes from which a part is a culprit: two runs that had written nothing, or three others.
+CULPRIT_SCORE = 6
+#: Seconds before a crash within which a run with a part clears the part of it.
+RECENT_PROOF_SECONDS = 5.0
+#: Seconds for which a crash that no culprit explains is remembered.
+EVIDENCE_SECONDS = 3600.0
+#: Age in seconds from which a culprit is final: clearances of its parts have arrived from all entries by then.
+SETTLED_SECONDS = 1.0
+#: Share of the requests of an entry that a quarantine may refuse, and time in seconds for which it may have seen no
+#: sound run, before single requests are sent as probes: if engines crash on nearly all prompts, the cause need not be
+#: the prompts, and refusing all of them would never show its end.
+MAX_REFUSED_SHARE = 0.5
+MAX_SECONDS_WITHOUT_PROOF = 5.0
+#: Weight of the newest request in the share that is refused.
+REFUSED_SHARE_SMOOTHING = 0.005
+#: Seconds between two probes of one entry: shortest, and longest after further crashes.
+MIN_PROBE_INTERVAL_SECONDS, MAX_PROBE_INTERVAL_SECONDS = 2.0, 600.0
+#: Limits of the crashes, of the proven parts and of the parts with a count that are remembered.
+MAX_CRASHES = 256
+MAX_PROVEN_PARTS = 4096
+MAX_COUNTED_PARTS = 8192
+
+CrashKey = tuple[str, int]
+Parts = frozenset[str]
+_NO_PARTS: Parts = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRun:
+    """Run that broke off when its engine ended.
+
+    Parameters
+    ----------
+    parts : frozenset of str
+        Parts of its prompt that other requests may have as well.
+    has_begun : bool
+        Whether the head of its answer arrived.
+    wrote_seconds : float
+        Time from the first part of the answer's body to the last.
+    suspected : frozenset of str
+        Those of its parts that were suspected when it was sent.
+    """
+
+    parts: Parts
+    has_begun: bool = True
+    wrote_seconds: float = 0.0
+    suspected: Parts = _NO_PARTS
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """End of one incarnation of an engine amid runs.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    started_ms : int
+        Start of the incarnation, in Unix milliseconds.
+    ended_ms : int
+        Its end, in Unix milliseconds of the process that noticed it; for operators only.
+    unwritten, brief : frozenset of str
+        Parts of runs that had written nothing, and of those that had written for less than `PROOF_SECONDS`.
+    suspected : frozenset of str
+        Those parts that were suspected already when their run was sent.
+    cleared : frozenset of str
+        Parts that did not cause it.
+    """
+
+    target: str
+    started_ms: int
+    ended_ms: int = 0
+    unwritten: Parts = _NO_PARTS
+    brief: Parts = _NO_PARTS
+    suspected: Parts = _NO_PARTS
+    cleared: Parts = _NO_PARTS
+
+    def key(self) -> CrashKey:
+        """Return what identifies the crash."""
+        return self.target, self.started_ms
+
+    def suspects(self) -> Parts:
+        """Return the parts that may have caused it."""
+        return (self.unwritten | self.brief) - self.cleared
+
+    def score(self, part: str) -> int:
+        """Return what the crash counts against a part."""
+        if part in self.cleared:
+            return 0
+        if part in self.unwritten:
+            return UNWRITTEN_SCORE
+        return BRIEF_SCORE if part in self.brief else 0
+
+    def merge(self, other: 'Crash') -> 'Crash':
+        """Return what two reports of the crash say together."""
+        return Crash(
+            self.target,
+            self.started_ms,
+            min(self.ended_ms, other.ended_ms) or max(self.ended_ms, other.ended_ms),
+            self.unwritten | other.unwritten,
+            self.brief | other.brief,
+            self.suspected | other.suspected,
+            self.cleared | other.cleared,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Culprit:
+    """Parts on which engines crash; several while it is open which of them is the cause.
+
+    Parameters
+    ----------
+    parts : frozenset of str
+        A request is in quarantine if it has all of them.
+    crashes : tuple of pairs
+        Keys of the crashes that they explain.
+    found_at : float
+        Monotonic seconds at which this process found it.
+    """
+
+    parts: Parts
+    crashes: tuple[CrashKey, ...]
+    found_at: float = 0.0
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether what might clear it would have been heard of."""
+        return now >= self.found_at + SETTLED_SECONDS
+
+    def label(self) -> str:
+        """Return the parts as text."""
+        return '+'.join(sorted(self.parts))
+
+
+def make_crash(target: str, started_ms: int, ended_ms: int, runs: Sequence[SuspectRun]) -> Crash:
+    """Return the report of a crash from the runs that broke off.
+
+    While some run had begun its answer and written nothing, those that had not begun count less: engines begin
+    one answer after another.
+
+    Examples
+    --------
+    >>> runs = [SuspectRun(frozenset('ap')), SuspectRun(frozenset('ab'), wrote_seconds=0.1)]
+    >>> crash = make_crash('t', 1, 0, [*runs, SuspectRun(frozenset('c'), wrote_seconds=2.0)])
+    >>> sorted(crash.unwritten), sorted(crash.brief), sorted(crash.cleared)
+    (['a', 'p'], ['a', 'b'], ['c'])
+    """
+    begun = [run for run in runs if run.has_begun and not run.wrote_seconds]
+    proven = [run for run in runs if run.wrote_seconds >= PROOF_SECONDS]
+    unwritten = begun or [run for run in runs if not run.has_begun]
+    suspects = [run for run in runs if run not in proven]
+    brief = [run for run in suspects if run not in unwritten]
+    return Crash(
+        target,
+        started_ms,
+        ended_ms,
+        unwritten=_union(run.parts for run in unwritten),
+        brief=_union(run.parts for run in brief),
+        suspected=_union(run.suspected for run in suspects),
+        cleared=_union(run.parts for run in proven),
+    )
+
+
+def find_culprits(crashes: Iterable[Crash], request_counts: Counter[str]) -> list[Culprit]:
+    """Return the parts that explain crashes, the one with the highest score first.
+
+    Parameters
+    ----------
+    crashes : iterable of Crash
+        All crashes that are known.
+    request_counts : Counter
+        Number of requests with each part lately. A part that more requests have than another with which it shares
+        crashes needs evidence of its own.
+
+    Examples
+    --------
+    >>> first = Crash('t1', 1, unwritten=frozenset('ap'), cleared=frozenset('a'))
+    >>> second = Crash('t2', 1, unwritten=frozenset('bp'), suspected=frozenset('p'))
+    >>> [sorted(culprit.parts) for culprit in find_culprits([first, second], Counter('ap'))]
+    [['p']]
+    """
+    unexplained = {crash.key(): crash for crash in crashes}
+    culprits = []
+    while True:
+        culprit = _find_culprit(unexplained, request_counts)
+        if culprit is None:
+            return culprits
+        culprits.append(culprit)
+        for key in culprit.crashes:
+            unexplained.pop(key)
+
+
+class Quarantine:
+    """Known crashes, what clears parts of them, and the culprits.
+
+    Attributes
+    ----------
+    crashes : dict
+        Crashes by their keys, the latest last.
+    culprits : list of Culprit
+        Parts whose requests are in quarantine.
+    suspects : frozenset of str
+        Parts that may have caused a crash.
+    """
+
+    def __init__(self) -> None:
+        """Create a quarantine without crashes."""
+        self.crashes: dict[CrashKey, Crash] = {}
+        self.culprits: list[Culprit] = []
+        self.suspects: Parts = _NO_PARTS
+        # Monotonic seconds at which each crash was learnt.
+        self.learnt_at: dict[CrashKey, float] = {}
+        # Monotonic seconds of the latest run that proved each part, the latest last.
+        self.proven_at: OrderedDict[str, float] = OrderedDict()
+        self.request_counts: Counter[str] = Counter()
+
+    def record_request(self, parts: Iterable[str]) -> None:
+        """Count a request with some parts; earlier requests count less and less."""
+        self.request_counts.update(parts)
+        if len(self.request_counts) > MAX_COUNTED_PARTS:
+            halves = {part: count // 2 for part, count in self.request_counts.items() if count > 1}
+            self.request_counts = Counter(halves)
+
+    def record_crash(self, report: Crash, now: float) -> bool:
+        """Merge the report of a crash; return whether it says something new.
+
+        Parameters
+        ----------
+        report : Crash
+            What another process or this one knows of the crash.
+        now : float
+            Monotonic seconds.
+        """
+        known = self.crashes.get(report.key())
+        merged = report if known is None else known.merge(report)
+        if known is None:
+            self.learnt_at[report.key()] = now
+        new_suspects = merged.suspects() if known is None else merged.suspects() - known.suspects()
+        merged = replace(merged, cleared=merged.cleared | self._recently_proven(new_suspects, now))
+        if merged == known:
+            return False
+        self.crashes[report.key()] = merged
+        self._forget_old_crashes(now)
+        self._update(now)
+        return True
+
+    def record_proof(self, parts: Iterable[str], now: float) -> bool:
+        """Record that a run with some parts wrote for `PROOF_SECONDS`; return whether that clears one of them."""
+        proven = frozenset(parts)
+        for part in proven:
+            self.proven_at[part] = now
+            self.proven_at.move_to_end(part)
+        while len(self.proven_at) > MAX_PROVEN_PARTS:
+            self.proven_at.popitem(last=False)
+        if self.suspects.isdisjoint(proven):
+            return False
+        for key, crash in self.crashes.items():
+            self.crashes[key] = replace(crash, cleared=crash.cleared | (crash.suspects() & proven))
+        self._update(now)
+        return True
+
+    def find_culprit(self, parts: Iterable[str]) -> Culprit | None:
+        """Return the culprit because of which a request with some parts is in quarantine, None if it is not."""
+        if not self.culprits:
+            return None
+        present = frozenset(parts)
+        return next((culprit for culprit in self.culprits if culprit.parts <= present), None)
+
+    def _recently_proven(self, parts: Parts, now: float) -> Parts:
+        earliest = now - RECENT_PROOF_SECONDS
+        return frozenset(part for part in parts if self.proven_at.get(part, -math.inf) > earliest)
+
+    def _forget_old_crashes(self, now: float) -> None:
+        """Forget crashes that no culprit explains after a time, and the earliest ones beyond the limit."""
+        explained = {key for culprit in self.culprits for key in culprit.crashes}
+        outdated = [
+            key
+            for key, learnt_at in self.learnt_at.items()
+            if key not in explained and now - learnt_at > EVIDENCE_SECONDS
+        ]
+        excess = len(self.crashes) - len(outdated) - MAX_CRASHES
+        by_use = sorted(self.crashes.keys() - outdated, key=lambda key: (key in explained, self.learnt_at[key]))
+        for key in (*outdated, *by_use[: max(0, excess)]):
+            self.crashes.pop(key)
+            self.learnt_at.pop(key)
+
+    def _update(self, now: float) -> None:
+        found_at = {culprit.parts: culprit.found_at for culprit in self.culprits}
+        self.suspects = _union(crash.suspects() for crash in self.crashes.values())
+        self.culprits = [
+            replace(culprit, found_at=found_at.get(culprit.parts, now))
+            for culprit in find_culprits(self.crashes.values(), self.request_counts)
+        ]
+
+
+class ProbeGate:
+    """Decides which requests in quarantine are sent all the same, while nearly all requests are in quarantine.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic seconds.
+
+    Examples
+    --------
+    >>> gate = ProbeGate(0.0)
+    >>> [second for second in range(160) if gate.admit_probe(float(second))]
+    [138, 141, 146, 155]
+    """
+
+    def __init__(self, now: float) -> None:
+        """Create a gate that has refused nothing."""
+        self.refused_share = 0.0
+        self.proven_at = now
+        self.next_probe_at = 0.0
+        self.interval_seconds = MIN_PROBE_INTERVAL_SECONDS
+
+    def record_proof(self, now: float) -> None:
+        """Record that a run showed that engines work."""
+        self.proven_at = now
+        self.interval_seconds = MIN_PROBE_INTERVAL_SECONDS
+
+    def record_sent(self) -> None:
+        """Record a request that is not in quarantine."""
+        self.refused_share -= REFUSED_SHARE_SMOOTHING * self.refused_share
+
+    def admit_probe(self, now: float) -> bool:
+        """Record a request in quarantine; return whether it is sent as a probe."""
+        self.refused_share += REFUSED_SHARE_SMOOTHING * (1 - self.refused_share)
+        due_at = max(self.next_probe_at, self.proven_at + MAX_SECONDS_WITHOUT_PROOF)
+        if self.refused_share <= MAX_REFUSED_SHARE or now <= due_at:
+            return False
+        self.next_probe_at = now + self.interval_seconds
+        self.interval_seconds = min(2 * self.interval_seconds, MAX_PROBE_INTERVAL_SECONDS)
+        return True
+
+
+def _find_culprit(crashes: dict[CrashKey, Crash], request_counts: Counter[str]) -> Culprit | None:
+    scores: Counter[str] = Counter()
+    for crash in crashes.values():
+        scores.update({part: crash.score(part) for part in crash.suspects()})
+    repeated = _union(crash.suspected & crash.suspects() for crash in crashes.values())
+    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE]
+    if not eligible:
+        return None
+    best = max(eligible, key=lambda part: (scores[part], -request_counts[part], part))
+    keys = tuple(key for key, crash in crashes.items() if best in crash.suspects())
+    rivals = [
+        part
+        for part in eligible
+        if _score_without(crashes, best, part) < CULPRIT_SCORE
+        and not (scores[part] < scores[best] and request_counts[part] >= request_counts[best])
+    ]
+    return Culprit(frozenset((best, *rivals)), keys)
+
+
+def _score_without(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
+    """Return the score of a part in the crashes of which another one is not a suspect."""
+    return sum(crash.score(part) for crash in crashes.values() if other not in crash.suspects())
+
+
+def _union(sets: Iterable[Parts]) -> Parts:
+    return frozenset().union(*sets)
--- a/tamarackfield/wire/crash_reports.py
+++ b/tamarackfield/wire/crash_reports.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.policy.quarantine import Crash, SuspectRun
 from tamarackfield.wire.codec import register_message_types
 from tamarackfield.wire.messages import Message
 
@@ -12,7 +14,8 @@
 
     ``target`` and ``started_ms`` identify the incarnation that ran it, ``label`` is the caller's request id.
     ``has_begun`` is whether the head of the answer arrived, ``wrote_ms`` the time from the first part of its body
-    to the last. ``parts`` are the ids of the parts of its prompt that other requests may have as well.
+    to the last. ``parts`` are the ids of the parts of its prompt that other requests may have as well, ``suspected``
+    those that had been suspected of a crash when it was sent.
     """
 
     kind = 70
@@ -22,9 +25,45 @@
     has_begun: bool
     wrote_ms: int
     parts: list[str]
+    suspected: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport(Message):
+    """The end of an engine amid runs, as far as the sender knows it (`tamarackfield.policy.quarantine.Crash`).
+
+    The lists have the ids of parts of prompts.
+    """
+
+    kind = 71
+    target: str
+    started_ms: int
+    ended_ms: int
+    unwritten: list[str]
+    brief: list[str]
+    suspected: list[str]
+    cleared: list[str]
+
+
+def encode_crash(crash: Crash) -> CrashReport:
+    """Return the message that reports a crash."""
+    lists = [sorted(parts) for parts in (crash.unwritten, crash.brief, crash.suspected, crash.cleared)]
+    return CrashReport(crash.target, crash.started_ms, crash.ended_ms, *lists)
+
+
+def decode_crash(report: CrashReport) -> Crash:
+    """Return the crash that a message reports."""
+    lists = (report.unwritten, report.brief, report.suspected, report.cleared)
+    return Crash(report.target, report.started_ms, report.ended_ms, *map(frozenset, lists))
+
+
+def make_suspect_run(run: BrokenRun) -> SuspectRun:
+    """Return what a broken run says of the parts of its prompt."""
+    wrote_seconds = run.wrote_ms / MS_PER_SECOND
+    return SuspectRun(frozenset(run.parts), run.has_begun, wrote_seconds, frozenset(run.suspected))
 
 
 #: Message types of this module by kind.
-CRASH_REPORT_TYPES = {message_type.kind: message_type for message_type in (BrokenRun,)}
+CRASH_REPORT_TYPES = {message_type.kind: message_type for message_type in (BrokenRun, CrashReport)}
 
 register_message_types(CRASH_REPORT_TYPES)
