A planned stop answers the requests that have just arrived

Cause: `HttpServer.shutdown` cancelled the task of each connection that was not busy. A connection counts as busy once its task has seen the first byte, so a request whose bytes were in the buffer of the kernel or of the stream was thrown away; and a new connection found `draining` set and ended before it read.

Ruled out: the load balancer (it had stopped sending 2.6 s before; open connections are the callers' own). Why this works: after the end of listening there are 0.25 s in which a request that arrives is read and answered with `Connection: close`; only connections without one are closed then. A stop without requests takes 0.25 s longer.

Left: connections that the kernel establishes between the last pass of the event loop and the end of listening are reset, as before; their requests were not read.

--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -20,6 +20,8 @@
 
 #: Limit on connections that wait to be accepted; a burst of callers connects at once.
 LISTEN_BACKLOG = 512
+#: Time after the end of listening in which a request that was on its way arrives and is still answered.
+LAST_REQUEST_SECONDS = 0.25
 #: Time that a caller has to read a refusal before its connection is closed.
 LINGER_SECONDS = 1.0
 
@@ -48,8 +50,6 @@
         Whether each connection closes after its next answer until the process ends.
     shedding : bool
         Whether each connection closes after its next answer while load is shed.
-    draining : bool
-        Whether the server accepts no further request.
     idle, busy : set
         Tasks of the connections without and with a request in progress.
     """
@@ -74,7 +74,6 @@
         self.idle: set[asyncio.Task[None]] = set()
         self.keep_alive_disabled = False
         self.shedding = False
-        self.draining = False
         self.port = 0
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
@@ -86,10 +85,12 @@
         self.keep_alive_disabled = True
 
     async def shutdown(self) -> None:
-        """Stop listening, close idle connections and wait for the requests in progress."""
+        """Stop listening, answer the requests that have arrived or are on their way, and close all connections."""
         self.disable_keep_alive()
-        self.draining = True
+        # One pass of the event loop accepts the connections that the kernel has already established.
+        await asyncio.sleep(0)
         self.server.stop_listening()
+        await asyncio.sleep(LAST_REQUEST_SECONDS)
         for task in list(self.idle):
             task.cancel()
         while self.busy:
@@ -98,7 +99,6 @@
 
     async def close(self) -> None:
         """Stop listening, close all connections immediately and wait until their tasks have ended."""
-        self.draining = True
         await self.server.close()
 
     async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -150,7 +150,7 @@
 
     async def serve(self) -> None:
         """Answer requests until the connection or the server closes."""
-        while not self.server.draining and await self.request_reader.wait_for_first_byte():
+        while await self.request_reader.wait_for_first_byte():
             self.server.mark_busy(busy=True)
             try:
                 may_continue = await self._answer_request()
