A second copy of an answer is not taken for the answer to the next attempt or order

What callers saw: a call that a worker had refused once was sent to it again on the same connection; a late second copy of the refusal has the id of the call, so the entry told the caller 503 "not run" while the call ran (test: status 503, one run). A sidecar took the second copy of a report, status 200, for the acceptance of an order that the worker refused with 409.

Cause: answers are matched by the id of the request, and a repeat has the id of the first attempt; reports and orders had no id at all.

Ruled out: other callers' answers, whose ids differ (test with six calls on one connection holds before), and copies that arrive while a connection is idle, which close it (held before). Where they could not be told apart now they can: a connection on which a call was sent is not used for its next attempt, and reports and orders carry an id; an answer that names another one is skipped. There the next reading corrects what a copy made a sidecar believe, and the connection is closed, as bytes are left on it (test, holds before).

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -160,7 +160,7 @@
             return refusal
 
         try:
-            refusal = await exchange.send(options, max_idle_seconds, authorize_send)
+            refusal = await exchange.send(options, max_idle_seconds, authorize_send, call_state.used_connections)
             if refusal:
                 return NotRun(refusal, sent=False)
             return await self._receive(call_state, exchange, reservation, responder)
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -6,6 +6,7 @@
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import Answered
 from tamarackfield.gateway.model import Call, Route
+from tamarackfield.web.connection import TargetConnection
 
 
 #: Number of times that sidecars may leave one call to other targets; its next reservation waits for its turn.
@@ -68,6 +69,8 @@
         Bytes after the last complete event of the latest stream.
     suspected_parts : frozenset of str
         Parts of the prompt that were suspected of a crash when the call was last sent.
+    used_connections : list of TargetConnection
+        Connections on which the call was sent.
     broke_off_unproven : bool
         Whether the last run broke off before it had shown that its prompt does not crash its target.
     is_probe : bool
@@ -100,6 +103,7 @@
     answer_end: str = ''
     partial_event_bytes: int = 0
     suspected_parts: frozenset[str] = frozenset()
+    used_connections: list[TargetConnection] = field(default_factory=list)
     broke_off_unproven: bool = False
     is_probe: bool = False
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -124,9 +124,18 @@
         self.first_part_at = 0.0
         self.last_part_at = 0.0
 
-    async def send(self, options: CallOptions, max_idle_seconds: float, authorize_send: Callable[[], str]) -> str:
+    async def send(
+        self,
+        options: CallOptions,
+        max_idle_seconds: float,
+        authorize_send: Callable[[], str],
+        used_connections: list[TargetConnection],
+    ) -> str:
         """Send the call once a connection is open, unless ``authorize_send`` returns why it may not be sent.
 
+        A connection on which the call was sent before is not used again: a second copy of the earlier answer has the
+        id of the call and would be taken for the answer to this attempt.
+
         Returns
         -------
         str
@@ -137,7 +146,7 @@
         ClientError
             If no connection can be opened; its ``sent`` is False.
         """
-        connection = await self.pool.acquire(self.target.record.address, max_idle_seconds)
+        connection = await self.pool.acquire(self.target.record.address, max_idle_seconds, used_connections)
         self.connection = connection
         refusal = authorize_send()
         if refusal:
@@ -148,6 +157,7 @@
         request = h11.Request(method=call.method, target=call.target, headers=headers)
         self.sent_at = BOOT_CLOCK.monotonic()
         connection.send(request, call.body)
+        used_connections.append(connection)
         return ''
 
     async def read_head(self) -> AnswerHead:
--- a/tamarackfield/gateway/tests/test_attempts.py
+++ b/tamarackfield/gateway/tests/test_attempts.py
@@ -18,7 +18,7 @@
 class UnreachablePool:
     """Connection pool that cannot open a connection."""
 
-    async def acquire(self, address, max_idle_seconds):
+    async def acquire(self, address, max_idle_seconds, avoided):
         """Fail to connect."""
         raise ClientError('cannot connect', 'connect', str(address), sent=False)
 
@@ -38,7 +38,7 @@
 class IdlePool:
     """Connection pool whose connections only record that they were closed."""
 
-    async def acquire(self, address, max_idle_seconds):
+    async def acquire(self, address, max_idle_seconds, avoided):
         """Return a connection."""
         return SimpleNamespace(busy=False, fail=lambda reason: None)
 
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -18,8 +18,6 @@
 )
 from tamarackfield.web import HttpRequest
 
-#: Header with the id of one attempt of a caller, in requests and in answers.
-REQUEST_ID_HEADER = 'Tamarackfield-Request-Id'
 _REQUEST_ID_LOWER = b'tamarackfield-request-id'
 _DEADLINE_HEADER = 'tamarackfield-deadline-ms'
 _MODEL_HEADER = 'tamarackfield-model'
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -16,7 +16,13 @@
     OrderResult,
     OrderTerms,
 )
-from tamarackfield.platform.headers import LEAVING_HEADER, LEAVING_VALUE, RETRY_AFTER_HEADER, parse_retry_after
+from tamarackfield.platform.headers import (
+    LEAVING_HEADER,
+    LEAVING_VALUE,
+    REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
+    parse_retry_after,
+)
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.client import ClientError
@@ -65,7 +71,7 @@
             If the worker wants no request now.
         """
         try:
-            answer = await call_json(self.pool, self.address, 'GET', '/v1/report', timeout_seconds=CALL_TIMEOUT_SECONDS)
+            answer = await self._call('GET', '/v1/report')
         except ClientError as exc:
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 raise EngineEndedError(exc.message, exc.step, exc.peer) from exc
@@ -91,15 +97,27 @@
         headers = (('Tamarackfield-Expect-Instance', terms.target),)
         document = encode_order(order, terms, self.holder)
         try:
-            answer = await call_json(
-                self.pool, self.address, 'POST', '/v1/order', document, headers, timeout_seconds=CALL_TIMEOUT_SECONDS
-            )
+            answer = await self._call('POST', '/v1/order', document, headers)
         except TamarackfieldError as exc:
             logger.bind(step=exc.step, error=exc.message).warning('order_not_answered')
             return OrderResult.UNKNOWN
         self._require_no_pause(answer)
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
+    async def _call(
+        self, method: str, path: str, document: Any = None, headers: tuple[tuple[str, str], ...] = ()
+    ) -> JsonAnswer:
+        return await call_json(
+            self.pool,
+            self.address,
+            method,
+            path,
+            document,
+            headers,
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+            id_header=REQUEST_ID_HEADER,
+        )
+
     def _require_no_pause(self, answer: JsonAnswer) -> None:
         """Raise `EnginePausedError` if a 503 says for how long the worker wants no request."""
         text = answer.headers.get(RETRY_AFTER_HEADER, '')
--- a/tamarackfield/platform/entry.py
+++ b/tamarackfield/platform/entry.py
@@ -9,7 +9,8 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.app import Gateway, PlatformInterface
 from tamarackfield.gateway.settings import GatewaySettings
-from tamarackfield.platform.calls import REQUEST_ID_HEADER, WorkerDialect, read_call
+from tamarackfield.platform.calls import WorkerDialect, read_call
+from tamarackfield.platform.headers import REQUEST_ID_HEADER
 from tamarackfield.platform.items import STORE_PREFIX, decode_item
 from tamarackfield.platform.settings import METRICS_PORT, SettingsReader, require_string
 from tamarackfield.platform.store import PlatformStore
--- a/tamarackfield/platform/headers.py
+++ b/tamarackfield/platform/headers.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+#: Header with the id of one attempt of a caller, or of a call of the system, in requests and in answers.
+REQUEST_ID_HEADER = 'Tamarackfield-Request-Id'
 #: Header with which a worker says in all its answers that it leaves, in lower case, and its value.
 LEAVING_HEADER = 'server-leaving'
 LEAVING_VALUE = '1'
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -15,6 +15,7 @@
 from tamarackfield.testing.worker_answers import (
     CUTTING_FAULTS,
     PARTIAL_EVENT,
+    AnswerCopier,
     SIGNATURE,
     chunk_encoder,
     echo_request_id,
@@ -113,6 +114,10 @@
         Parts of prompts on which it crashes when it begins to write an answer.
     crashes_after_head : bool
         Whether the head of such an answer is sent before the crash.
+    sends_second_copies : bool
+        Whether it sends each answer once more where the next answer on its connection is expected.
+    names_calls : bool
+        Whether answers to calls of the system name the call, as those to requests of callers do.
     crashed_at : list of float
         Monotonic seconds of its crashes.
     """
@@ -121,6 +126,8 @@
     retry_after = '1'
     crashing_parts: frozenset[str] = frozenset()
     crashes_after_head = True
+    sends_second_copies = False
+    names_calls = True
 
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
@@ -214,12 +221,15 @@
         """Serve requests on one connection."""
         self.writers.add(writer)
         protocol = h11.Connection(h11.SERVER)
+        copier = AnswerCopier(writer)
         try:
             while True:
                 request = await read_request(protocol, reader)
                 if request is None:
                     return
-                await self._answer_request(protocol, writer, *request)
+                if self.sends_second_copies:
+                    copier.send_second_copy()
+                await self._answer_request(protocol, copier, *request)
                 if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
                     return
                 protocol.start_next_cycle()
@@ -234,16 +244,19 @@
     ) -> None:
         headers = {name.decode(): text.decode() for name, text in head.headers}
         target = head.target.decode()
+        request_id = headers.get('tamarackfield-request-id', '')
+        named = request_id if self.names_calls else ''
+        header_lines = [*(echo_request_id(named) if named else []), *self.leaving_header()]
         if target == '/v1/report':
-            await send_response(protocol, writer, 200, self.make_report(), self.leaving_header())
+            await send_response(protocol, writer, 200, self.make_report(), header_lines)
         elif target == '/v1/order':
             status = self.execute_order(headers, json.loads(body))
-            await send_response(protocol, writer, status, {}, self.leaving_header())
+            await send_response(protocol, writer, status, {}, header_lines)
         else:
             await self._serve_run(
                 protocol,
                 writer,
-                Run(headers.get('tamarackfield-request-id', ''), head.method.decode(), target, headers, body),
+                Run(request_id, head.method.decode(), target, headers, body),
             )
 
     def leaving_header(self) -> list[tuple[str, str]]:
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -17,6 +17,35 @@
 SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
 
 
+class AnswerCopier:
+    """Sending side of a connection that keeps a copy of its last answer.
+
+    Parameters
+    ----------
+    writer : asyncio.StreamWriter
+        Sending side of the connection.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        """Create a copier without an answer."""
+        self.writer = writer
+        self.answer = b''
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the writer."""
+        return getattr(self.writer, name)
+
+    def write(self, part: bytes) -> None:
+        """Send a part of an answer."""
+        self.answer += part
+        self.writer.write(part)
+
+    def send_second_copy(self) -> None:
+        """Send the last answer again."""
+        self.writer.write(self.answer)
+        self.answer = b''
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     _reset_on_close(writer)
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import secrets
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -17,6 +18,8 @@
 MAX_ANSWER_BYTES = 8_388_608
 #: Limit on the idle time of a reused connection.
 MAX_IDLE_SECONDS = 5.0
+#: Size of the random ids of requests.
+REQUEST_ID_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +42,7 @@
     document: Any = None,
     headers: tuple[tuple[str, str], ...] = (),
     timeout_seconds: float = 1.0,
+    id_header: str = '',
 ) -> JsonAnswer:
     """Send one request and decode the JSON answer.
 
@@ -56,6 +60,9 @@
         Further headers besides Host, Content-Length and Content-Type.
     timeout_seconds : float
         Time limit of the whole exchange.
+    id_header : str
+        Header with which the server says in an answer to which request it belongs; empty if it does not. An answer
+        to another request is skipped.
 
     Returns
     -------
@@ -72,10 +79,13 @@
     header_lines = [('Host', peer), ('Content-Length', str(len(body))), *headers]
     if body:
         header_lines.append(('Content-Type', 'application/json'))
+    request_id = secrets.token_hex(REQUEST_ID_BYTES)
+    if id_header:
+        header_lines.append((id_header, request_id))
     request = h11.Request(method=method, target=path, headers=header_lines)
     try:
         async with asyncio.timeout(timeout_seconds):
-            head, answer = await _exchange(pool, address, request, body)
+            head, answer = await _exchange(pool, address, request, body, (id_header, request_id))
     except TimeoutError:
         raise ClientError(f'no answer within {timeout_seconds} s', 'call', peer, sent=True) from None
     answer_headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
@@ -90,17 +100,29 @@
 
 
 async def _exchange(
-    pool: ConnectionPool, address: Address, request: h11.Request, body: bytes
+    pool: ConnectionPool, address: Address, request: h11.Request, body: bytes, identity: tuple[str, str]
 ) -> tuple[h11.Response, bytes]:
     connection = await pool.acquire(address, MAX_IDLE_SECONDS)
     try:
         connection.send(request, body)
-        head = await connection.receive()
-        return head, await _read_body(connection)
+        while True:
+            head = await connection.receive()
+            answer = await _read_body(connection)
+            if _answers(head, *identity):
+                return head, answer
+            connection.skip_answer()
     finally:
         pool.release(address, connection)
 
 
+def _answers(head: h11.Response, id_header: str, request_id: str) -> bool:
+    """Return whether an answer may belong to a request: it names it, or names none."""
+    if not id_header:
+        return True
+    named = dict(head.headers).get(id_header.lower().encode(), b'')
+    return named in {b'', request_id.encode()}
+
+
 async def _read_body(connection: TargetConnection) -> bytes:
     body = bytearray()
     event = await connection.receive()
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Collection
 
 from loguru import logger
 
@@ -44,7 +45,9 @@
         self.opened = 0
         self.reused = 0
 
-    async def acquire(self, address: Address, max_idle_seconds: float) -> TargetConnection:
+    async def acquire(
+        self, address: Address, max_idle_seconds: float, avoided: Collection[TargetConnection] = ()
+    ) -> TargetConnection:
         """Return an idle connection, or open a new one.
 
         Parameters
@@ -53,6 +56,8 @@
             IP number and port.
         max_idle_seconds : float
             Limit on the idle time of a reused connection.
+        avoided : collection of TargetConnection
+            Connections that are not returned.
 
         Returns
         -------
@@ -64,7 +69,7 @@
         ClientError
             If no connection can be opened; nothing was sent.
         """
-        connection = self._pop_idle(address, max_idle_seconds)
+        connection = self._pop_idle(address, max_idle_seconds, avoided)
         if connection is not None:
             self.reused += 1
             return connection
@@ -126,7 +131,20 @@
                 connection.fail('pool is closed')
         self.idle.clear()
 
-    def _pop_idle(self, address: Address, max_idle_seconds: float) -> TargetConnection | None:
+    def _pop_idle(
+        self, address: Address, max_idle_seconds: float, avoided: Collection[TargetConnection]
+    ) -> TargetConnection | None:
+        idle_connections = self.idle.get(address)
+        if idle_connections is None:
+            return None
+        kept = [connection for connection in idle_connections if connection in avoided]
+        for avoided_connection in kept:
+            idle_connections.remove(avoided_connection)
+        connection = self._pop_usable(address, max_idle_seconds)
+        idle_connections.extendleft(kept)
+        return connection
+
+    def _pop_usable(self, address: Address, max_idle_seconds: float) -> TargetConnection | None:
         idle_connections = self.idle.get(address, ())
         now = BOOT_CLOCK.monotonic()
         idle_limit = self.idle_limits.get(address)
