Slow answers are given up only where another target can go on; drops of bytes are no progress

What callers saw, each in a test that failed: a stream with 1.6 s between its events on a route that may be resumed was cut, and a slow plain answer ended 502, though no other target could take them; a stream that sent one byte of an event now and then was never resumed and broke off at its deadline.

Cause: silence was the time since the last byte, and ended the attempt before it was known whether a further one could be made. Why this works: silence is the time since the last complete event (or 1 KiB of a large one); when it is over, the attempt ends only if the retry budget, the quarantine and another usable target allow a further one. Otherwise the entry waits on, up to the deadline that bounds every call.

Ruled out: streams that may not be resumed are not cut for silence at all (held before); callers that send or read a byte now and then are bounded by the deadline of the request and by the time-out of the route (held before).

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK
+from tamarackfield.core import BOOT_CLOCK, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Target
@@ -22,9 +22,10 @@
     NotRun,
     classify_answer,
 )
-from tamarackfield.gateway.fleet import Fleet
+from tamarackfield.gateway.fleet import Fleet, make_placement
 from tamarackfield.gateway.links import Reservation, ReservationRequest
-from tamarackfield.gateway.relay import relay_stream
+from tamarackfield.gateway.model import AnswerHead
+from tamarackfield.gateway.relay import Incoming, relay_stream
 from tamarackfield.policy.service_routing import update_service_time
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web import Responder
@@ -172,6 +173,16 @@
         finally:
             call_state.record_answer_end(exchange.framing or '', exchange.describe_end())
 
+    def _can_repeat(self, call_state: CallState, target: Target) -> bool:
+        """Return whether a further attempt of a call is allowed and a target other than this one could take it."""
+        if not self.budget_for(call_state.service).can_spend(BOOT_CLOCK.monotonic()):
+            return False
+        if self.fleet.quarantine.explain_refusal(call_state):
+            return False
+        placement = make_placement(call_state)
+        other = self.fleet.choose_target(placement, lambda other: other is not target and call_state.allows(other))
+        return other is not None
+
     def _explain_refusal(self, call_state: CallState, target: Target) -> str:
         """Return why a call may not be sent to a target now, empty if it may."""
         now = BOOT_CLOCK.monotonic()
@@ -193,23 +204,41 @@
     async def _receive(
         self, call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
     ) -> AttemptResult:
-        try:
-            async with asyncio.timeout(_silence_timeout(call_state)):
-                head = await exchange.read_head()
-        except TimeoutError:
+        target = exchange.target
+
+        def may_move() -> bool:
+            """Return whether another target could take the call now."""
+            return self._can_repeat(call_state, target)
+
+        head = await _read_head(exchange, _silence_timeout(call_state), may_move)
+        if head is None:
             return MaybeRan('target is silent')
         reservation.report_started()
-        target = exchange.target
         if head.answered_by not in {'', target.record.name}:
             target.address_reassigned = True
             logger.bind(target=target.record.name, answered_by=head.answered_by).warning('address_has_another_target')
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
-            return await relay_stream(call_state, exchange, reservation, head, responder)
+            return await relay_stream(call_state, Incoming(exchange, head, reservation, may_move), responder)
         return classify_answer(head, await exchange.read_body())
 
 
+async def _read_head(
+    exchange: Exchange, silence_timeout_seconds: float | None, may_move: Callable[[], bool]
+) -> AnswerHead | None:
+    """Return the head of an answer, None if the target is silent for too long while another one could take the call."""
+    reading = asyncio.ensure_future(exchange.read_head())
+    try:
+        while not reading.done():
+            await asyncio.wait((reading,), timeout=silence_timeout_seconds)
+            if not reading.done() and may_move():
+                return None
+        return reading.result()
+    finally:
+        await cancel_and_wait((reading,))
+
+
 def record_target_result(target: Target, succeeded: bool) -> None:
     """Record the result of an attempt in the health of its target."""
     if target.health.record_result(succeeded, BOOT_CLOCK.monotonic()):
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -18,7 +18,7 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import Answered, AttemptResult, MaybeRan, NotRun, Streamed
-from tamarackfield.gateway.fleet import Fleet, PlacementRequest
+from tamarackfield.gateway.fleet import Fleet, make_placement
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web import CallerDisconnectedError, Responder
 
@@ -118,8 +118,7 @@
         if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
             call_state.notes.append('retry budget is spent')
             return None
-        call = call_state.call
-        placement = PlacementRequest(call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens)
+        placement = make_placement(call_state)
         target = self.fleet.choose_target(placement, call_state.allows)
         if target is None and call_state.redirected_from and call_state.may_be_redirected():
             call_state.stop_redirects()
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -7,6 +7,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, Address, Application
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
+from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.quarantine import PromptQuarantine
@@ -57,6 +58,12 @@
     prompt_tokens: int = 0
 
 
+def make_placement(call_state: CallState) -> PlacementRequest:
+    """Return the request for the choice of a target for a call."""
+    call = call_state.call
+    return PlacementRequest(call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens)
+
+
 class Candidates:
     """Candidate targets of one choice, in the form that the routing policy reads."""
 
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 
 from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.call_state import CallState
@@ -17,25 +18,43 @@
 from tamarackfield.web import Responder
 from tamarackfield.web.connection import BodyFraming
 
-#: Seconds of silence within a stream after which it is resumed at another target, if that is allowed.
+#: Seconds without a complete event after which a stream is resumed at another target, if that is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
+#: Bytes of an incomplete event that count like an event: a large one may arrive slowly.
+PROGRESS_BYTES = 1024
 
 
-async def relay_stream(
-    call_state: CallState, exchange: Exchange, reservation: Reservation, head: AnswerHead, responder: Responder
-) -> AttemptResult:
-    """Relay a stream to the caller.
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """Stream of a target.
 
     Parameters
     ----------
-    call_state : CallState
-        State of the call, updated as events are relayed.
     exchange : Exchange
         Exchange whose head was read.
-    reservation : Reservation
-        Reservation of the call in the batch of the target.
     head : AnswerHead
         Head of the answer, sent to the caller unless an earlier one was.
+    reservation : Reservation
+        Reservation of the call in the batch of the target.
+    may_move : callable
+        Returns whether another target could go on with the stream now.
+    """
+
+    exchange: Exchange
+    head: AnswerHead
+    reservation: Reservation
+    may_move: Callable[[], bool]
+
+
+async def relay_stream(call_state: CallState, incoming: Incoming, responder: Responder) -> AttemptResult:
+    """Relay a stream to the caller.
+
+    Parameters
+    ----------
+    call_state : CallState
+        State of the call, updated as events are relayed.
+    incoming : Incoming
+        Stream of the target.
     responder : Responder
         Response channel to the caller.
 
@@ -51,26 +70,64 @@
     """
     if not call_state.head_sent:
         call_state.head_sent = True
-        await responder.send_head(head.status, head.headers)
+        await responder.send_head(incoming.head.status, incoming.head.headers)
     splitter = EventSplitter()
-    try:
-        async for chunk in _read_chunks(exchange, reservation, _silence_timeout(call_state)):
-            events = splitter.feed(chunk)
-            call_state.partial_event_bytes = len(splitter.buffered)
-            await _send_events(call_state, events, responder)
-            if splitter.exceeds_limit():
-                return MaybeRan('event is too large')
-    except TimeoutError:
+    silence = _Silence(_silence_timeout(call_state))
+    async for chunk in _read_chunks(incoming, silence):
+        events = splitter.feed(chunk)
+        silence.record_progress(len(chunk), bool(events))
+        call_state.partial_event_bytes = len(splitter.buffered)
+        await _send_events(call_state, events, responder)
+        if splitter.exceeds_limit():
+            return MaybeRan('event is too large')
+    if silence.gave_up:
         return MaybeRan('stream is silent')
     if splitter.is_inside_event():
         return MaybeRan('stream ended inside an event')
-    if exchange.framing is BodyFraming.CLOSE and not (call_state.has_events() or responder.head_only):
+    if incoming.exchange.framing is BodyFraming.CLOSE and not (call_state.has_events() or responder.head_only):
         return MaybeRan('connection was closed before the first event')
     await responder.send_body(splitter.buffered)
     await responder.finish()
     return Streamed()
 
 
+class _Silence:
+    """Time since the last progress of a stream.
+
+    Parameters
+    ----------
+    timeout_seconds : float or None
+        Time without progress after which the stream may be resumed elsewhere; None if it cannot be.
+
+    Attributes
+    ----------
+    ends_at : float or None
+        Time of the event loop at which that time is over.
+    gave_up : bool
+        Whether the stream was given up.
+    """
+
+    def __init__(self, timeout_seconds: float | None) -> None:
+        """Start to wait for progress."""
+        self.timeout_seconds = timeout_seconds
+        self.incomplete_bytes = 0
+        self.gave_up = False
+        self.ends_at: float | None = None
+        self.restart()
+
+    def restart(self) -> None:
+        """Wait once more for the whole time."""
+        if self.timeout_seconds is not None:
+            self.ends_at = asyncio.get_running_loop().time() + self.timeout_seconds
+        self.incomplete_bytes = 0
+
+    def record_progress(self, byte_count: int, has_events: bool) -> None:
+        """Record bytes of the stream, and whether they completed an event."""
+        self.incomplete_bytes += byte_count
+        if has_events or self.incomplete_bytes >= PROGRESS_BYTES:
+            self.restart()
+
+
 def _silence_timeout(call_state: CallState) -> float | None:
     """Return the seconds of silence after which a stream is resumed at another target, None if it cannot be."""
     if not call_state.route.resumable or len(call_state.sent_to) >= call_state.route.max_targets:
@@ -78,17 +135,22 @@
     return STREAM_SILENCE_TIMEOUT_SECONDS
 
 
-async def _read_chunks(
-    exchange: Exchange, reservation: Reservation, silence_timeout_seconds: float | None
-) -> AsyncIterator[bytes]:
-    """Yield the chunks of a body and report the waits between them; raise `TimeoutError` after a silence."""
+async def _read_chunks(incoming: Incoming, silence: _Silence) -> AsyncIterator[bytes]:
+    """Yield the chunks of a body and report the waits between them; give up after a silence if the stream may move."""
     waiting_since = math.inf
     while True:
-        async with asyncio.timeout(silence_timeout_seconds):
-            chunk = await exchange.next_chunk()
+        try:
+            async with asyncio.timeout_at(silence.ends_at):
+                chunk = await incoming.exchange.next_chunk()
+        except TimeoutError:
+            silence.gave_up = incoming.may_move()
+            if silence.gave_up:
+                return
+            silence.restart()
+            continue
         if not chunk:
             return
-        reservation.report_wait(BOOT_CLOCK.monotonic() - waiting_since)
+        incoming.reservation.report_wait(BOOT_CLOCK.monotonic() - waiting_since)
         yield chunk
         waiting_since = BOOT_CLOCK.monotonic()
 
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -25,6 +25,7 @@
     end_stream,
     read_request,
     reset_connection,
+    send_drops,
     send_endless_bytes,
     send_response,
 )
@@ -77,7 +78,8 @@
     kind : str
         Fault: empty, or ``errors``, ``shed``, ``pause``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
         ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``, ``endless_head``,
-        ``endless_body``. An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
+        ``endless_body``, ``drip``.
+        An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
         before the answer is complete.
     remaining_requests : int
         Number of further requests with the fault.
@@ -426,6 +428,8 @@
             writer.write(encode(f'id: {number}\ndata: event {number}\n\n'.encode()))
             await writer.drain()
             await asyncio.sleep(self.event_interval_seconds)
+            if fault == 'drip':
+                await send_drops(writer, encode)
             if number == self.cut_after_event:
                 writer.write(encode(PARTIAL_EVENT))
                 await writer.drain()
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -12,6 +12,7 @@
 #: Faults that close a connection in order before its answer is complete.
 CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
 _ENDLESS_PART = 65_536 * b'x'
+_DROP_SECONDS = 0.2
 #: Beginning of an event after which a stream breaks off.
 PARTIAL_EVENT = b'id: 99\ndata: ha'
 SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
@@ -70,6 +71,14 @@
         await writer.drain()
 
 
+async def send_drops(writer: asyncio.StreamWriter, encode: Callable[[bytes], bytes]) -> None:
+    """Send a byte of an event now and then, until the peer closes the connection, which raises `ConnectionError`."""
+    while True:
+        writer.write(encode(b':'))
+        await writer.drain()
+        await asyncio.sleep(_DROP_SECONDS)
+
+
 def echo_request_id(request_id: str) -> list[tuple[str, str]]:
     """Return the header lines that say which request is answered."""
     return [('Tamarackfield-Request-Id', request_id)]
