An entry that restarts learns from its peers what the store may not know

What callers saw: an entry that restarted after the store had come back from an older copy answered 404 on a route of the configuration in force, and used a worker whose leaving had been acknowledged (12 of 12 requests in the test); one that restarted used a worker that had told another entry that it leaves.

Cause: what stays in force over a return of the store, and what workers say in answers, lived in the memory of each process; a process that starts had the copy alone, and asked its peers only while the store did not answer. Class: a fact that is kept in one process dies with it. Ruled out: sidecars, which read their engine anew.

An entry that starts asks its seeds once for departed and leaving targets, the configuration in force and the announced versions. Configurations and versions only rise, a departure holds for the incarnations that it names, so an answer that is old or comes late reverts nothing. The three tests fail without the application of the answer.

Entries must be upgraded together.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -205,7 +205,7 @@
             self.followers,
             self.hello,
             lambda: list(self.settings.seeds),
-            self.configuration.kept_items,
+            self.configuration,
         )
 
     def _add_gauges(self) -> None:
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -93,6 +93,14 @@
             bound.warning('target_entry_malformed')
         self.directory.remove(name, store_unreliable)
 
+    def apply_kept_item(self, item: Item) -> None:
+        """Apply the item of a configuration that is in force at a peer, whatever the store has."""
+        catalog = self.decode(item)
+        if isinstance(catalog, Catalog):
+            self._apply_catalog(catalog, item)
+            for listener in self.listeners:
+                listener()
+
     def kept_items(self) -> list[Item]:
         """Return the item of the configuration in force, for peers that have not read it from the store."""
         return [] if self.catalog_item is None else [self.catalog_item]
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -182,6 +182,23 @@
             if target.removal_due_at and now >= target.removal_due_at:
                 self._remove_target(target, 'item vanished and was not registered again')
 
+    def list_departures(self) -> dict[str, int]:
+        """Return the latest start of an incarnation that left or leaves, by the names of targets."""
+        leaving = {
+            name: max(target.record.started_ms, target.leaving_noticed_ms)
+            for name, target in self.targets.items()
+            if target.record.draining
+        }
+        return self.departed | leaving
+
+    def record_departure(self, name: str, started_ms: int) -> None:
+        """Record what a peer knows: that the incarnations of a target up to a start left or leave."""
+        target = self.targets.get(name)
+        if target is not None and target.record.started_ms <= started_ms:
+            target.mark_leaving('peer')
+        if started_ms > self.departed.get(name, 0):
+            self._remember_departure(name, started_ms)
+
     def usable_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that accept requests; vanished ones only if there is no other."""
         now = self.clock.monotonic()
@@ -238,10 +255,13 @@
     def _remove_target(self, target: Target, reason: str) -> None:
         target.removed = True
         if target.record.draining:
-            self.departed.pop(target.record.name, None)
-            self.departed[target.record.name] = max(target.record.started_ms, target.leaving_noticed_ms)
-            for name in tuple(self.departed)[:-MAX_DEPARTED]:
-                self.departed.pop(name)
+            self._remember_departure(target.record.name, max(target.record.started_ms, target.leaving_noticed_ms))
         if self.targets.get(target.record.name) is target:
             self.targets.pop(target.record.name)
         logger.bind(target=target.record.name, reason=reason).info('target_gone')
+
+    def _remember_departure(self, name: str, started_ms: int) -> None:
+        self.departed.pop(name, None)
+        self.departed[name] = started_ms
+        for earliest in tuple(self.departed)[:-MAX_DEPARTED]:
+            self.departed.pop(earliest)
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -8,11 +8,12 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
 from tamarackfield.gateway.replica import Item, Replica
 from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
-from tamarackfield.wire.messages import Hello
-from tamarackfield.wire.reservations import AskItems, Items
+from tamarackfield.wire.messages import Hello, Message
+from tamarackfield.wire.reservations import AskBeliefs, AskItems, Beliefs, Items
 from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
 
 #: Seconds after the first failure of an outage of the store from which peers are queried.
@@ -36,8 +37,8 @@
         Returns the greeting that identifies this process.
     seeds : callable
         Returns the addresses of some peers.
-    kept_items : callable
-        Returns the items that are in force although the store has an older state of them.
+    configuration : Configuration
+        Configuration, versions and targets as this process knows them.
     """
 
     def __init__(
@@ -46,10 +47,10 @@
         followers: list[Follower],
         hello: Callable[[], Hello],
         seeds: Callable[[], list[Address]],
-        kept_items: Callable[[], list[Item]] = list,
+        configuration: Configuration,
     ) -> None:
         """Store the collaborators."""
-        self.kept_items = kept_items
+        self.configuration = configuration
         self.replica = replica
         self.followers = followers
         self.hello = hello
@@ -71,7 +72,9 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
                 query = await stream.receive()
-                if isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
+                if isinstance(query, AskBeliefs):
+                    stream.send(self.build_beliefs())
+                elif isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
                     stream.send(self.build_items(knows_eras=query.revision > MAX_NUMBER))
             await stream.finish()
         except (TamarackfieldError, TimeoutError) as exc:
@@ -80,11 +83,12 @@
             stream.abort()
 
     async def run(self) -> None:
-        """Query peers periodically while the store has been down for more than `MIN_STORE_OUTAGE_SECONDS`."""
+        """Ask peers for what the store may not know, then for items while it is down; never return."""
+        await self._ask_seeds(AskBeliefs())
         while True:
             await asyncio.sleep(QUERY_INTERVAL_SECONDS * random.uniform(MIN_JITTER_SHARE, 1))
             if self._is_store_down():
-                await self._query_peers()
+                await self._ask_seeds(AskItems(self.replica.revision.pack()))
 
     def build_items(self, knows_eras: bool) -> Items:
         """Return all items for a peer; one that knows of no era gets plain revision numbers.
@@ -131,11 +135,39 @@
                 before=previous_revision.number,
             ).info('items_of_peer')
 
+    def build_beliefs(self) -> Beliefs:
+        """Return what this process knows and the store may not."""
+        departures = self.configuration.directory.list_departures()
+        kept_items = self.configuration.kept_items()
+        newest = self.configuration.versions.newest
+        return Beliefs(
+            departed=list(departures),
+            departed_ms=list(departures.values()),
+            keys=[item.key for item in kept_items],
+            revisions=[item.revision.pack() for item in kept_items],
+            payloads=[item.content or b'' for item in kept_items],
+            adapters=list(newest),
+            versions=list(newest.values()),
+        )
+
+    def apply_beliefs(self, beliefs: Beliefs, peer: str) -> None:
+        """Apply what a peer knows and the store may not: nothing of it reverts."""
+        configuration = self.configuration
+        for name, started_ms in zip(beliefs.departed, beliefs.departed_ms, strict=True):
+            configuration.directory.record_departure(name, started_ms)
+        for adapter, version in zip(beliefs.adapters, beliefs.versions, strict=True):
+            configuration.versions.record_version(adapter, version)
+        for key, revision, payload in zip(beliefs.keys, beliefs.revisions, beliefs.payloads, strict=True):
+            configuration.apply_kept_item(Item(key, unpack_revision(revision), payload))
+        logger.bind(peer=peer, departed=len(beliefs.departed), versions=len(beliefs.versions)).info('beliefs_of_peer')
+
     def _superseded_items(self) -> list[Item]:
         """Return the items in force whose state in the store is another one."""
         stored = self.replica.items
         return [
-            item for item in self.kept_items() if item.key not in stored or stored[item.key].content != item.content
+            item
+            for item in self.configuration.kept_items()
+            if item.key not in stored or stored[item.key].content != item.content
         ]
 
     def _is_store_down(self) -> bool:
@@ -150,19 +182,21 @@
             if item.key.startswith(follower.prefix):
                 follower.apply_item(item)
 
-    async def _query_peers(self) -> None:
-        await asyncio.gather(*(self._query_peer(address) for address in self.seeds()))
+    async def _ask_seeds(self, query: Message) -> None:
+        await asyncio.gather(*(self._query_peer(address, query) for address in self.seeds()))
 
-    async def _query_peer(self, address: Address) -> None:
+    async def _query_peer(self, address: Address, query: Message) -> None:
         stream: PeerStream | None = None
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 stream = await connect(*address, None)
                 await stream.exchange_hellos(self.hello())
-                stream.send(AskItems(self.replica.revision.pack()))
+                stream.send(query)
                 answer = await stream.receive()
             if isinstance(answer, Items):
                 self.apply_items(answer, stream.peer)
+            elif isinstance(answer, Beliefs):
+                self.apply_beliefs(answer, stream.peer)
         except StreamClosedError as exc:
             logger.bind(peer=f'{address[0]}:{address[1]}', step=exc.step, error=exc.message).debug('peer_query_failed')
         except (TamarackfieldError, TimeoutError, ValueError) as exc:
--- a/tamarackfield/gateway/tests/test_era_machine.py
+++ b/tamarackfield/gateway/tests/test_era_machine.py
@@ -123,7 +123,7 @@
         self.configuration = Configuration(decode, self.directory)
         self.replica = Replica()
         self.follower = QuickFollower('', store, self.replica, self.configuration.apply_item, clock=time.clock())
-        self.peers = PeerExchange(self.replica, [self.follower], None, list, self.configuration.kept_items)
+        self.peers = PeerExchange(self.replica, [self.follower], None, list, self.configuration)
         self.highest_version = 0
 
     def version(self):
--- a/tamarackfield/platform/tests/test_leaving.py
+++ b/tamarackfield/platform/tests/test_leaving.py
@@ -11,9 +11,9 @@
 ADAPTER = ('Tamarackfield-Model', 'base/a7')
 
 
-async def call_many(site, number=12):
+async def call_many(site, number=12, entry=0):
     """Send calls at the same time and return their statuses."""
-    answers = await asyncio.gather(*(site.call('/look/x') for _ in range(number)))
+    answers = await asyncio.gather(*(site.call('/look/x', entry=entry) for _ in range(number)))
     return [status for status, _, _ in answers]
 
 
@@ -121,3 +121,18 @@
     await entry.wait_for_log_text('target=w1 service', 2)
     await call_many(two_worker_site, 40)
     assert len(worker.list_arrivals()) > arrivals
+
+
+async def test_entry_that_restarts_does_not_use_a_worker_that_told_another_entry_of_its_leaving(two_worker_site):
+    restarted = await two_worker_site.add_entry()
+    leaving = two_worker_site.workers['w1']
+    leaving.announces_leaving = True
+    await call_many(two_worker_site)
+    await two_worker_site.entries[0].wait_for_log_text('event=target_leaving')
+    await restarted.kill()
+    await restarted.start()
+    await restarted.wait_ready()
+    await restarted.wait_for_log_text('event=beliefs_of_peer')
+    arrivals = len(leaving.list_arrivals())
+    assert set(await call_many(two_worker_site, entry=1)) == {200}
+    assert len(leaving.list_arrivals()) == arrivals
--- a/tamarackfield/platform/tests/test_store_returns.py
+++ b/tamarackfield/platform/tests/test_store_returns.py
@@ -180,3 +180,34 @@
         await asyncio.sleep(0.3)
     put_config(one_worker_site, 6, NEWEST_ROUTE)
     await wait_for_status(one_worker_site, '/newest/x', 200)
+
+
+async def restart(process):
+    """Kill a process, start it again and wait until it is ready."""
+    await process.kill()
+    await process.start()
+    await process.wait_ready()
+    await process.wait_for_log_text('event=beliefs_of_peer')
+
+
+async def test_entry_that_restarts_after_the_return_has_the_configuration_in_force_at_its_peers(one_worker_site):
+    restarted = await one_worker_site.add_entry()
+    await lose_configuration(one_worker_site)
+    await restart(restarted)
+    assert (await one_worker_site.call('/newer/x', entry=1))[0] == 200
+
+
+async def test_entry_that_restarts_does_not_use_a_departed_worker_that_the_copy_lists(two_worker_site):
+    restarted = await two_worker_site.add_entry()
+    leaving, store = two_worker_site.workers['w1'], two_worker_site.store
+    copy = store.make_copy()
+    leaving.state = 'draining'
+    two_worker_site.write_worker_entry(leaving)
+    await two_worker_site.entries[0].wait_for_log_text('event=target_leaving')
+    store.return_from_copy(copy)
+    await two_worker_site.entries[0].wait_for_log_text(RETURN_LOGGED)
+    await restart(restarted)
+    arrivals = len(leaving.list_arrivals())
+    statuses = [(await two_worker_site.call('/look/x', entry=1))[0] for _ in range(12)]
+    assert set(statuses) == {200}
+    assert len(leaving.list_arrivals()) == arrivals
--- a/tamarackfield/wire/reservations.py
+++ b/tamarackfield/wire/reservations.py
@@ -122,6 +122,32 @@
     payloads: list[bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class AskBeliefs(Message):
+    """Request of a process that starts for what a peer knows beyond the store."""
+
+    kind = 72
+
+
+@dataclass(frozen=True, slots=True)
+class Beliefs(Message):
+    """What a peer knows and the store may not, because it came back from an older copy or never heard of it.
+
+    ``departed`` names the targets that left or said that they leave, ``departed_ms`` the latest start of an incarnation
+    of each that this holds for. ``keys``, ``revisions`` and ``payloads`` are the items that are in force, ``adapters``
+    and ``versions`` the newest announced versions.
+    """
+
+    kind = 73
+    departed: list[str]
+    departed_ms: list[int]
+    keys: list[str]
+    revisions: list[int]
+    payloads: list[bytes]
+    adapters: list[str]
+    versions: list[int]
+
+
 @dataclass(frozen=True, slots=True)
 class Paused(Message):
     """The event stream of a request with a reservation paused for longer than its caller tolerates."""
@@ -148,7 +174,20 @@
 #: Message types of this module by kind.
 RESERVATION_TYPES = {
     message_type.kind: message_type
-    for message_type in (Facts, Reserve, Granted, Declined, Started, Release, AskItems, Items, EngineReport, Paused)
+    for message_type in (
+        Facts,
+        Reserve,
+        Granted,
+        Declined,
+        Started,
+        Release,
+        AskItems,
+        Items,
+        EngineReport,
+        Paused,
+        AskBeliefs,
+        Beliefs,
+    )
 }
 
 register_message_types(RESERVATION_TYPES)
