A stopping server takes no further request on a connection whose answer ends late

A connection whose answer had begun before the stop carries no `Connection: close`; when it ended seconds later, the next request on it was read and served. Now `draining` is set once the last requests have been read, and ends such a connection after its answer, as before. The test fails without it.

--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -50,6 +50,8 @@
         Whether each connection closes after its next answer until the process ends.
     shedding : bool
         Whether each connection closes after its next answer while load is shed.
+    draining : bool
+        Whether the server takes no further request, also not on a connection whose answer ends now.
     idle, busy : set
         Tasks of the connections without and with a request in progress.
     """
@@ -74,6 +76,7 @@
         self.idle: set[asyncio.Task[None]] = set()
         self.keep_alive_disabled = False
         self.shedding = False
+        self.draining = False
         self.port = 0
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
@@ -91,6 +94,7 @@
         await asyncio.sleep(0)
         self.server.stop_listening()
         await asyncio.sleep(LAST_REQUEST_SECONDS)
+        self.draining = True
         for task in list(self.idle):
             task.cancel()
         while self.busy:
@@ -150,7 +154,7 @@
 
     async def serve(self) -> None:
         """Answer requests until the connection or the server closes."""
-        while await self.request_reader.wait_for_first_byte():
+        while not self.server.draining and await self.request_reader.wait_for_first_byte():
             self.server.mark_busy(busy=True)
             try:
                 may_continue = await self._answer_request()
--- a/tamarackfield/web/tests/test_shutdown.py
+++ b/tamarackfield/web/tests/test_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tamarackfield.web import HttpServer
+from tamarackfield.web.server import LAST_REQUEST_SECONDS
 
 CALLERS = 40
 REQUEST = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -68,3 +69,29 @@
 
     async with asyncio.timeout(2):
         assert set(await stop_under_load(send_requests)) == {b''}
+
+
+async def test_connection_whose_answer_ends_late_in_a_stop_takes_no_further_request():
+    taken = []
+    may_end = asyncio.Event()
+
+    async def answer(request, responder):
+        taken.append(request.path)
+        await responder.send_head(200, [(b'Content-Length', b'2')])
+        await may_end.wait()
+        await responder.send_body(b'ok')
+        await responder.finish()
+
+    server = HttpServer(answer, refuse)
+    await server.listen('127.0.0.1', 0)
+    reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+    writer.write(REQUEST)
+    await reader.readuntil(b'\r\n\r\n')
+    stopping = asyncio.create_task(server.shutdown())
+    await asyncio.sleep(2 * LAST_REQUEST_SECONDS)
+    may_end.set()
+    assert await reader.readexactly(2) == b'ok'
+    writer.write(REQUEST.replace(b'/x', b'/late'))
+    await stopping
+    assert taken == ['/x']
+    writer.close()
