A silent stream is read once more before it moves to another target

Cause: after a pause of the process its timers are due in the same pass of the event loop in which the bytes arrive, and a time-out wins over bytes that were not read yet. Ruled out, in the same test: a frozen sidecar (its runs go on, entries read their events directly), and routes that may not be resumed.

--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -20,6 +20,8 @@
 
 #: Seconds without a complete event after which a stream is resumed at another target, if that is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
+#: Seconds for which a silent stream is read once more: after a pause of this process, its bytes may be here already.
+RECHECK_SECONDS = 0.05
 #: Bytes of an incomplete event that count like an event: a large one may arrive slowly.
 PROGRESS_BYTES = 1024
 
@@ -112,6 +114,7 @@
         self.timeout_seconds = timeout_seconds
         self.incomplete_bytes = 0
         self.gave_up = False
+        self.rechecked = False
         self.ends_at: float | None = None
         self.restart()
 
@@ -120,6 +123,15 @@
         if self.timeout_seconds is not None:
             self.ends_at = asyncio.get_running_loop().time() + self.timeout_seconds
         self.incomplete_bytes = 0
+        self.rechecked = False
+
+    def start_recheck(self) -> bool:
+        """Wait for `RECHECK_SECONDS` more; return False if that has been done."""
+        if self.rechecked:
+            return False
+        self.rechecked = True
+        self.ends_at = asyncio.get_running_loop().time() + RECHECK_SECONDS
+        return True
 
     def record_progress(self, byte_count: int, has_events: bool) -> None:
         """Record bytes of the stream, and whether they completed an event."""
@@ -143,10 +155,11 @@
             async with asyncio.timeout_at(silence.ends_at):
                 chunk = await incoming.exchange.next_chunk()
         except TimeoutError:
-            silence.gave_up = incoming.may_move()
-            if silence.gave_up:
-                return
-            silence.restart()
+            if not silence.start_recheck():
+                silence.gave_up = incoming.may_move()
+                if silence.gave_up:
+                    return
+                silence.restart()
             continue
         if not chunk:
             return
