Soak: workers that crash on a part of a prompt, streams that drip, answers that come twice

One call in 15 has the part. Checked: after the fifth crash and 3 s, undisturbed, at most three requests with it reach workers; a request without it is never refused for its prompt; a refusal with 400 has not run. Both checks find what they are for (tests).

--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -27,6 +27,23 @@
 #: Paths whose calls run at most once.
 AT_MOST_ONCE_PATHS = ('/file/x', '/draft/x')
 STREAM_PATHS = ('/draft/x', '/summary/x')
+#: Part of prompts on which workers crash while the fault of that name lasts, and share of the calls that have it.
+CRASHING_PART = 'crashing'
+CRASHING_CALLS = 15
+_OTHER_PARTS = 3
+
+
+def list_shared_parts(request_id: str) -> list[str]:
+    """Return the parts of the prompt of a call that others have as well; its id determines them.
+
+    Examples
+    --------
+    >>> list_shared_parts('call-31'), list_shared_parts('call-30')
+    (['all', 'some1'], ['all', 'crashing', 'some0'])
+    """
+    number = int(request_id.rpartition('-')[2])
+    crashing = [] if number % CRASHING_CALLS else [CRASHING_PART]
+    return ['all', *crashing, f'some{number % _OTHER_PARTS}']
 
 
 @dataclass(slots=True)
@@ -133,6 +150,8 @@
         if call.path in STREAM_PATHS:
             adapter = min(int(self.rng.expovariate(0.5)), ADAPTER_COUNT - 1)
             headers.append(('Tamarackfield-Model', f'base/a{adapter}'))
+            parts = [*list_shared_parts(call.request_id), call.request_id]
+            headers.append(('Tamarackfield-Prompt-Prefix', ','.join(f'{part}:10' for part in parts)))
         return h11.Request(method='POST', target=call.path, headers=headers)
 
     def _release(self, connection: TargetConnection, call: Call) -> None:
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -10,6 +10,7 @@
 from tamarackfield.testing.platform_site import DRAIN_SECONDS, MODEL_SERVICE, PLAIN_SERVICE, PlatformProcess
 from tamarackfield.testing.platform_worker import PlatformWorker, WorkerFault
 from tamarackfield.testing.relay import FAULTY_MODES, Relay, no_faults
+from tamarackfield.testing.soak.crashes import crash_on_part
 from tamarackfield.testing.soak.plan import PlannedFault
 from tamarackfield.testing.soak.site import EVENT_SECONDS, DrainWindow, SoakSite
 
@@ -193,6 +194,14 @@
     worker.cut_after_event = 0
 
 
+async def copy_answers(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
+    """Make a worker send each answer once more where the next one is expected."""
+    worker = _select_worker(site, step, incident)
+    worker.sends_second_copies = True
+    await asyncio.sleep(step.duration_seconds)
+    worker.sends_second_copies = False
+
+
 async def fail_store(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
     """Make the store fail for all its clients, or for some entries only."""
     fault_kind = select_by_share(_STORE_FAULTS, step.variant_share)
@@ -335,3 +344,9 @@
     'worker_announced_leaving': announce_leaving,
     'worker_answered_oddly': make_request_fault(_FURTHER_WORKER_FAULTS),
 }
+#: Additions after those, in a further series of their own.
+LATEST_FAULTS: dict[str, Fault] = {
+    'workers_crash_on_part': crash_on_part,
+    'streams_drip': make_request_fault(('drip',)),
+    'answers_copied': copy_answers,
+}
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -15,7 +15,7 @@
 from tamarackfield.testing.platform_site import PlatformProcess
 from tamarackfield.testing.processes import ProcessFailedError, wait_until
 from tamarackfield.testing.soak.callers import PATH_WEIGHTS, Call, Caller
-from tamarackfield.testing.soak.faults import FAULTS, FURTHER_FAULTS
+from tamarackfield.testing.soak.faults import FAULTS, FURTHER_FAULTS, LATEST_FAULTS
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
 from tamarackfield.testing.soak.promises import Observations, Probe, check_all
 from tamarackfield.testing.soak.site import SoakSite
@@ -92,7 +92,7 @@
         for index in range(CALLERS_PER_ENTRY)
     ]
     lag_task = asyncio.create_task(_measure_lag(soak.observations))
-    plan = draw_plan(seed, seconds, tuple(FAULTS), tuple(FURTHER_FAULTS))
+    plan = draw_plan(seed, seconds, tuple(FAULTS), tuple(FURTHER_FAULTS), tuple(LATEST_FAULTS))
     await asyncio.gather(_inject_plan(soak, plan), *callers)
     lag_task.cancel()
 
@@ -108,7 +108,7 @@
 
 async def _inject_fault(site: SoakSite, step: PlannedFault) -> None:
     async with site.record_incident(step) as incident:
-        await (FAULTS | FURTHER_FAULTS)[step.kind](site, step, incident)
+        await (FAULTS | FURTHER_FAULTS | LATEST_FAULTS)[step.kind](site, step, incident)
 
 
 async def _send_calls(soak: SoakRun, entry: PlatformProcess, rng: random.Random) -> None:
--- a/tamarackfield/testing/soak/plan.py
+++ b/tamarackfield/testing/soak/plan.py
@@ -42,9 +42,7 @@
     variant_share: float
 
 
-def draw_plan(
-    seed: int, seconds: float, kinds: tuple[str, ...], further_kinds: tuple[str, ...] = ()
-) -> list[PlannedFault]:
+def draw_plan(seed: int, seconds: float, kinds: tuple[str, ...], *further_kinds: tuple[str, ...]) -> list[PlannedFault]:
     """Return the faults of one run.
 
     Parameters
@@ -55,8 +53,8 @@
         Length of the period in which faults start.
     kinds : tuple of str
         Names of the faults to draw from.
-    further_kinds : tuple of str
-        Names of the faults of one further series.
+    *further_kinds : tuple of str
+        Names of the faults of each further series.
 
     Returns
     -------
@@ -72,9 +70,7 @@
     True
     """
     steps: list[PlannedFault] = []
-    series_kinds = [kinds for _ in range(SERIES_COUNT)]
-    if further_kinds:
-        series_kinds.append(further_kinds)
+    series_kinds = [*(kinds for _ in range(SERIES_COUNT)), *further_kinds]
     for series, kinds_of_series in enumerate(series_kinds):
         rng = random.Random(f'{seed}-{series}')
         at = INITIAL_DELAY_SECONDS + rng.uniform(0, MAX_GAP_SECONDS)
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -17,11 +17,13 @@
 )
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import AT_MOST_ONCE_PATHS, STREAM_PATHS, Call
+from tamarackfield.testing.soak.crashes import check_late_runs, check_refusal
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.site import DrainWindow, SoakSite
 
 #: Statuses which guarantee that a request did not run and will not run later.
 NOT_RUN_STATUSES = (
+    HTTPStatus.BAD_REQUEST,
     HTTPStatus.NOT_FOUND,
     HTTPStatus.REQUEST_TIMEOUT,
     HTTPStatus.MISDIRECTED_REQUEST,
@@ -47,6 +49,16 @@
     'entry_killed',
     'entry_stopped',
 )
+#: Faults that may delay the notice of a crash, or after which a process learns of it anew.
+CRASH_NOTICE_DELAYING_FAULTS = (
+    *REQUEST_DELAYING_FAULTS,
+    'connections_reset',
+    'entry_killed',
+    'entry_stopped',
+    'sidecar_killed',
+    'sidecar_stopped',
+    'sidecar_paused',
+)
 _EVENT_PATTERN = re.compile(rb'id: (\d+)\ndata: event (\d+)\n\n')
 
 
@@ -99,6 +111,7 @@
         yield f'{call.request_id} got 404 on {call.path}'
     if call.status == HTTPStatus.SERVICE_UNAVAILABLE and not call.retry_after:
         yield f'{call.request_id} got 503 without Retry-After'
+    yield from check_refusal(call)
     if call.path in STREAM_PATHS:
         yield from _check_stream(call, events)
     elif call.is_answered_successfully() and not any(
@@ -213,6 +226,7 @@
         if worker.crash_reason:
             site.record_violation(f'{worker.name} exceeded its capacity: {worker.crash_reason}')
     _check_notices(site, observations)
+    check_late_runs(site, CRASH_NOTICE_DELAYING_FAULTS)
     for drain_window in site.drain_windows:
         _check_drain_window(site, observations, drain_window)
     for service in (PLAIN_SERVICE, MODEL_SERVICE):
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -145,6 +145,8 @@
         for worker in self.workers.values():
             worker.fault = WorkerFault()
             worker.cut_after_event = 0
+            worker.crashing_parts = frozenset()
+            worker.sends_second_copies = False
             worker.event_interval_seconds = EVENT_SECONDS
             self.write_worker_entry(worker)
 
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from tamarackfield.testing.platform_site import RETRY_ALLOWANCE
+from tamarackfield.testing.platform_site import MODEL_SERVICE, RETRY_ALLOWANCE
 from tamarackfield.testing.platform_worker import PlatformWorker, Refusal, Run
-from tamarackfield.testing.soak.callers import Call
+from tamarackfield.testing.soak.callers import CRASHING_PART, Call
+from tamarackfield.testing.soak.crashes import check_late_runs
 from tamarackfield.testing.soak.main import run_soak
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
@@ -145,3 +146,23 @@
     worker.refusals = [Refusal('c0', 0.0, '2')]
     worker.runs = [make_timed_run(call) for call in list(calls.values())[1:]]
     assert len(list(check_pauses(calls, worker))) == violations
+
+
+def test_refusal_of_a_prompt_that_crashes_no_worker_is_a_violation():
+    refused = make_call('/draft/x', 400, b'')
+    refused.request_id = 'call-30'
+    assert find_violations(refused) == []
+    refused.request_id = 'call-16'
+    assert len(find_violations(refused)) == 1
+
+
+@pytest.mark.parametrize(('late_runs', 'violations'), [(3, 0), (4, 1)])
+def test_requests_that_reach_workers_long_after_the_fifth_crash_are_a_violation(tmp_path, late_runs, violations):
+    site = SoakSite(tmp_path)
+    worker = PlatformWorker('m1', MODEL_SERVICE, '127.0.0.1', 9, model='base')
+    worker.crashed_at = [float(at) for at in range(5)]
+    prefix = {'tamarackfield-prompt-prefix': f'{CRASHING_PART}:1,own:1'}
+    worker.runs = [Run('call-30', 'POST', '/draft/x', prefix, b'', 'm1', 7.1 + at) for at in range(late_runs)]
+    site.workers['m1'] = worker
+    check_late_runs(site, ('entry_killed',))
+    assert len(site.violations) == violations
