--- a/tamarackfield/testing/soak/crashes.py
+++ b/tamarackfield/testing/soak/crashes.py
@@ -1,10 +1,10 @@
 """Workers that crash on a part of a prompt, and the checks of the quarantine of its requests."""
 
 import asyncio
-import contextlib
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.incidents import Incident
 from tamarackfield.testing.platform_site import MODEL_SERVICE
 from tamarackfield.testing.platform_worker import PlatformWorker
@@ -21,31 +21,33 @@
 
 
 async def crash_on_part(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
-    """Make all model workers crash on one part of a prompt; each crashed one starts again."""
+    """Make all model workers crash on one part of a prompt to the end of the run; each crashed one starts again.
+
+    The part never runs soundly in between: that would clear it.
+    """
     workers = site.get_service_workers(MODEL_SERVICE)
+    if any(worker.crashing_parts for worker in workers):
+        return
     incident.where = CRASHING_PART
     for worker in workers:
         worker.crashing_parts = frozenset((CRASHING_PART,))
         worker.crashes_after_head = step.variant_share < 1 / 2
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(step.duration_seconds):
-            while True:
-                await asyncio.sleep(_CHECK_SECONDS)
-                await _restart_crashed(site, workers)
+    while SYSTEM_CLOCK.monotonic() < site.ends_at:
+        await asyncio.sleep(_CHECK_SECONDS)
+        await asyncio.gather(*(_restart_if_crashed(site, worker) for worker in workers))
     for worker in workers:
         worker.crashing_parts = frozenset()
-    await _restart_crashed(site, workers)
+    await asyncio.gather(*(_restart_if_crashed(site, worker) for worker in workers))
 
 
-async def _restart_crashed(site: SoakSite, workers: list[PlatformWorker]) -> None:
-    for worker in workers:
-        if not worker.is_crashed():
-            continue
-        async with site.worker_lock(worker):
-            await asyncio.sleep(_RESTART_SECONDS)
-            if worker.is_crashed():
-                await worker.restart()
-                site.write_worker_entry(worker)
+async def _restart_if_crashed(site: SoakSite, worker: PlatformWorker) -> None:
+    if not worker.is_crashed():
+        return
+    async with site.worker_lock(worker):
+        await asyncio.sleep(_RESTART_SECONDS)
+        if worker.is_crashed():
+            await worker.restart()
+            site.write_worker_entry(worker)
 
 
 def check_refusal(call: Call) -> Iterable[str]:
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -74,7 +74,8 @@
     await site.start()
     try:
         await site.build(entries, max(1, processes - entries), PLAIN_WORKER_COUNT)
-        soak = SoakRun(site, SYSTEM_CLOCK.monotonic() + seconds)
+        site.ends_at = SYSTEM_CLOCK.monotonic() + seconds
+        soak = SoakRun(site, site.ends_at)
         await _run_calls_with_faults(soak, seed, seconds)
         await _check_recovery(soak)
     finally:
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -55,6 +55,8 @@
         self.drain_windows: list[DrainWindow] = []
         self.violations: list[str] = []
         self.configuration_version = 1
+        # Monotonic seconds at which no further call is sent.
+        self.ends_at = 0.0
         self.adapter_versions: dict[str, int] = collections.defaultdict(int)
 
     def worker_lock(self, worker: PlatformWorker) -> asyncio.Lock:
