Runs that were sent after the end of an engine are not put down to it

A report counts for 0.4 s after the end now, within which a slow entry reports what broke off; the end is logged once, a late run in a line of its own (`run_ended_with_engine`).

--- a/tamarackfield/manager/crash_watch.py
+++ b/tamarackfield/manager/crash_watch.py
@@ -2,9 +2,11 @@
 
 from tamarackfield.wire.crash_reports import BrokenRun
 
-#: Seconds between the break of a connection and the known end of the engine within which one explains the other: an
-#: entry notices the break, and this process that nothing listens any more, within some milliseconds.
+#: Seconds from the break of a connection to the known end of the engine within which the end explains the break: this
+#: process notices within some milliseconds that nothing listens any more.
 CRASH_LINK_SECONDS = 1.5
+#: Seconds after the known end in which entries report the runs that broke off with it; later ones were sent after it.
+LATE_REPORT_SECONDS = 0.4
 #: Number of ended incarnations that are remembered for runs that are reported late.
 _MAX_ENDS = 8
 
@@ -39,6 +41,8 @@
         if ended_at is None:
             return []
         runs = [
-            run for at, run in self.runs if run.started_ms == started_ms and abs(at - ended_at) <= CRASH_LINK_SECONDS
+            run
+            for at, run in self.runs
+            if run.started_ms == started_ms and -CRASH_LINK_SECONDS <= at - ended_at <= LATE_REPORT_SECONDS
         ]
         return sorted(runs, key=lambda run: run.wrote_ms)
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -133,6 +133,8 @@
         self.crash_watch.record_run(run, BOOT_CLOCK.monotonic())
         if run.started_ms in self.crash_watch.ends:
             self._report_crash(run.started_ms)
+            bound = logger.bind(request_id=run.label, started_ms=run.started_ms, wrote_ms=run.wrote_ms)
+            bound.bind(prompt_parts=','.join(run.parts)).info('run_ended_with_engine')
         self.poll_due.set()
 
     async def execute_plan(self, plan: Plan) -> None:
@@ -245,6 +247,10 @@
         """Record that the latest known incarnation of the engine has ended."""
         if self.state is not None and self.crash_watch.record_end(self.state.started_ms, BOOT_CLOCK.monotonic()):
             self._report_crash(self.state.started_ms)
+            runs = self.crash_watch.list_runs(self.state.started_ms)
+            begun_last = (f'{run.label}:{run.wrote_ms}:{"+".join(run.parts)}' for run in runs[:MAX_LOGGED_RUNS])
+            bound = logger.bind(started_ms=self.state.started_ms, broken_runs=len(runs))
+            bound.bind(begun_last=' '.join(begun_last)).warning('engine_ended')
 
     def _report_crash(self, started_ms: int) -> None:
         """Report the runs that broke off around the end of an incarnation."""
@@ -252,11 +258,6 @@
         if runs:
             suspect_runs = [make_suspect_run(run) for run in runs]
             self.on_crash(make_crash(runs[0].target, started_ms, SYSTEM_CLOCK.unix_ms(), suspect_runs))
-        logger.bind(
-            started_ms=started_ms,
-            broken_runs=len(runs),
-            begun_last=' '.join(f'{run.label}:{run.wrote_ms}:{"+".join(run.parts)}' for run in runs[:MAX_LOGGED_RUNS]),
-        ).warning('engine_ended')
 
     def _record_pause(self, exc: EnginePausedError) -> None:
         self.paused_until = extend_pause(self.paused_until, exc.seconds, BOOT_CLOCK.monotonic())
