--- a/tamarackfield/cli/request_timeline.py
+++ b/tamarackfield/cli/request_timeline.py
@@ -15,6 +15,8 @@
         'store_regained',
         'items_of_peer',
         'store_era_changed',
+        'beliefs_of_peer',
+        'crash_evidence',
         'settings_reloaded',
         'resumed_after_suspension',
         'draining',
