An error answer does not clear the parts of a prompt

Found by reading: any complete answer counted as a run that had shown its prompt to be sound, also a 500 of a worker that fails part of its requests. A request with a part on which engines crash that meets such a worker would have cleared the part, and the next ones would have crashed engines again. Three cases of the new test fail before.

--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -136,7 +136,7 @@
         """
         call = exchange.call
         wrote_seconds = exchange.last_part_at - exchange.first_part_at
-        is_proven = isinstance(result, Streamed | Answered) or wrote_seconds >= PROOF_SECONDS
+        is_proven = _is_success(result) or wrote_seconds >= PROOF_SECONDS
         if is_proven:
             now = BOOT_CLOCK.monotonic()
             self.gate.record_proof(now)
@@ -191,6 +191,12 @@
         self.changed.set()
 
 
+def _is_success(result: AttemptResult) -> bool:
+    return isinstance(result, Streamed) or (
+        isinstance(result, Answered) and result.head.status < HTTPStatus.MULTIPLE_CHOICES
+    )
+
+
 async def _is_refused(address: tuple[str, int]) -> bool:
     """Return whether no process listens at an address."""
     try:
--- /dev/null
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -0,0 +1,72 @@
+"""What the end of an attempt says of the parts of its prompt."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from tamarackfield.core import Application
+from tamarackfield.gateway.exchange import Answered, MaybeRan, Streamed
+from tamarackfield.gateway.model import AnswerHead
+from tamarackfield.gateway.quarantine import PromptQuarantine
+from tamarackfield.gateway.tests.samples import make_call, make_target_state
+from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
+
+SUSPECT = frozenset('p')
+
+
+def make_answer(status):
+    return Answered(AnswerHead(status, [], 'r1', not_run=False, genuine=True, event_stream=False), b'')
+
+
+class RecordingLink:
+    """Link to a sidecar that responds; it keeps what is reported."""
+
+    def __init__(self):
+        self.runs = []
+
+    def send_best_effort(self, run):
+        """Keep a report."""
+        self.runs.append(run)
+
+    def is_silent(self):
+        """Return that the sidecar responds."""
+        return False
+
+
+def end_attempt(result, wrote_seconds=0.0, connection_ended=False):
+    """Return what a quarantine with one suspected part makes of the end of an attempt with it."""
+    quarantine = PromptQuarantine(Application('e'), list)
+    quarantine.record_crash(Crash('t9', 1, 0, unwritten=SUSPECT))
+    exchange = SimpleNamespace(
+        call=make_call(prompt_parts=('p',)),
+        target=make_target_state(),
+        framing='chunked',
+        first_part_at=10.0,
+        last_part_at=10.0 + wrote_seconds,
+        has_connection_ended=lambda: connection_ended,
+    )
+    link = RecordingLink()
+    broke_off_unproven = quarantine.record_attempt(exchange, result, frozenset(), link)
+    return quarantine.evidence.suspects, broke_off_unproven, len(link.runs)
+
+
+@pytest.mark.parametrize('result', [Streamed(), make_answer(200)])
+async def test_successful_answer_clears_the_parts_of_its_prompt(result):
+    assert end_attempt(result) == (frozenset(), False, 0)
+
+
+@pytest.mark.parametrize('status', [400, 500, 503])
+async def test_error_answer_does_not_clear_a_part_on_which_engines_crash(status):
+    assert end_attempt(make_answer(status)) == (SUSPECT, False, 0)
+
+
+async def test_run_that_breaks_off_at_its_beginning_is_reported_and_clears_nothing():
+    assert end_attempt(MaybeRan('broken'), connection_ended=True) == (SUSPECT, True, 1)
+
+
+async def test_run_that_breaks_off_after_it_wrote_is_reported_and_clears_its_parts():
+    assert end_attempt(MaybeRan('broken'), PROOF_SECONDS, connection_ended=True) == (frozenset(), False, 1)
+
+
+async def test_silent_run_is_not_reported():
+    assert end_attempt(MaybeRan('silent')) == (SUSPECT, False, 0)
