Soak: the reset of a connection that has just closed does not end the run

Traced: the fault `connections_reset` sets a socket option on a relayed connection whose descriptor was closed in the same moment; the error left the harness. No process of the system is concerned. The test fails before.

--- a/tamarackfield/testing/relay.py
+++ b/tamarackfield/testing/relay.py
@@ -133,7 +133,10 @@
 
 def _reset_on_close(writer: asyncio.StreamWriter) -> None:
     """Let the end of a connection be a reset: its peer must be able to tell it from an orderly close."""
-    writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO_SECONDS)
+    sock = writer.get_extra_info('socket')
+    # A connection that has closed in the meantime has no descriptor any more.
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO_SECONDS)
 
 
 async def _apply_frame_faults(frame_faults: FrameFaults, chunk: bytes, writer: asyncio.StreamWriter) -> bytes:
--- a/tamarackfield/testing/tests/test_relay.py
+++ b/tamarackfield/testing/tests/test_relay.py
@@ -75,3 +75,22 @@
     writer.transport.abort()
     relay.close()
     upstream.close()
+
+
+async def test_reset_of_a_connection_that_has_just_closed_is_no_error():
+    async def keep_open(reader, writer):
+        await reader.read()
+
+    upstream = await asyncio.start_server(keep_open, HOST, 0)
+    relay = Relay(upstream.sockets[0].getsockname(), no_faults())
+    await relay.listen(HOST, 0)
+    _, writer = await asyncio.open_connection(*relay.server.sockets[0].getsockname())
+    while not relay.connections:
+        await asyncio.sleep(0)
+    for relayed in relay.connections.values():
+        relayed.transport.abort()
+    await asyncio.sleep(0)
+    relay.reset_connections()
+    writer.close()
+    relay.close()
+    upstream.close()
