A crash under a short answer without framing is not taken for its end

Found by reading: an answer with neither a length nor chunks ends with its connection, so a stream whose engine crashed between two of its first events counted as complete. Its run was not reported, and cleared the parts of its prompt, the crashing one among them. What the caller gets is unchanged. Two cases of the test fail before.

--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -25,6 +25,7 @@
     make_crash,
 )
 from tamarackfield.web.client import ClientError
+from tamarackfield.web.connection import BodyFraming
 from tamarackfield.web.pool import open_connection
 from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
 
@@ -136,13 +137,16 @@
         """
         call = exchange.call
         wrote_seconds = exchange.last_part_at - exchange.first_part_at
-        is_proven = _is_success(result) or wrote_seconds >= PROOF_SECONDS
+        # A crash looks like the end of an answer that ends with its connection.
+        is_clear_end = _is_success(result) and exchange.framing is not BodyFraming.CLOSE
+        is_proven = is_clear_end or wrote_seconds >= PROOF_SECONDS
         if is_proven:
             now = BOOT_CLOCK.monotonic()
             self.gate.record_proof(now)
             if self.evidence.record_proof(call.prompt_parts, now):
                 self._announce_change(f'request {call.request_id}')
-        if not isinstance(result, MaybeRan) or not exchange.has_connection_ended():
+        may_have_broken_off = isinstance(result, MaybeRan) or (_is_success(result) and not is_proven)
+        if not may_have_broken_off or not exchange.has_connection_ended():
             return False
         record = exchange.target.record
         run = BrokenRun(
@@ -159,7 +163,7 @@
         if link is None or link.is_silent():
             address = record.address
             self.application.spawn(self._check_end(run, address), f'end-of-{record.name}')
-        return not is_proven
+        return isinstance(result, MaybeRan) and not is_proven
 
     async def run(self) -> None:
         """Tell the sidecars what has changed; never return."""
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from tamarackfield.gateway.quarantine import PromptQuarantine
 from tamarackfield.gateway.tests.samples import make_call, make_target_state
 from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
+from tamarackfield.web.connection import BodyFraming
 
 SUSPECT = frozenset('p')
 
@@ -33,14 +34,14 @@
         return False
 
 
-def end_attempt(result, wrote_seconds=0.0, connection_ended=False):
+def end_attempt(result, wrote_seconds=0.0, connection_ended=False, framing=BodyFraming.CHUNKED):
     """Return what a quarantine with one suspected part makes of the end of an attempt with it."""
     quarantine = PromptQuarantine(Application('e'), list)
     quarantine.record_crash(Crash('t9', 1, 0, unwritten=SUSPECT))
     exchange = SimpleNamespace(
         call=make_call(prompt_parts=('p',)),
         target=make_target_state(),
-        framing='chunked',
+        framing=framing,
         first_part_at=10.0,
         last_part_at=10.0 + wrote_seconds,
         has_connection_ended=lambda: connection_ended,
@@ -70,3 +71,14 @@
 
 async def test_silent_run_is_not_reported():
     assert end_attempt(MaybeRan('silent')) == (SUSPECT, False, 0)
+
+
+@pytest.mark.parametrize('result', [Streamed(), make_answer(200)])
+async def test_short_answer_that_only_its_connection_ended_may_have_crashed_its_engine(result):
+    ended = end_attempt(result, connection_ended=True, framing=BodyFraming.CLOSE)
+    assert ended == (SUSPECT, False, 1)
+
+
+async def test_long_answer_that_only_its_connection_ended_clears_its_parts():
+    ended = end_attempt(Streamed(), PROOF_SECONDS, connection_ended=True, framing=BodyFraming.CLOSE)
+    assert ended == (frozenset(), False, 0)
