A common prompt part is not condemned while a rarer one was in the same crashes

Traced in its logs: in the second crash three sound runs had their head and no event yet, so the crashing part, whose run had no head, counted 2 there, 5 in all, and the common part 6. Only parts that reach the threshold themselves were weighed against it. Nothing had run before, so nothing cleared it, and refused requests clear nothing.

Ruled out: a crash without the crashing part (it was in both), load (2 to 3 at that time). Now any part that was in two of the same crashes is weighed: unless the common one has crashes without it, only requests with both are refused. The new test replays the two crashes and fails before; the drawn histories hold as before.

--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -26,6 +26,8 @@
 UNWRITTEN_SCORE, BRIEF_SCORE = 3, 2
 #: Score over all crashes from which a part is a culprit: two runs that had written nothing, or three others.
 CULPRIT_SCORE = 6
+#: Number of crashes that two parts must share, so that one may have caused what counts against the other.
+MIN_SHARED_CRASHES = 2
 #: Seconds before a crash within which a run with a part clears the part of it.
 RECENT_PROOF_SECONDS = 5.0
 #: Seconds for which a crash that no culprit explains is remembered.
@@ -372,13 +374,19 @@
     keys = tuple(key for key, crash in crashes.items() if best in crash.suspects())
     rivals = [
         part
-        for part in eligible
-        if _score_without(crashes, best, part) < CULPRIT_SCORE
+        for part in scores
+        if _count_crashes_with(crashes, best, part) >= MIN_SHARED_CRASHES
+        and _score_without(crashes, best, part) < CULPRIT_SCORE
         and not (scores[part] < scores[best] and request_counts[part] >= request_counts[best])
     ]
     return Culprit(frozenset((best, *rivals)), keys)
 
 
+def _count_crashes_with(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
+    """Return the number of crashes of which two parts are suspects."""
+    return sum({part, other} <= crash.suspects() for crash in crashes.values())
+
+
 def _score_without(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
     """Return the score of a part in the crashes of which another one is not a suspect."""
     return sum(crash.score(part) for crash in crashes.values() if other not in crash.suspects())
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -286,3 +286,16 @@
     for number in range(2):
         quarantine.record_crash(make_report(number, 'a', suspected='a'), 0.0)
     assert quarantine.find_culprit('ab') is not None
+
+
+def test_common_part_is_not_condemned_while_a_rarer_one_was_in_the_same_crashes():
+    quarantine = Quarantine()
+    for parts in ('a', 'a', 'a', 'ap', 'ap'):
+        quarantine.record_request(parts)
+    quarantine.record_crash(make_crash('t1', 1, 0, [SuspectRun(frozenset('abp'), has_begun=False)]), 0.0)
+    sound = SuspectRun(frozenset('ac'), suspected=frozenset('a'))
+    crashing = SuspectRun(frozenset('acp'), has_begun=False)
+    quarantine.record_crash(make_crash('t2', 1, 0, [sound, crashing]), 0.0)
+    assert quarantine.find_culprit('ab') is None
+    assert quarantine.find_culprit('ac') is None
+    assert quarantine.find_culprit('abp') is not None
