One line and a count for each whole request that ends without an answer or a refusal

`connection_ended` was at debug level and named no request; a refusal that could not be sent, an error of the protocol and a connection that was closed with bytes in its buffer left nothing.

`request_without_answer` is one line for each request that was read whole and whose answer or refusal was not sent to its end, with the reason (the caller left, the answer was cut, it could not be sent, the server closed). `connection_closed_unread` is one line for a connection that is closed with received bytes, and says whether a whole request is among them. Both are counted at the metrics address, by reason. A refusal while no configuration is in force has a line too. An answer that this process cuts has an error class of its own, so that it is not taken for a caller that left.

No request is treated otherwise. Not told: bytes that the kernel holds when a connection closes, and what is discarded while a refusal lingers.

Ruled out on the way: an answer head that cannot be encoded ends as 500, as before.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -105,6 +105,7 @@
             random.Random(),  # noqa: S311 draws services by weight
         )
         self.server = HttpServer(self.interface.handle, answer_error, clock=BOOT_CLOCK, id_header=platform.id_header)
+        self.server.count_unanswered = self._count_unanswered
         self.ready_server = HttpServer(self.answer_ready, answer_error)
         self.metrics_server = HttpServer(self.answer_metrics, answer_error)
         self.maintenance = MaintenanceLoop(self.pool, directory, self.dispatcher, self.server)
@@ -227,6 +228,9 @@
         for name, read in gauges.items():
             self.metrics.add_gauge(name, read)
 
+    def _count_unanswered(self, reason: str) -> None:
+        self.metrics.count('requests_without_answer', reason=reason)
+
     async def _apply_changes(self) -> None:
         """Apply configuration changes; items that arrive together are applied in one pass."""
         while True:
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -66,6 +66,7 @@
         call = self.read_call(request)
         catalog = self.configuration.catalog
         if catalog is None:
+            logger.bind(request_id=call.request_id).info('no_configuration')
             raise _no_configuration()
         route = self.find_route(call, request.path)
         service = choose_service(route, self.rng)
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -20,7 +20,7 @@
 from tamarackfield.gateway.exchange import Answered, AttemptResult, MaybeRan, NotRun, Streamed
 from tamarackfield.gateway.fleet import Fleet, make_placement
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
-from tamarackfield.web import CallerDisconnectedError, Responder
+from tamarackfield.web import AnswerCutError, Responder
 
 #: Retry-After, in seconds, if no sidecar gave an estimate: the time in which a target that crashed or
 #: was removed is replaced in the instance list.
@@ -60,7 +60,9 @@
         RequestError
             If the call ends without an answer and nothing was sent to the caller.
         CallerDisconnectedError
-            If the caller disconnected, or its stream broke off.
+            If the caller disconnected.
+        AnswerCutError
+            If its stream broke off.
         """
         now = BOOT_CLOCK.monotonic()
         self.budget_for(call_state.service).earn(now)
@@ -176,10 +178,10 @@
         elif parts:
             quarantine.require_release(call_state)
 
-    def _make_error(self, call_state: CallState, reason: str) -> RequestError | CallerDisconnectedError:
+    def _make_error(self, call_state: CallState, reason: str) -> RequestError | AnswerCutError:
         """Return the error that ends a call; its outcome is ``not_run`` only if no attempt may have run."""
         if call_state.head_sent:
-            return CallerDisconnectedError(f'stream was cut: {reason}')
+            return AnswerCutError(f'stream was cut: {reason}')
         if call_state.outcome() is Outcome.NOT_RUN:
             return RequestError(
                 reason,
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -26,6 +26,10 @@
     """The caller closed the connection, or read nothing of an answer for as long as the write time-out."""
 
 
+class AnswerCutError(CallerDisconnectedError):
+    """This process ends an answer that has begun and cannot be completed, by closing the connection."""
+
+
 class Responder:
     """Writes one answer to the caller.
 
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -15,6 +15,7 @@
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.web.limits import DEFAULT_LIMITS, HttpLimits
 from tamarackfield.web.request import REQUEST_ID_HEADER, HttpRequest, choose_request_id, make_overload_error
+from tamarackfield.web.request_end import record_unread, recorded_end
 from tamarackfield.web.request_reader import MAX_READ_BYTES, BodyBudget, RequestReader
 from tamarackfield.web.responder import CallerDisconnectedError, Responder
 
@@ -54,6 +55,8 @@
         Whether the server takes no further request, also not on a connection whose answer ends now.
     idle, busy : set
         Tasks of the connections without and with a request in progress.
+    count_unanswered : callable
+        Called with the reason when a whole request ended without a whole answer or refusal.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         self.shedding = False
         self.draining = False
         self.port = 0
+        self.count_unanswered: Callable[[str], None] = _ignore_reason
 
     async def listen(self, host: str, port: int, context: ssl.SSLContext | None = None) -> None:
         """Start to listen; with ``port`` 0 the kernel chooses a free port, which is stored in ``self.port``."""
@@ -119,7 +123,11 @@
             logger.bind(error=repr(exc)).debug('connection_ended')
         finally:
             self._remove_task(task)
-            writer.close()
+            await self._close_connection(connection_state)
+
+    async def _close_connection(self, connection_state: '_Connection') -> None:
+        connection_state.writer.close()
+        await record_unread(connection_state.request_reader, self.count_unanswered)
 
     def _remove_task(self, task: asyncio.Task[None]) -> None:
         self.idle.discard(task)
@@ -177,8 +185,16 @@
         responder = self._make_responder()
         try:
             request = await self.request_reader.read()
-            if request is None:
-                return False
+        except RequestError as exc:
+            await self._send_refusal(exc, responder)
+            return False
+        if request is None:
+            return False
+        with recorded_end(request, responder, self.server.count_unanswered):
+            return await self._answer_whole_request(request, responder)
+
+    async def _answer_whole_request(self, request: HttpRequest, responder: Responder) -> bool:
+        try:
             await self._handle_request(request, responder)
         except RequestError as exc:
             await self._send_refusal(exc, responder)
@@ -256,6 +272,10 @@
             chunk = await self.reader.read(MAX_READ_BYTES)
 
 
+def _ignore_reason(reason: str) -> None:
+    """Count nothing; the reason has been logged."""
+
+
 def make_internal_error(outcome: Outcome) -> RequestError:
     """Build the error for an unexpected exception in this process.
 
