A stop accepts the connections that the kernel has established

Ruled out: the order of the calls in shutdown(); with two passes the connection is accepted, but its transport is not made yet and the closed server refuses it.

Now the server goes through the three passes that poll, accept and create the transport.

--- a/tamarackfield/core/connections.py
+++ b/tamarackfield/core/connections.py
@@ -14,6 +14,9 @@
 
 #: Time after which a task that still runs is cancelled again.
 CANCEL_INTERVAL_SECONDS = 0.5
+#: Passes of the event loop in which a connection that the kernel has established is accepted and gets its transport:
+#: one polls the listener after the current pass, one accepts, one creates the transport.
+ACCEPT_PASSES = 3
 
 ServeConnection = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -101,6 +104,11 @@
 
         task.add_done_callback(remove_task)
 
+    async def accept_established(self) -> None:
+        """Accept the connections that the kernel has established; closing the listener would reset them."""
+        for _ in range(ACCEPT_PASSES):
+            await asyncio.sleep(0)
+
     def stop_listening(self) -> None:
         """Accept no further connection; open ones are served on."""
         if self.listener is not None:
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -94,8 +94,7 @@
     async def shutdown(self) -> None:
         """Stop listening, answer the requests that have arrived or are on their way, and close all connections."""
         self.disable_keep_alive()
-        # One pass of the event loop accepts the connections that the kernel has already established.
-        await asyncio.sleep(0)
+        await self.server.accept_established()
         self.server.stop_listening()
         await asyncio.sleep(LAST_REQUEST_SECONDS)
         self.draining = True
