A request that arrived while the process stood still is read before its connection is given up

What callers saw: after an entry had been frozen, slow or at work on one thing for longer than the idle limit, it closed the connections on which whole requests had arrived meanwhile: no answer, no refusal, and no log line above debug. The rest of a request was refused with 408.

Cause: the timer and the readable socket are due in the same pass of the event loop, or the pass has not polled the sockets at all (a poll that a signal stops is not resumed once its time is over). `asyncio.timeout` then cancels a read whose bytes are there.

`core/time_limits` settles this for every limit on waiting for another side. Its limits are instants on a clock that stops while the event loop stands still (one timer each 0.25 s notices delays), and a limit that is reached ends the wait only after eight more passes of the loop, of which the first polls the sockets. Ruled out: a longer limit or one more read after a pause at each place (no pause is long enough for a slow process); a look into the buffer of the reader (empty until the sockets are polled); the clock alone (it misses short stalls); the passes alone (a request of ours may still have been unsent while we stood still); a selector that records each poll (each program would have to choose its event loop). Bytes of a cancelled read stay in the buffer of the reader, so nothing is lost either way.

--- /dev/null
+++ b/tamarackfield/platform/tests/test_frozen_entry.py
@@ -0,0 +1,66 @@
+"""What arrives while an entry or a sidecar is frozen counts, and a limit that passed meanwhile shows nothing."""
+
+import asyncio
+
+
+from tamarackfield.testing.platform_site import HOST_NAME, make_config, running_site
+
+IDLE_LIMIT_MS = 600
+#: Time for which a process is frozen, above the limit that it reaches meanwhile.
+FROZEN_SECONDS = 1.2
+#: Time above that of a watch of the store and its margin.
+FROZEN_WATCH_SECONDS = 4.2
+CONNECTIONS = 12
+
+
+def make_short_idle_config(version=1, idle_limit_ms=IDLE_LIMIT_MS):
+    """Return a configuration with another idle limit."""
+    config = make_config(version)
+    config['limits']['idle_timeout_ms'] = idle_limit_ms
+    return config
+
+
+def make_request(request_id):
+    """Return a request that keeps its connection open."""
+    lines = (
+        'GET /look/x HTTP/1.1',
+        f'Host: {HOST_NAME}',
+        f'Tamarackfield-Request-Id: {request_id}',
+        'Tamarackfield-Deadline-Ms: 20000',
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+async def read_status(reader):
+    """Return the status of the next answer, None if the connection ends without one."""
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lengths = [line for line in head.lower().split(b'\r\n') if line.startswith(b'content-length:')]
+    await reader.readexactly(int(lengths[0].partition(b':')[2]))
+    return int(head.split()[1])
+
+
+async def open_kept_connections(site, count):
+    """Open connections to the entry, each of which has had an answer."""
+    connections = [await asyncio.open_connection(*site.entry_address(0)) for _ in range(count)]
+    for number, (reader, writer) in enumerate(connections):
+        writer.write(make_request(f'first-{number}'))
+        assert await read_status(reader) == 200
+    return connections
+
+
+async def test_requests_that_reach_a_frozen_entry_on_idle_connections_are_answered(tmp_path):
+    async with running_site(tmp_path, make_short_idle_config()) as site:
+        await site.add_worker('w1')
+        entry = await site.add_entry()
+        connections = await open_kept_connections(site, CONNECTIONS)
+        entry.freeze()
+        for number, (_, writer) in enumerate(connections):
+            writer.write(make_request(f'second-{number}'))
+        await asyncio.sleep(FROZEN_SECONDS)
+        entry.thaw()
+        assert [await read_status(reader) for reader, _ in connections] == CONNECTIONS * [200]
+        for _, writer in connections:
+            writer.close()
--- a/tamarackfield/web/request_reader.py
+++ b/tamarackfield/web/request_reader.py
@@ -7,6 +7,7 @@
 import h11
 
 from tamarackfield.core.clock import SYSTEM_CLOCK, Clock
+from tamarackfield.core.time_limits import listening_seconds, time_limit_at
 from tamarackfield.web.limits import HttpLimits
 from tamarackfield.web.request import (
     MAX_HEAD_BYTES,
@@ -103,7 +104,7 @@
         if self.protocol.trailing_data[0]:
             return True
         try:
-            await self._receive(SYSTEM_CLOCK.monotonic() + self.limits.idle_seconds)
+            await self._receive(listening_seconds() + self.limits.idle_seconds)
         except TimeoutError:
             return False
         return bool(self.protocol.trailing_data[0])
@@ -118,7 +119,7 @@
         CallerDisconnectedError
             If the caller closes the connection within the request.
         """
-        expires_at = SYSTEM_CLOCK.monotonic() + self.limits.request_seconds
+        expires_at = listening_seconds() + self.limits.request_seconds
         head = await self._read_head(expires_at)
         if head is None:
             return None
@@ -176,7 +177,7 @@
     async def _receive(self, expires_at: float) -> None:
         if self.protocol.they_are_waiting_for_100_continue:
             self.writer.write(self.protocol.send(h11.InformationalResponse(status_code=100, headers=[])))
-        async with asyncio.timeout(expires_at - SYSTEM_CLOCK.monotonic()):
+        async with time_limit_at(expires_at):
             chunk = await self.reader.read(MAX_READ_BYTES)
         self.protocol.receive_data(chunk)
 
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -11,6 +11,7 @@
 import h11
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web.request import REQUEST_ID_HEADER
 
 #: Format of the number that the kernel returns for the size of a send queue.
@@ -132,7 +133,7 @@
         unread = count_unread_bytes(self.writer.transport)
         while True:
             try:
-                async with asyncio.timeout(self.write_seconds):
+                async with time_limit(self.write_seconds):
                     return await self.writer.drain()
             except TimeoutError:
                 previous, unread = unread, count_unread_bytes(self.writer.transport)
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -13,6 +13,7 @@
 from tamarackfield.core.connections import ConnectionServer, cancel_and_wait
 from tamarackfield.core.errors import RequestError
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import listen_for, time_limit
 from tamarackfield.web.limits import DEFAULT_LIMITS, HttpLimits
 from tamarackfield.web.request import REQUEST_ID_HEADER, HttpRequest, choose_request_id, make_overload_error
 from tamarackfield.web.request_end import record_unread, recorded_end
@@ -96,7 +97,7 @@
         self.disable_keep_alive()
         await self.server.accept_established()
         self.server.stop_listening()
-        await asyncio.sleep(LAST_REQUEST_SECONDS)
+        await listen_for(LAST_REQUEST_SECONDS)
         self.draining = True
         for task in list(self.idle):
             task.cancel()
@@ -262,7 +263,7 @@
         with contextlib.suppress(OSError, TimeoutError):
             if self.writer.can_write_eof():
                 self.writer.write_eof()
-            async with asyncio.timeout(LINGER_SECONDS):
+            async with time_limit(LINGER_SECONDS):
                 await self._discard_input()
 
     async def _discard_input(self) -> None:
