A changed idle limit holds for the connections that are open

What callers saw: after a configuration had raised the idle limit, the entry still closed connections that were open before after the old time, sooner than the announced limit, and lost the requests that were sent then. A lowered limit never held for them.

Cause: the reader of a connection kept the limits of when it was made. It now reads those in force at each request and each wait; a limit that is raised during a wait holds for this wait, a lowered one from the next.

The tests failed before: no answer after the old limit, with the server alone and with a real entry; a connection open past a lowered limit.

--- a/tamarackfield/platform/tests/test_frozen_entry.py
+++ b/tamarackfield/platform/tests/test_frozen_entry.py
@@ -64,3 +64,16 @@
         assert [await read_status(reader) for reader, _ in connections] == CONNECTIONS * [200]
         for _, writer in connections:
             writer.close()
+
+
+async def test_raised_idle_limit_of_a_new_configuration_holds_for_open_connections(tmp_path):
+    async with running_site(tmp_path, make_short_idle_config(idle_limit_ms=3000)) as site:
+        await site.add_worker('w1')
+        await site.add_entry()
+        connections = await open_kept_connections(site, 1)
+        site.store.put('op/config', make_short_idle_config(2, idle_limit_ms=30_000))
+        await asyncio.sleep(4.0)
+        reader, writer = connections[0]
+        writer.write(make_request('second'))
+        assert await read_status(reader) == 200
+        writer.close()
--- a/tamarackfield/web/request_reader.py
+++ b/tamarackfield/web/request_reader.py
@@ -1,6 +1,8 @@
 """Reads requests from one connection and enforces limits on framing, size and time."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -64,8 +66,8 @@
     ----------
     reader, writer : asyncio streams
         Receiving and sending side of the connection.
-    limits : HttpLimits
-        Limits on sizes and times.
+    read_limits : callable
+        Returns the limits on sizes and times that are in force.
     budget : BodyBudget
         Memory budget shared by all connections of the server.
     clock : Clock
@@ -78,7 +80,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        limits: HttpLimits,
+        read_limits: Callable[[], HttpLimits],
         budget: BodyBudget,
         clock: Clock = SYSTEM_CLOCK,
         id_header: str = REQUEST_ID_HEADER,
@@ -88,13 +90,13 @@
         self.id_header_name = id_header.lower()
         self.reader = reader
         self.writer = writer
-        self.limits = limits
+        self.read_limits = read_limits
         self.budget = budget
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.reserved_bytes = 0
 
     async def wait_for_first_byte(self) -> bool:
-        """Wait for the first byte of a request.
+        """Wait for the first byte of a request; an idle time-out that is raised meanwhile holds for this wait.
 
         Returns
         -------
@@ -103,11 +105,14 @@
         """
         if self.protocol.trailing_data[0]:
             return True
-        try:
-            await self._receive(listening_seconds() + self.limits.idle_seconds)
-        except TimeoutError:
-            return False
-        return bool(self.protocol.trailing_data[0])
+        idle_since = listening_seconds()
+        idle_seconds = 0.0
+        while self.read_limits().idle_seconds > idle_seconds:
+            idle_seconds = self.read_limits().idle_seconds
+            with contextlib.suppress(TimeoutError):
+                await self._receive(idle_since + idle_seconds)
+                return bool(self.protocol.trailing_data[0])
+        return False
 
     async def read(self) -> HttpRequest | None:
         """Read one complete request; return None if the caller closed the connection before it.
@@ -119,13 +124,14 @@
         CallerDisconnectedError
             If the caller closes the connection within the request.
         """
-        expires_at = listening_seconds() + self.limits.request_seconds
+        limits = self.read_limits()
+        expires_at = listening_seconds() + limits.request_seconds
         head = await self._read_head(expires_at)
         if head is None:
             return None
         received_at = self.clock.monotonic()
-        self._reserve(parse_content_length(head, self.limits.max_body_bytes))
-        body = await self._read_body(expires_at)
+        self._reserve(parse_content_length(head, limits.max_body_bytes))
+        body = await self._read_body(expires_at, limits.max_body_bytes)
         return build_request(head, body, received_at, self.id_header_name)
 
     def release_body(self) -> None:
@@ -149,7 +155,7 @@
                 return None
             await self._receive_in_time(expires_at, 'head')
 
-    async def _read_body(self, expires_at: float) -> bytes:
+    async def _read_body(self, expires_at: float, max_bytes: int) -> bytes:
         body = bytearray()
         while True:
             event = self._next_event()
@@ -159,7 +165,7 @@
                 raise CallerDisconnectedError('caller closed the connection within a request')
             if isinstance(event, h11.Data):
                 body += event.data
-                check_body_size(len(body), self.limits.max_body_bytes)
+                check_body_size(len(body), max_bytes)
                 self._reserve(max(0, len(body) - self.reserved_bytes))
             else:
                 await self._receive_in_time(expires_at, 'body')
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -148,7 +148,7 @@
         self.reader = reader
         self.writer = writer
         self.request_reader = RequestReader(
-            reader, writer, server.limits, server.budget, server.clock, server.id_header
+            reader, writer, lambda: server.limits, server.budget, server.clock, server.id_header
         )
         self.protocol = self.request_reader.protocol
 
--- a/tamarackfield/web/tests/test_stalled_process.py
+++ b/tamarackfield/web/tests/test_stalled_process.py
@@ -1,6 +1,7 @@
 """What arrived while the process stood still counts, although a time limit passed meanwhile."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -108,3 +109,22 @@
     assert await read_status(reader) == 200
     await stopping
     await close_callers(connections)
+
+
+@pytest.mark.parametrize('before, after', [(LIMIT_SECONDS, 60.0), (60.0, LIMIT_SECONDS)], ids=['raised', 'lowered'])
+async def test_changed_idle_limit_holds_for_open_connections(server, before, after):
+    server.limits = dataclasses.replace(LIMITS, idle_seconds=before)
+    connections = await open_callers(server)
+    reader, writer = connections[0]
+    server.limits = dataclasses.replace(LIMITS, idle_seconds=after)
+    if after < before:
+        # The changed limit holds from the next wait.
+        writer.write(REQUEST)
+        assert await read_status(reader) == 200
+        async with asyncio.timeout(10 * LIMIT_SECONDS):
+            assert await reader.read() == b''
+    else:
+        await asyncio.sleep(2 * LIMIT_SECONDS)
+        writer.write(REQUEST)
+        assert await read_status(reader) == 200
+    await close_callers(connections)
