An answer that arrived while the process stood still ends a call in time

What was seen: after a pause, calls to the store and to the engine whose answers were in the buffers of the kernel failed with 'no answer', and connections that had opened failed to connect. An entry frozen for 4.2 s logged `store_lost`; a failed connection counts against the health of a target.

The tests of calls and of a connection failed before: small and large answer, connect.

--- a/tamarackfield/cli/queries.py
+++ b/tamarackfield/cli/queries.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from tamarackfield.core.problems import split_address
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web import ClientError, fetch_json
 
 #: Time limit of an exchange with a process.
@@ -49,7 +50,7 @@
         The decoded answer, or the reason why there is none, such as the time limit of `ANSWER_TIMEOUT_SECONDS`.
     """
     try:
-        async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+        async with time_limit(ANSWER_TIMEOUT_SECONDS):
             status, answer = await fetch_json(split_address(address), method, path, None, headers)
     except TimeoutError:
         return Err(f'no answer from {address} within {ANSWER_TIMEOUT_SECONDS:g} s')
--- a/tamarackfield/discovery/configuration.py
+++ b/tamarackfield/discovery/configuration.py
@@ -1,9 +1,8 @@
 """Read-only client of the configuration service: reads and long-poll watches."""
 
-import asyncio
-
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.problems import split_address
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web import ClientError, fetch
 
 #: Long-poll time-out of a watch, after which the service answers that nothing changed.
@@ -71,7 +70,7 @@
         for address in self.addresses:
             self.calls += 1
             try:
-                async with asyncio.timeout(timeout_seconds):
+                async with time_limit(timeout_seconds):
                     status, headers, content = await fetch(address, 'GET', path)
             except (ClientError, TimeoutError) as exc:
                 problem = repr(exc)
--- a/tamarackfield/discovery/instances.py
+++ b/tamarackfield/discovery/instances.py
@@ -16,6 +16,7 @@
 
 from tamarackfield.core import TamarackfieldError
 from tamarackfield.core.problems import split_address
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web import fetch
 
 #: Longest interval between two reads of the list; the shortest is half of it.
@@ -144,7 +145,7 @@
         problem = 'no address is configured'
         for address in self.addresses:
             try:
-                async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+                async with time_limit(READ_TIMEOUT_SECONDS):
                     status, _, content = await fetch(address, 'GET', _INSTANCES_PATH)
             except (TamarackfieldError, TimeoutError) as exc:
                 problem = repr(exc)
--- a/tamarackfield/entry/app.py
+++ b/tamarackfield/entry/app.py
@@ -7,6 +7,7 @@
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import SYSTEM_CLOCK, Application, new_incarnation
 from tamarackfield.core.settings import ADDRESS_SCHEMA
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.discovery import BundleFollower, InstanceReader
 from tamarackfield.entry.explain import explain_request, explain_route
 from tamarackfield.entry.fleet import Fleet
@@ -130,7 +131,7 @@
         """Accept requests once each target of the first bundle has reported or failed, or the wait times out."""
         attempts = [link.first_attempt_done.wait() for link in self.fleet.links.values()]
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(MAX_FIRST_REPORTS_WAIT_SECONDS):
+            async with time_limit(MAX_FIRST_REPORTS_WAIT_SECONDS):
                 await asyncio.gather(*attempts)
         self.first_reports_done.set()
 
--- a/tamarackfield/entry/keyed_calls.py
+++ b/tamarackfield/entry/keyed_calls.py
@@ -13,6 +13,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import deadline_at
 from tamarackfield.entry.calls import Call
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.links import Link
@@ -97,5 +98,5 @@
     link = fleet.links.get(call.targets[0].name)
     if link is not None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(retry_until):
+            async with deadline_at(retry_until):
                 await link.connected.wait()
--- a/tamarackfield/entry/relay.py
+++ b/tamarackfield/entry/relay.py
@@ -1,12 +1,12 @@
 """Sends a call to a target and relays the answer to the caller; retries failed attempts of idempotent calls."""
 
-import asyncio
 from http import HTTPStatus
 
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, unix_ms_from_deadline
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import deadline_at
 from tamarackfield.entry.calls import Call
 from tamarackfield.entry.fleet import Fleet
 from tamarackfield.entry.keyed_calls import run_keyed_call
@@ -125,7 +125,7 @@
         if not exchange.inbox.empty():
             return exchange.inbox.get_nowait()
         try:
-            async with asyncio.timeout_at(call.deadline + DEADLINE_GRACE_SECONDS):
+            async with deadline_at(call.deadline + DEADLINE_GRACE_SECONDS):
                 return await exchange.inbox.get()
         except TimeoutError:
             raise RequestError(
--- a/tamarackfield/sidecar/engine.py
+++ b/tamarackfield/sidecar/engine.py
@@ -1,10 +1,10 @@
 """Client of the local engine: status, load and unload orders, fencing claims and cancellation."""
 
-import asyncio
 from dataclasses import dataclass
 from typing import Any
 
 from tamarackfield.core.errors import TamarackfieldError
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web import ClientError, fetch_json
 
 #: Time-out of status, claim and cancel calls.
@@ -152,7 +152,7 @@
         self, step: str, method: str, path: str, document: Any, timeout_seconds: float
     ) -> tuple[int, Any]:
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with time_limit(timeout_seconds):
                 return await fetch_json(self.address, method, path, document)
         except (ClientError, TimeoutError) as exc:
             raise EngineError(repr(exc), step=step, peer=self.peer) from exc
--- a/tamarackfield/sidecar/home_tracker.py
+++ b/tamarackfield/sidecar/home_tracker.py
@@ -1,6 +1,5 @@
 """Tracks the targets from which home targets are selected, and requests handovers of keys from earlier ones."""
 
-import asyncio
 import ssl
 from collections.abc import Callable
 
@@ -8,6 +7,7 @@
 
 from tamarackfield.bundle import Bundle, TargetEntry
 from tamarackfield.core import SYSTEM_CLOCK, TamarackfieldError
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.ledger import Coverage, Ledger
 from tamarackfield.sidecar.keyed_calls import KeyedCalls, RunCall
 from tamarackfield.wire import Hello, connect
@@ -110,7 +110,7 @@
         if target_entry is None:
             return False
         try:
-            async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
+            async with time_limit(HANDOVER_TIMEOUT_SECONDS):
                 return await self._exchange_handover(target_entry, scoped_key)
         except (TamarackfieldError, TimeoutError) as exc:
             logger.bind(peer=home, error=repr(exc)).warning('earlier_home_unreachable')
--- a/tamarackfield/sidecar/keyed_calls.py
+++ b/tamarackfield/sidecar/keyed_calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
 from tamarackfield.core.errors import refusal
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import deadline_at
 from tamarackfield.ledger import (
     Answer,
     Coverage,
@@ -213,8 +215,10 @@
 
     async def _await_call(self, task: asyncio.Task[Answer], submit: Submit) -> Answer:
         deadline = deadline_from_unix_ms(submit.deadline_unix_ms)
-        done, _ = await asyncio.wait((task,), timeout=max(0, deadline - SYSTEM_CLOCK.monotonic()))
-        if done and not task.cancelled():
+        with contextlib.suppress(TimeoutError):
+            async with deadline_at(deadline):
+                await asyncio.wait((task,))
+        if task.done() and not task.cancelled():
             return task.result()
         raise RequestError(
             'the deadline passed while the call with this key was under way',
--- a/tamarackfield/sidecar/keyed_dispatch.py
+++ b/tamarackfield/sidecar/keyed_dispatch.py
@@ -1,11 +1,11 @@
 """Dispatches calls with an idempotency key to the target."""
 
-import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 
 from tamarackfield.core import RequestError
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import deadline_at
 from tamarackfield.ledger import Answer
 from tamarackfield.sidecar.events import JobEnded
 from tamarackfield.sidecar.jobs import Job
@@ -51,7 +51,7 @@
         on_dispatch()
         headers = [(header, text) for header, text in submit.headers]
         async with (
-            asyncio.timeout_at(expires_at),
+            deadline_at(expires_at),
             open_request(address, submit.method, submit.path, submit.body, headers) as response,
         ):
             return Answer(response.status, select_forwarded_headers(response), await response.read())
--- a/tamarackfield/sidecar/request_run.py
+++ b/tamarackfield/sidecar/request_run.py
@@ -1,11 +1,11 @@
 """Runs one request at the target: admission, dispatch and relay of the answer."""
 
-import asyncio
 import contextlib
 from http import HTTPStatus
 
 from tamarackfield.core import SYSTEM_CLOCK, RequestError
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import deadline_at
 from tamarackfield.sidecar.cancellation import cancel_and_release
 from tamarackfield.sidecar.echo_check import CheckedEventStream, check_echo
 from tamarackfield.sidecar.events import JobEnded, StateInvalidated
@@ -96,7 +96,7 @@
         self.engine_incarnation = self.target.worker.engine_incarnation
         self.sent = True
         try:
-            async with asyncio.timeout_at(self.job.deadline):
+            async with deadline_at(self.job.deadline):
                 await self._exchange()
         except ClientError as exc:
             self.sent = exc.sent
--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -14,6 +14,7 @@
 
 from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
+from tamarackfield.core.time_limits import time_limit
 
 #: Time limit for connecting.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -154,7 +155,7 @@
     """
     peer = f'{address[0]}:{address[1]}'
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+        async with time_limit(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await asyncio.open_connection(*address)
     except (OSError, TimeoutError) as exc:
         raise ClientError(f'cannot connect: {exc!r}', 'connect', peer, sent=False) from exc
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -1,6 +1,5 @@
 """JSON requests on pooled connections, each with its own time limit."""
 
-import asyncio
 import json
 import secrets
 from dataclasses import dataclass
@@ -10,6 +9,7 @@
 import h11
 
 from tamarackfield.core import Address
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 from tamarackfield.web.pool import ConnectionPool
@@ -84,7 +84,7 @@
         header_lines.append((id_header, request_id))
     request = h11.Request(method=method, target=path, headers=header_lines)
     try:
-        async with asyncio.timeout(timeout_seconds):
+        async with time_limit(timeout_seconds):
             head, answer = await _exchange(pool, address, request, body, (id_header, request_id))
     except TimeoutError:
         raise ClientError(f'no answer within {timeout_seconds} s', 'call', peer, sent=True) from None
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -9,6 +9,7 @@
 
 from tamarackfield.core.clock import BOOT_CLOCK, MS_PER_SECOND
 from tamarackfield.core.problems import Address
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.policy.idle_limits import IdleLimit
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
@@ -174,7 +175,7 @@
     with contextlib.ExitStack() as clean_up:
         clean_up.callback(connection.fail, 'cancelled while connecting')
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with time_limit(CONNECT_TIMEOUT_SECONDS):
                 await loop.create_connection(lambda: connection, *address)
         except (OSError, TimeoutError) as exc:
             raise ClientError(f'cannot connect: {exc!r}', 'connect', peer, sent=False) from exc
--- a/tamarackfield/web/tests/test_stalled_process.py
+++ b/tamarackfield/web/tests/test_stalled_process.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import dataclasses
+import json
+import socket
 import time
 
 import pytest
 
 from tamarackfield.observe.operations import answer_error
 from tamarackfield.testing.stalls import be_busy, freeze
-from tamarackfield.web import HttpLimits, HttpServer
+from tamarackfield.web import ClientError, ConnectionPool, HttpLimits, HttpServer
+from tamarackfield.web.json_calls import call_json
 
 HOST = '127.0.0.1'
 LIMIT_SECONDS = 0.3
@@ -128,3 +131,43 @@
         writer.write(REQUEST)
         assert await read_status(reader) == 200
     await close_callers(connections)
+
+
+@pytest.mark.parametrize('size', [10, 3_000_000], ids=['small', 'large'])
+async def test_answer_that_arrives_in_a_stall_is_read(size):
+    body = json.dumps((size - 2) * 'x').encode()
+
+    def serve(listener):
+        peer, _ = listener.accept()
+        with peer:
+            peer.recv(65_536)
+            received.set()
+            time.sleep(STALL_SECONDS / 2)
+            peer.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size + body)
+
+    received = asyncio.Event()
+    pool = ConnectionPool()
+    with socket.create_server((HOST, 0)) as listener:
+        serving = asyncio.create_task(asyncio.to_thread(serve, listener))
+        calling = asyncio.create_task(
+            call_json(pool, (HOST, listener.getsockname()[1]), 'GET', '/', timeout_seconds=LIMIT_SECONDS)
+        )
+        while not received.is_set():
+            await asyncio.sleep(0.001)
+        time.sleep(STALL_SECONDS)
+        assert len((await calling).document) == size - 2
+        await serving
+    pool.close()
+
+
+async def test_connection_that_opens_in_a_stall_counts_as_open():
+    with socket.create_server((HOST, 0)) as listener:
+        pool = ConnectionPool()
+        opening = asyncio.create_task(pool.acquire((HOST, listener.getsockname()[1]), 1.0))
+        await asyncio.sleep(0)
+        time.sleep(STALL_SECONDS)
+        try:
+            connection = await opening
+        except ClientError as exc:
+            pytest.fail(repr(exc))
+        connection.fail('not used')
