A peer is not silent because this process stood still

What was seen: an entry that had been frozen gave up its streams to sidecars as silent (`sidecar_lost` with `machine_suspect=True`), and refused reservations whose grant had arrived.

Cause: silence was the time since the last bytes, the time included in which they could not be read.

A sidecar still ends the stream of an entry that was silent for 2 s: it has heard nothing.

--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -9,8 +9,9 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, TamarackfieldError, cancel_and_wait
+from tamarackfield.core import BOOT_CLOCK, Address, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.time_limits import listening_seconds, time_limit, wait_within
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE
 from tamarackfield.policy.quarantine import Crash, CrashKey
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
@@ -114,7 +115,7 @@
 
     def is_silent(self) -> bool:
         """Return whether the sidecar is disconnected or its heartbeats are overdue."""
-        return self.stream is None or SYSTEM_CLOCK.monotonic() - self.stream.last_received_at > SILENCE_TIMEOUT_SECONDS
+        return self.stream is None or listening_seconds() - self.stream.last_received_at > SILENCE_TIMEOUT_SECONDS
 
     def is_machine_suspect(self) -> bool:
         """Return whether the machine of the target does not respond, rather than only the sidecar process on it."""
@@ -165,7 +166,7 @@
         self.pending[number] = answer
         reply: Answer | None = None
         try:
-            async with asyncio.timeout(request.remaining_seconds + ANSWER_MARGIN_SECONDS):
+            async with time_limit(request.remaining_seconds + ANSWER_MARGIN_SECONDS):
                 self._send(_make_reserve(number, request))
                 reply = await self._await_answer(answer)
         except TimeoutError:
@@ -257,8 +258,7 @@
     async def _await_answer(self, answer: asyncio.Future[Answer]) -> Answer:
         """Wait for an answer until the sidecar falls silent."""
         while not answer.done():
-            await asyncio.wait((answer,), timeout=SILENCE_CHECK_SECONDS)
-            if not answer.done() and self.is_silent():
+            if not await wait_within(answer, SILENCE_CHECK_SECONDS) and self.is_silent():
                 raise StreamClosedError('sidecar is silent', step='reserve', peer=self._peer_name())
         return answer.result()
 
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -8,6 +8,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.time_limits import time_limit
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
 from tamarackfield.gateway.replica import Item, Replica
@@ -69,7 +70,7 @@
         """Answer the query of one peer."""
         stream = PeerStream(reader, writer)
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+            async with time_limit(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
                 query = await stream.receive()
                 if isinstance(query, AskBeliefs):
@@ -188,7 +189,7 @@
     async def _query_peer(self, address: Address, query: Message) -> None:
         stream: PeerStream | None = None
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+            async with time_limit(ANSWER_TIMEOUT_SECONDS):
                 stream = await connect(*address, None)
                 await stream.exchange_hellos(self.hello())
                 stream.send(query)
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -12,6 +12,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Application, RequestError
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.time_limits import listen_for
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import ManagerLink
@@ -111,7 +112,7 @@
 
     async def wait_for_suspicion(self, parts: Iterable[str]) -> bool:
         """Wait until the end of a target would be known; return whether parts are suspected of it."""
-        await asyncio.sleep(SUSPICION_SECONDS)
+        await listen_for(SUSPICION_SECONDS)
         return bool(self.find_suspected(parts))
 
     def record_attempt(
--- a/tamarackfield/platform/tests/test_frozen_entry.py
+++ b/tamarackfield/platform/tests/test_frozen_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 
 from tamarackfield.testing.platform_site import HOST_NAME, make_config, running_site
 
@@ -77,3 +78,22 @@
         writer.write(make_request('second'))
         assert await read_status(reader) == 200
         writer.close()
+
+
+@pytest.mark.parametrize(
+    'frozen, seconds, losses',
+    [
+        ('entry', FROZEN_SECONDS, ('sidecar_lost', 'store_lost')),
+        ('entry', FROZEN_WATCH_SECONDS, ('store_lost', 'machine_suspect=True')),
+        ('sidecar', FROZEN_SECONDS, ('engine_lost', 'engine_ended')),
+    ],
+)
+async def test_frozen_process_does_not_take_others_for_lost(model_site, frozen, seconds, losses):
+    processes = {'entry': model_site.entries[0], 'sidecar': model_site.sidecars['m1']}
+    for _ in range(2):
+        processes[frozen].freeze()
+        await asyncio.sleep(seconds)
+        processes[frozen].thaw()
+        await asyncio.sleep(0.5)
+    log = processes[frozen].read_log()
+    assert [loss for loss in losses if loss in log] == []
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -8,6 +8,7 @@
 from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
+from tamarackfield.core.time_limits import listening_seconds, poll_sockets, time_limit
 from tamarackfield.wire.codec import FrameDecoder, encode
 from tamarackfield.wire.messages import Heartbeat, Hello, Message
 
@@ -48,7 +49,7 @@
     timed_out : bool
         Whether the stream was aborted because the peer sent nothing within `SILENCE_TIMEOUT_SECONDS`.
     last_received_at : float
-        Time at which bytes were last received, in monotonic seconds.
+        Time at which bytes were last received, in `listening_seconds`.
     clock_skew_ms : int
         Clock of the peer minus the clock of this process, from the last heartbeat.
     peer : str
@@ -65,7 +66,7 @@
         self.hello: Hello | None = None
         self.closed = False
         self.timed_out = False
-        self.last_received_at = SYSTEM_CLOCK.monotonic()
+        self.last_received_at = listening_seconds()
         self.clock_skew_ms = 0
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -141,7 +142,7 @@
         """
         self.send(hello)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with time_limit(CONNECT_TIMEOUT_SECONDS):
                 message = await self.receive()
         except TimeoutError:
             raise StreamClosedError('peer sent no hello', step='hello', peer=self.peer) from None
@@ -154,7 +155,9 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats until the stream closes; abort it if the peer exceeds the silence time-out."""
         while not self.closed:
-            if SYSTEM_CLOCK.monotonic() - self.last_received_at > SILENCE_TIMEOUT_SECONDS:
+            if self._is_silent():
+                await poll_sockets()
+            if self._is_silent():
                 self.timed_out = True
                 self.abort()
                 return
@@ -178,7 +181,7 @@
         """Close the stream; wait until queued messages are written, up to `SILENCE_TIMEOUT_SECONDS`."""
         self.close()
         with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
+            async with time_limit(SILENCE_TIMEOUT_SECONDS):
                 await self.writer.wait_closed()
 
     def abort(self) -> None:
@@ -187,6 +190,9 @@
         self.unsent_frames.clear()
         self.writer.transport.abort()
 
+    def _is_silent(self) -> bool:
+        return listening_seconds() - self.last_received_at > SILENCE_TIMEOUT_SECONDS
+
     async def _read_messages(self) -> None:
         try:
             chunk = await self.reader.read(_MAX_READ_BYTES)
@@ -196,7 +202,7 @@
         if not chunk:
             reason = 'peer is silent' if self.timed_out else 'peer closed the stream'
             raise StreamClosedError(reason, step='receive', peer=self.peer)
-        self.last_received_at = SYSTEM_CLOCK.monotonic()
+        self.last_received_at = listening_seconds()
         self.bytes_received += len(chunk)
         self.received_messages.extend(self.decoder.feed(chunk))
 
@@ -224,7 +230,7 @@
         If the peer cannot be reached within `CONNECT_TIMEOUT_SECONDS`.
     """
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+        async with time_limit(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await asyncio.open_connection(host, port, ssl=context)
     except (OSError, TimeoutError) as exc:
         raise StreamClosedError(f'cannot connect: {exc!r}', step='connect', peer=f'{host}:{port}') from exc
