A deadline or silence that passed while the entry stood still shows nothing of a target

What callers saw: after a pause of the entry, 504 for calls whose answers had arrived before their deadlines; the pause then counted against the targets, and `target_left_out` followed (at a failure ratio of 0.58 after 12 calls to one target).

Cause: the deadline of a call and the limits on silence won over bytes that were there. The deadline stays a promise, but what can complete without waiting is delivered; it counts as silence of the target only if the call exceeded its latency objective without the time in which this process stood still. The pause of 0.05 s after each silence is gone, both limits use `core/time_limits` (limit: before -> now): deadline of a call event loop time -> the same, polled head of an answer, 0.4 of the time left event loop time + 0.05 s -> listening, polled silence of a stream 1.2 s same silence of a target, in its health any passed deadline -> as said above

The tests with a frozen entry failed before: 504 instead of 200; `target_left_out`. Those of streams (test_silent_processes) pass without the pause.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -9,6 +9,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.time_limits import wait_within
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import (
@@ -25,7 +26,7 @@
 from tamarackfield.gateway.fleet import Fleet, make_placement
 from tamarackfield.gateway.links import Reservation, ReservationRequest
 from tamarackfield.gateway.model import AnswerHead
-from tamarackfield.gateway.relay import RECHECK_SECONDS, Incoming, relay_stream
+from tamarackfield.gateway.relay import Incoming, relay_stream
 from tamarackfield.policy.service_routing import update_service_time
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web import Responder
@@ -231,9 +232,7 @@
     reading = asyncio.ensure_future(exchange.read_head())
     try:
         while not reading.done():
-            await asyncio.wait((reading,), timeout=silence_timeout_seconds)
-            await asyncio.wait((reading,), timeout=RECHECK_SECONDS)
-            if not reading.done() and may_move():
+            if not await wait_within(reading, silence_timeout_seconds) and may_move():
                 return None
         return reading.result()
     finally:
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from tamarackfield.core import BOOT_CLOCK, RequestError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.outcome import Outcome
+from tamarackfield.core.time_limits import TimeLimit, deadline_at
 from tamarackfield.gateway.attempts import MIN_REMAINING_SECONDS, AttemptRunner, record_target_result
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Target
@@ -50,7 +51,7 @@
         self.attempt_runner = attempt_runner
         self.budget_for = budget_for
         # Deadline of each running call, in monotonic seconds on the boot clock.
-        self.deadlines: dict[asyncio.Timeout, float] = {}
+        self.deadlines: dict[TimeLimit, float] = {}
 
     async def serve(self, call_state: CallState, responder: Responder) -> None:
         """Serve one call until it is answered or fails.
@@ -66,21 +67,22 @@
         """
         now = BOOT_CLOCK.monotonic()
         self.budget_for(call_state.service).earn(now)
-        remaining = call_state.call.deadline - now
+        limit = deadline_at(asyncio.get_running_loop().time() + call_state.call.deadline - now)
         try:
-            async with asyncio.timeout(remaining) as timeout:
-                self.deadlines[timeout] = call_state.call.deadline
+            async with limit:
+                self.deadlines[limit] = call_state.call.deadline
                 await self._attempt_until_answered(call_state, responder)
         except TimeoutError:
-            _record_silence(call_state)
+            if not limit.stalled_seconds() or _is_late(call_state, limit):
+                _record_silence(call_state)
             raise self._make_error(call_state, 'deadline passed') from None
         except asyncio.CancelledError:
             # A caller that disconnects within the latency objective does not show that the target is too slow.
-            if BOOT_CLOCK.monotonic() - call_state.call.received_at > call_state.route.objective_seconds:
+            if _is_late(call_state, limit):
                 _record_silence(call_state)
             raise
         finally:
-            self.deadlines.pop(timeout)
+            self.deadlines.pop(limit)
 
     def reschedule_deadlines(self) -> None:
         """Reschedule every time-out after a suspension of the machine, which event loop timers do not count."""
@@ -228,6 +230,12 @@
     ).info('chosen')
 
 
+def _is_late(call_state: CallState, limit: TimeLimit) -> bool:
+    """Return whether a call exceeded its latency objective, without the time in which this process stood still."""
+    seconds = BOOT_CLOCK.monotonic() - call_state.call.received_at - limit.stalled_seconds()
+    return seconds > call_state.route.objective_seconds
+
+
 def _record_silence(call_state: CallState) -> None:
     """Record a failure of the target whose attempt had no response before the call was abandoned."""
     if call_state.in_flight is not None and not call_state.head_sent:
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -4,12 +4,12 @@
 complete only if it also ends between two events.
 """
 
-import asyncio
 import math
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from tamarackfield.core import BOOT_CLOCK
+from tamarackfield.core.time_limits import listening_seconds, time_limit_at
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.events import EventSplitter, event_number
 from tamarackfield.gateway.exchange import AttemptResult, Exchange, MaybeRan, Streamed
@@ -20,8 +20,6 @@
 
 #: Seconds without a complete event after which a stream is resumed at another target, if that is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
-#: Seconds for which a silent stream is read once more: after a pause of this process, its bytes may be here already.
-RECHECK_SECONDS = 0.05
 #: Bytes of an incomplete event that count like an event: a large one may arrive slowly.
 PROGRESS_BYTES = 1024
 
@@ -104,7 +102,7 @@
     Attributes
     ----------
     ends_at : float or None
-        Time of the event loop at which that time is over.
+        Time of `listening_seconds` at which that time is over.
     gave_up : bool
         Whether the stream was given up.
     """
@@ -114,24 +112,14 @@
         self.timeout_seconds = timeout_seconds
         self.incomplete_bytes = 0
         self.gave_up = False
-        self.rechecked = False
         self.ends_at: float | None = None
         self.restart()
 
     def restart(self) -> None:
         """Wait once more for the whole time."""
         if self.timeout_seconds is not None:
-            self.ends_at = asyncio.get_running_loop().time() + self.timeout_seconds
+            self.ends_at = listening_seconds() + self.timeout_seconds
         self.incomplete_bytes = 0
-        self.rechecked = False
-
-    def start_recheck(self) -> bool:
-        """Wait for `RECHECK_SECONDS` more; return False if that has been done."""
-        if self.rechecked:
-            return False
-        self.rechecked = True
-        self.ends_at = asyncio.get_running_loop().time() + RECHECK_SECONDS
-        return True
 
     def record_progress(self, byte_count: int, has_events: bool) -> None:
         """Record bytes of the stream, and whether they completed an event."""
@@ -152,14 +140,13 @@
     waiting_since = math.inf
     while True:
         try:
-            async with asyncio.timeout_at(silence.ends_at):
+            async with time_limit_at(silence.ends_at):
                 chunk = await incoming.exchange.next_chunk()
         except TimeoutError:
-            if not silence.start_recheck():
-                silence.gave_up = incoming.may_move()
-                if silence.gave_up:
-                    return
-                silence.restart()
+            silence.gave_up = incoming.may_move()
+            if silence.gave_up:
+                return
+            silence.restart()
             continue
         if not chunk:
             return
--- a/tamarackfield/platform/tests/test_frozen_entry.py
+++ b/tamarackfield/platform/tests/test_frozen_entry.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackfield.testing.platform_site import HOST_NAME, make_config, running_site
+from tamarackfield.testing.platform_worker import WorkerFault
 
 IDLE_LIMIT_MS = 600
 #: Time for which a process is frozen, above the limit that it reaches meanwhile.
@@ -80,6 +81,36 @@
         writer.close()
 
 
+async def test_answer_that_reaches_a_frozen_entry_before_the_deadline_is_delivered(one_worker_site):
+    site = one_worker_site
+    site.workers['w1'].event_interval_seconds = 0.3
+    calling = asyncio.create_task(site.call('/file/x', headers=[('Tamarackfield-Deadline-Ms', '800')]))
+    while not site.workers['w1'].runs:
+        await asyncio.sleep(0.01)
+    site.entries[0].freeze()
+    await asyncio.sleep(FROZEN_SECONDS)
+    site.entries[0].thaw()
+    status, _, _ = await calling
+    assert status == 200
+
+
+async def test_deadlines_that_pass_while_an_entry_is_frozen_do_not_leave_out_a_target(one_worker_site):
+    site = one_worker_site
+    site.workers['w1'].fault = WorkerFault('hang', CONNECTIONS)
+    calls = [
+        asyncio.create_task(site.call('/file/x', headers=[('Tamarackfield-Deadline-Ms', '800')]))
+        for _ in range(CONNECTIONS)
+    ]
+    while len(site.workers['w1'].runs) < CONNECTIONS:
+        await asyncio.sleep(0.01)
+    site.entries[0].freeze()
+    await asyncio.sleep(FROZEN_SECONDS)
+    site.entries[0].thaw()
+    statuses = {status for status, _, _ in await asyncio.gather(*calls)}
+    assert statuses == {504}
+    assert 'event=target_left_out' not in site.entries[0].read_log()
+
+
 @pytest.mark.parametrize(
     'frozen, seconds, losses',
     [
