A silent run is kept until another one goes on with its call

Callers saw resumable streams cut, and repeatable calls refused or failed, although their worker was sound: it was silent for a second or so and went on.

Cause: when a time-out for silence had passed and another target seemed able to take the call, the run was ended before the other target was asked. Anything that went wrong from then on cut the call: a refusal by the other target, a declined reservation, a budget spent meanwhile, a quarantine, a target that left, a failed connection, two entries that decided at once. The head of an answer was awaited in the same way.

Now a time-out for silence starts a search for a successor beside the run, which is read on (gateway/handover.py). It is a further attempt with the limits of any other: route, number of targets, retry budget, quarantine. Whichever goes on first is kept, the other is cancelled at its target. The successor writes nothing before the run has ended, so events never mix. A caller that leaves, or the deadline, ends both. A refused successor leaves the run as it was, and the next one is sought after a further silence.

A route that is resumable but neither streaming nor repeatable was moved in the same way and then cut; it now keeps its only run.

Ruled out: longer time-outs (a silence has no known bound); asking the sidecar (it sees a silent worker as silent too); only going back to the first target (its run is gone by then).

Silence, resumption, redirects and cancellation keep their tests unchanged.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -24,12 +24,12 @@
     classify_answer,
 )
 from tamarackfield.gateway.fleet import Fleet, make_placement
+from tamarackfield.gateway.handover import Delivery
 from tamarackfield.gateway.links import Reservation, ReservationRequest
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.gateway.relay import Incoming, relay_stream
 from tamarackfield.policy.service_routing import update_service_time
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
-from tamarackfield.web import Responder
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import ConnectionPool
 from tamarackfield.wire.reservations import REDIRECT_CODE, Declined
@@ -37,8 +37,8 @@
 
 #: Remaining time, in seconds, below which a call is not sent: no answer could arrive before the deadline.
 MIN_REMAINING_SECONDS = 0.02
-#: Share of the remaining time after which an attempt of a repeatable call without any response is
-#: abandoned while a further attempt is allowed.
+#: Share of the remaining time after which a successor is sought for an attempt of a repeatable call without any
+#: response.
 SILENCE_TIMEOUT_SHARE = 0.4
 #: Lower bound, in seconds, of the silence time-out of an attempt of a repeatable call.
 MIN_SILENCE_TIMEOUT_SECONDS = 0.15
@@ -76,7 +76,7 @@
         self.dialect = dialect
         self.budget_for = budget_for
 
-    async def run_attempt(self, call_state: CallState, target: Target, responder: Responder) -> AttemptResult:
+    async def run_attempt(self, call_state: CallState, target: Target, delivery: Delivery) -> AttemptResult:
         """Run one attempt; its reservation and its connection are released however it ends."""
         with contextlib.ExitStack() as clean_up:
             reservation = Reservation(longest_pause_seconds=call_state.route.pause_seconds)
@@ -90,11 +90,11 @@
             clean_up.callback(_count_attempt_end, target)
             exchange = Exchange(self.pool, self.dialect, call_state.call, target)
             clean_up.callback(exchange.close)
-            result = await self._send_and_receive(call_state, exchange, reservation, responder)
+            result = await self._send_and_receive(call_state, exchange, reservation, delivery)
             if call_state.adapter_key():
                 link = self.fleet.find_link(target)
                 call_state.broke_off_unproven = self.fleet.quarantine.record_attempt(
-                    exchange, result, call_state.suspected_parts, link
+                    exchange, result, exchange.suspected_parts, link
                 )
             return result
 
@@ -146,7 +146,7 @@
         )
 
     async def _send_and_receive(
-        self, call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
+        self, call_state: CallState, exchange: Exchange, reservation: Reservation, delivery: Delivery
     ) -> AttemptResult:
         target = exchange.target
         options = CallOptions(call_state.route.priority, reservation.version, call_state.last_event)
@@ -158,14 +158,14 @@
             """Return why the call may not be sent; if it may, spend the retry budget and record the call as sent."""
             refusal = self._explain_refusal(call_state, target)
             if not refusal:
-                self._record_sent(call_state, target)
+                self._record_sent(call_state, exchange, delivery)
             return refusal
 
         try:
             refusal = await exchange.send(options, max_idle_seconds, authorize_send, call_state.used_connections)
             if refusal:
                 return NotRun(refusal, sent=False)
-            return await self._receive(call_state, exchange, reservation, responder)
+            return await self._receive(call_state, exchange, reservation, delivery)
         except ClientError as exc:
             if not exc.sent:
                 record_target_result(target, succeeded=False)
@@ -174,15 +174,13 @@
         finally:
             call_state.record_answer_end(exchange.framing or '', exchange.describe_end())
 
-    def _can_repeat(self, call_state: CallState, target: Target) -> bool:
-        """Return whether a further attempt of a call is allowed and a target other than this one could take it."""
+    def _can_repeat(self, call_state: CallState) -> bool:
+        """Return whether a further attempt of a call is allowed and a target that does not run it could take it."""
         if not self.budget_for(call_state.service).can_spend(BOOT_CLOCK.monotonic()):
             return False
         if self.fleet.quarantine.explain_refusal(call_state):
             return False
-        placement = make_placement(call_state)
-        other = self.fleet.choose_target(placement, lambda other: other is not target and call_state.allows(other))
-        return other is not None
+        return self.fleet.choose_target(make_placement(call_state), call_state.allows) is not None
 
     def _explain_refusal(self, call_state: CallState, target: Target) -> str:
         """Return why a call may not be sent to a target now, empty if it may."""
@@ -196,22 +194,29 @@
             return 'retry budget was spent before the call was sent'
         return self.fleet.quarantine.explain_refusal(call_state)
 
-    def _record_sent(self, call_state: CallState, target: Target) -> None:
+    def _record_sent(self, call_state: CallState, exchange: Exchange, delivery: Delivery) -> None:
         if call_state.send_count:
             self.budget_for(call_state.service).spend(BOOT_CLOCK.monotonic())
-        call_state.suspected_parts = self.fleet.quarantine.find_suspected(call_state.call.prompt_parts)
-        call_state.record_sent(target)
+        exchange.suspected_parts = self.fleet.quarantine.find_suspected(call_state.call.prompt_parts)
+        call_state.record_sent(exchange.target)
+        if delivery.predecessor is not None:
+            delivery.predecessor.record_sent(resumes=call_state.has_events())
 
     async def _receive(
-        self, call_state: CallState, exchange: Exchange, reservation: Reservation, responder: Responder
+        self, call_state: CallState, exchange: Exchange, reservation: Reservation, delivery: Delivery
     ) -> AttemptResult:
         target = exchange.target
 
-        def may_move() -> bool:
-            """Return whether another target could take the call now."""
-            return self._can_repeat(call_state, target)
+        def seek_successor() -> None:
+            """Start to look for a successor if another target could take the call now."""
+            if delivery.is_searching():
+                return
+            call_state.forget_refusals()
+            if self._can_repeat(call_state):
+                logger.bind(request_id=call_state.call.request_id, target=target.record.name).info('successor_sought')
+                delivery.start_search()
 
-        head = await _read_head(exchange, _silence_timeout(call_state), may_move)
+        head = await _read_head(exchange, _silence_timeout(call_state, target), seek_successor, delivery)
         if head is None:
             return MaybeRan('target is silent')
         reservation.report_started()
@@ -221,20 +226,24 @@
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
-            return await relay_stream(call_state, Incoming(exchange, head, reservation, may_move), responder)
+            return await relay_stream(call_state, Incoming(exchange, head, reservation, seek_successor), delivery)
         return classify_answer(head, await exchange.read_body())
 
 
 async def _read_head(
-    exchange: Exchange, silence_timeout_seconds: float | None, may_move: Callable[[], bool]
+    exchange: Exchange,
+    silence_timeout_seconds: float | None,
+    seek_successor: Callable[[], None],
+    delivery: Delivery,
 ) -> AnswerHead | None:
-    """Return the head of an answer, None if the target is silent for too long while another one could take the call."""
+    """Return the head of an answer, None if a successor goes on first; one is sought while the target is silent."""
     reading = asyncio.ensure_future(exchange.read_head())
+    delivery.on_replaced = reading.cancel
     try:
         while not reading.done():
-            if not await wait_within(reading, silence_timeout_seconds) and may_move():
-                return None
-        return reading.result()
+            if not await wait_within(reading, silence_timeout_seconds):
+                seek_successor()
+        return None if reading.cancelled() else reading.result()
     finally:
         await cancel_and_wait((reading,))
 
@@ -251,10 +260,10 @@
     target.health.record_cancellation()
 
 
-def _silence_timeout(call_state: CallState) -> float | None:
-    """Return the seconds without a response after which an attempt is abandoned, None for up to the deadline."""
+def _silence_timeout(call_state: CallState, target: Target) -> float | None:
+    """Return the seconds without a response after which a successor is sought, None if there can be none."""
     route = call_state.route
-    if not route.may_run_again or len(call_state.sent_to) >= route.max_targets:
+    if not route.may_run_again or not call_state.may_reach_another(target):
         return None
     if route.streaming:
         return FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_seconds
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -31,8 +31,8 @@
         Names of the targets to which it was sent.
     send_count : int
         Number of times that it was sent.
-    in_flight : Target or None
-        Target of the attempt in progress, which bytes of the call may have reached.
+    runs : list of Target
+        Targets of the attempts in progress, which bytes of the call may have reached, the earliest first.
     may_have_run : bool
         Whether an attempt ended without proof that it did not run.
     failure : Answered or None
@@ -67,8 +67,6 @@
         How the latest answer ended.
     partial_event_bytes : int
         Bytes after the last complete event of the latest stream.
-    suspected_parts : frozenset of str
-        Parts of the prompt that were suspected of a crash when the call was last sent.
     used_connections : list of TargetConnection
         Connections on which the call was sent.
     broke_off_unproven : bool
@@ -83,7 +81,7 @@
     configuration_version: int
     sent_to: set[str] = field(default_factory=set)
     send_count: int = 0
-    in_flight: Target | None = None
+    runs: list[Target] = field(default_factory=list)
     may_have_run: bool = False
     failure: Answered | None = None
     head_sent: bool = False
@@ -102,11 +100,15 @@
     answer_framing: str = ''
     answer_end: str = ''
     partial_event_bytes: int = 0
-    suspected_parts: frozenset[str] = frozenset()
     used_connections: list[TargetConnection] = field(default_factory=list)
     broke_off_unproven: bool = False
     is_probe: bool = False
 
+    @property
+    def in_flight(self) -> Target | None:
+        """Target of the earliest attempt in progress."""
+        return self.runs[0] if self.runs else None
+
     def adapter_key(self) -> str:
         """Return ``model/adapter`` or ``model``; empty for a plain service."""
         call = self.call
@@ -124,10 +126,17 @@
         (True, False)
         """
         name = target.record.name
+        if any(target is run for run in self.runs):
+            return False
         if name in self.excluded_targets or (name in self.redirected_from and self.may_be_redirected()):
             return False
         return name in self.sent_to or len(self.sent_to) < self.route.max_targets
 
+    def may_reach_another(self, target: Target) -> bool:
+        """Return whether the limit of targets lets the call go to another one than this."""
+        others = self.sent_to - self.excluded_targets - {target.record.name}
+        return bool(others) or len(self.sent_to) < self.route.max_targets
+
     def may_be_redirected(self) -> bool:
         """Return whether a sidecar may leave the call to other targets once more."""
         return self.redirects_left > 0
@@ -169,18 +178,18 @@
         self.sent_to.add(target.record.name)
         self.send_count += 1
         self.target_name = target.record.name
-        self.in_flight = target
+        self.runs.append(target)
 
     def record_not_run(self, target: Target, retry_allowed: bool) -> None:
         """Record that an attempt did not run; ``retry_allowed`` is whether the target may be tried once more."""
-        self.in_flight = None
+        self._end_run(target)
         if not retry_allowed or target.record.name in self.not_run_targets:
             self.excluded_targets.add(target.record.name)
         self.not_run_targets.add(target.record.name)
 
     def record_redirect(self, target: Target) -> None:
         """Record that the sidecar of a target left the call to other targets."""
-        self.in_flight = None
+        self._end_run(target)
         self.redirected_from.add(target.record.name)
         self.redirects_left -= 1
 
@@ -190,6 +199,28 @@
 
     def record_maybe_ran(self, target: Target) -> None:
         """Record that an attempt ended and may have run."""
-        self.in_flight = None
+        self._end_run(target)
         self.may_have_run = True
         self.excluded_targets.add(target.record.name)
+        self.not_run_targets.discard(target.record.name)
+
+    def record_abandoned(self, target: Target) -> None:
+        """Record that an attempt was ended because another run goes on; its target may be tried once more."""
+        was_sent = self._end_run(target)
+        self.may_have_run = self.may_have_run or was_sent
+
+    def record_answered(self, target: Target) -> None:
+        """Record that an attempt ended with an answer for the caller."""
+        self._end_run(target)
+        self.target_name = target.record.name
+
+    def forget_refusals(self) -> None:
+        """Let targets be tried again that did not run the call; a run has been silent for some time since."""
+        self.excluded_targets -= self.not_run_targets
+        self.not_run_targets.clear()
+
+    def _end_run(self, target: Target) -> bool:
+        """Remove a target from those of the attempts in progress; return whether it was one of them."""
+        count = len(self.runs)
+        self.runs = [run for run in self.runs if run is not target]
+        return len(self.runs) < count
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -2,11 +2,13 @@
 
 Whether a call is retried depends on its route and on the known outcome of its attempts: a call that
 provably did not run may be retried; one that may have run is retried only if its route is repeatable
-or its stream is resumable. A retry budget, shared by all entries, bounds the number of retries.
+or its stream is resumable. A run whose target is silent is kept until its successor goes on. A retry budget, shared by
+all entries, bounds the number of retries.
 """
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 from loguru import logger
@@ -20,8 +22,9 @@
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import Answered, AttemptResult, MaybeRan, NotRun, Streamed
 from tamarackfield.gateway.fleet import Fleet, make_placement
+from tamarackfield.gateway.handover import Delivery
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
-from tamarackfield.web import AnswerCutError, Responder
+from tamarackfield.web import AnswerCutError, CallerDisconnectedError, Responder
 
 #: Retry-After, in seconds, if no sidecar gave an estimate: the time in which a target that crashed or
 #: was removed is replaced in the instance list.
@@ -91,6 +94,21 @@
             timeout.reschedule(loop.time() + deadline - BOOT_CLOCK.monotonic())
 
     async def _attempt_until_answered(self, call_state: CallState, responder: Responder) -> None:
+        if await self._try_targets(call_state, responder):
+            return
+        if call_state.failure is None or call_state.head_sent:
+            raise self._make_error(
+                call_state, call_state.notes[-1] if call_state.notes else 'no target can take the request'
+            )
+        await _send_answer(call_state.failure, responder)
+
+    async def _try_targets(
+        self, call_state: CallState, responder: Responder, predecessor: Delivery | None = None
+    ) -> bool:
+        """Attempt a call at one target after the other; return whether the caller was answered.
+
+        Each run whose target is silent is succeeded by a further attempt only once that one goes on.
+        """
         for _ in range(MAX_ATTEMPTS):
             await self._require_release(call_state)
             target = self._choose_target(call_state)
@@ -98,18 +116,43 @@
                 self._record_pauses(call_state)
                 break
             _log_choice(call_state, target)
-            result = await self.attempt_runner.run_attempt(call_state, target, responder)
-            answer = self._handle_result(call_state, target, result)
-            if isinstance(result, Streamed):
-                return
-            if answer is not None and not call_state.head_sent:
-                await _send_answer(answer, responder)
-                return
-        if call_state.failure is None or call_state.head_sent:
-            raise self._make_error(
-                call_state, call_state.notes[-1] if call_state.notes else 'no target can take the request'
-            )
-        await _send_answer(call_state.failure, responder)
+            async with Delivery(responder, predecessor, partial(self._find_successor, call_state)) as delivery:
+                if await self._try_target(call_state, target, delivery):
+                    return True
+        return False
+
+    async def _try_target(self, call_state: CallState, target: Target, delivery: Delivery) -> bool:
+        """Attempt a call at one target; return whether this attempt or a successor of it answered the caller."""
+        try:
+            result = await self.attempt_runner.run_attempt(call_state, target, delivery)
+        except asyncio.CancelledError:
+            if delivery.has_running_predecessor():
+                self._add_note(call_state, target, 'ended before the run that it was to succeed')
+                call_state.record_abandoned(target)
+            raise
+        answer = self._handle_result(call_state, target, result)
+        if isinstance(result, Streamed):
+            return True
+        if answer is not None and not call_state.head_sent:
+            await delivery.stop_search()
+            await delivery.claim()
+            await _send_answer(answer, delivery.responder)
+            return True
+        if await delivery.hand_over():
+            return True
+        if delivery.was_ended_in_vain():
+            call_state.excluded_targets.discard(target.record.name)
+        return False
+
+    async def _find_successor(self, call_state: CallState, delivery: Delivery) -> bool:
+        """Attempt a call at other targets while a run of it is silent; return whether one answered the caller."""
+        try:
+            return await self._try_targets(call_state, delivery.responder, delivery)
+        except (RequestError, CallerDisconnectedError) as exc:
+            if delivery.succession.first_ended:
+                raise
+            call_state.notes.append(f'no successor: {exc}')
+            return False
 
     def _choose_target(self, call_state: CallState) -> Target | None:
         """Return the target of the next attempt, None if no attempt is allowed or no target is available."""
@@ -117,7 +160,7 @@
         now = BOOT_CLOCK.monotonic()
         if call_state.call.deadline - now < MIN_REMAINING_SECONDS:
             return None
-        if call_state.may_have_run and not route.may_run_again:
+        if call_state.outcome() is not Outcome.NOT_RUN and not route.may_run_again:
             return None
         if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
             call_state.notes.append('retry budget is spent')
@@ -157,7 +200,7 @@
                 if not head.pause_seconds:
                     record_target_result(target, succeeded=False)
             case _:
-                call_state.in_flight = None
+                call_state.record_answered(target)
                 record_target_result(target, succeeded=True)
                 return result if isinstance(result, Answered) else None
         return None
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -108,6 +108,8 @@
     ----------
     framing : BodyFraming or None
         Framing of the answer, None before its head.
+    suspected_parts : frozenset of str
+        Parts of the prompt that were suspected of a crash when the call was sent.
     first_part_at, last_part_at : float
         Monotonic seconds at which the first and the latest part of the body arrived; 0 before the first.
     """
@@ -120,6 +122,7 @@
         self.target = target
         self.connection: TargetConnection | None = None
         self.framing: BodyFraming | None = None
+        self.suspected_parts: frozenset[str] = frozenset()
         self.sent_at = 0.0
         self.first_part_at = 0.0
         self.last_part_at = 0.0
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -9,16 +9,18 @@
 from dataclasses import dataclass
 
 from tamarackfield.core import BOOT_CLOCK
-from tamarackfield.core.time_limits import listening_seconds, time_limit_at
+from tamarackfield.core.time_limits import TimeLimit, listening_seconds, time_limit_at
 from tamarackfield.gateway.call_state import CallState
+from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.events import EventSplitter, event_number
 from tamarackfield.gateway.exchange import AttemptResult, Exchange, MaybeRan, Streamed
+from tamarackfield.gateway.handover import Delivery
 from tamarackfield.gateway.links import Reservation
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.web import Responder
 from tamarackfield.web.connection import BodyFraming
 
-#: Seconds without a complete event after which a stream is resumed at another target, if that is allowed.
+#: Seconds without a complete event after which a successor of a stream is sought, if one is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
 #: Bytes of an incomplete event that count like an event: a large one may arrive slowly.
 PROGRESS_BYTES = 1024
@@ -36,18 +38,18 @@
         Head of the answer, sent to the caller unless an earlier one was.
     reservation : Reservation
         Reservation of the call in the batch of the target.
-    may_move : callable
-        Returns whether another target could go on with the stream now.
+    seek_successor : callable
+        Starts to look for a target that goes on with the stream, if one could do so now.
     """
 
     exchange: Exchange
     head: AnswerHead
     reservation: Reservation
-    may_move: Callable[[], bool]
+    seek_successor: Callable[[], None]
 
 
-async def relay_stream(call_state: CallState, incoming: Incoming, responder: Responder) -> AttemptResult:
-    """Relay a stream to the caller.
+async def relay_stream(call_state: CallState, incoming: Incoming, delivery: Delivery) -> AttemptResult:
+    """Relay a stream to the caller, once the run that it may succeed has ended.
 
     Parameters
     ----------
@@ -55,27 +57,32 @@
         State of the call, updated as events are relayed.
     incoming : Incoming
         Stream of the target.
-    responder : Responder
-        Response channel to the caller.
+    delivery : Delivery
+        Delivery of the stream to the caller.
 
     Returns
     -------
     AttemptResult
-        `Streamed`, or `MaybeRan` if a resumable stream fell silent or any stream broke off.
+        `Streamed`, or `MaybeRan` if a successor replaced a silent stream or any stream broke off.
 
     Raises
     ------
     ClientError
         If the framing of the answer shows that it broke off.
     """
+    await delivery.stop_search()
+    await delivery.claim()
+    responder = delivery.responder
     if not call_state.head_sent:
         call_state.head_sent = True
         await responder.send_head(incoming.head.status, incoming.head.headers)
     splitter = EventSplitter()
-    silence = _Silence(_silence_timeout(call_state))
-    async for chunk in _read_chunks(incoming, silence):
+    silence = _Silence(_silence_timeout(call_state, incoming.exchange.target))
+    delivery.on_replaced = silence.interrupt
+    async for chunk in _read_chunks(incoming, silence, delivery):
         events = splitter.feed(chunk)
-        silence.record_progress(len(chunk), bool(events))
+        if silence.record_progress(len(chunk), bool(events)):
+            await delivery.stop_search()
         call_state.partial_event_bytes = len(splitter.buffered)
         await _send_events(call_state, events, responder)
         if splitter.exceeds_limit():
@@ -97,14 +104,16 @@
     Parameters
     ----------
     timeout_seconds : float or None
-        Time without progress after which the stream may be resumed elsewhere; None if it cannot be.
+        Time without progress after which a successor is sought; None if there can be none.
 
     Attributes
     ----------
     ends_at : float or None
         Time of `listening_seconds` at which that time is over.
+    waiting : TimeLimit or None
+        Limit of the wait for the next part of the stream, None while there is none.
     gave_up : bool
-        Whether the stream was given up.
+        Whether the stream was given up in favour of a successor.
     """
 
     def __init__(self, timeout_seconds: float | None) -> None:
@@ -113,6 +122,7 @@
         self.incomplete_bytes = 0
         self.gave_up = False
         self.ends_at: float | None = None
+        self.waiting: TimeLimit | None = None
         self.restart()
 
     def restart(self) -> None:
@@ -121,33 +131,44 @@
             self.ends_at = listening_seconds() + self.timeout_seconds
         self.incomplete_bytes = 0
 
-    def record_progress(self, byte_count: int, has_events: bool) -> None:
-        """Record bytes of the stream, and whether they completed an event."""
+    def record_progress(self, byte_count: int, has_events: bool) -> bool:
+        """Record bytes of the stream, and whether they completed an event; return whether the stream goes on."""
         self.incomplete_bytes += byte_count
-        if has_events or self.incomplete_bytes >= PROGRESS_BYTES:
+        goes_on = has_events or self.incomplete_bytes >= PROGRESS_BYTES
+        if goes_on:
             self.restart()
+        return goes_on
 
+    def interrupt(self) -> None:
+        """End the wait for the next part of the stream."""
+        if self.waiting is not None:
+            self.waiting.reschedule(0)
 
-def _silence_timeout(call_state: CallState) -> float | None:
-    """Return the seconds of silence after which a stream is resumed at another target, None if it cannot be."""
-    if not call_state.route.resumable or len(call_state.sent_to) >= call_state.route.max_targets:
+
+def _silence_timeout(call_state: CallState, target: Target) -> float | None:
+    """Return the seconds of silence after which a successor of a stream is sought, None if there can be none."""
+    if not call_state.route.resumable or not call_state.may_reach_another(target):
         return None
     return STREAM_SILENCE_TIMEOUT_SECONDS
 
 
-async def _read_chunks(incoming: Incoming, silence: _Silence) -> AsyncIterator[bytes]:
-    """Yield the chunks of a body and report the waits between them; give up after a silence if the stream may move."""
+async def _read_chunks(incoming: Incoming, silence: _Silence, delivery: Delivery) -> AsyncIterator[bytes]:
+    """Yield the chunks of a body and report the waits between them, until a successor replaces a silent stream."""
     waiting_since = math.inf
     while True:
         try:
-            async with time_limit_at(silence.ends_at):
+            async with time_limit_at(silence.ends_at) as waiting:
+                silence.waiting = waiting
                 chunk = await incoming.exchange.next_chunk()
         except TimeoutError:
-            silence.gave_up = incoming.may_move()
+            silence.gave_up = delivery.is_replaced()
             if silence.gave_up:
                 return
+            incoming.seek_successor()
             silence.restart()
             continue
+        finally:
+            silence.waiting = None
         if not chunk:
             return
         incoming.reservation.report_wait(BOOT_CLOCK.monotonic() - waiting_since)
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -60,6 +60,8 @@
         Whether answers to calls of the system name the call, as those to requests of callers do.
     silence_seconds : float
         Pause of its streams after their first event, after which they go on.
+    silences : dict
+        Seconds for which its runs fall silent, by the number of the event before; 0 is before the head of the answer.
     crashed_at : list of float
         Monotonic seconds of its crashes.
     """
@@ -97,6 +99,7 @@
         self.event_count = 5
         self.event_interval_seconds = 0.005
         self.cut_after_event = 0
+        self.silences: dict[int, float] = {}
         self.crash_reason = ''
         self.crashed_at: list[float] = []
         self.server: asyncio.Server | None = None
@@ -164,7 +167,7 @@
         """Serve requests on one connection."""
         self.writers.add(writer)
         protocol = h11.Connection(h11.SERVER)
-        copier = AnswerCopier(writer)
+        copier = AnswerCopier(writer, reader)
         try:
             while True:
                 request = await read_request(protocol, reader)
@@ -183,7 +186,7 @@
             writer.close()
 
     async def _answer_request(
-        self, protocol: h11.Connection, writer: asyncio.StreamWriter, head: h11.Request, body: bytes
+        self, protocol: h11.Connection, writer: AnswerCopier, head: h11.Request, body: bytes
     ) -> None:
         headers = {name.decode(): text.decode() for name, text in head.headers}
         target = head.target.decode()
@@ -269,7 +272,7 @@
         if version is not None:
             self.adapters[adapter] = version
 
-    async def _serve_run(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run) -> None:
+    async def _serve_run(self, protocol: h11.Connection, writer: AnswerCopier, run: Run) -> None:
         run.worker = self.name
         run.began_at = SYSTEM_CLOCK.monotonic()
         run.incarnation = self.started_unix_ms
@@ -312,10 +315,11 @@
         expected_version = headers.get('tamarackfield-expect-version')
         return 421 if adapter and expected_version and int(expected_version) != self.adapters[adapter] else 0
 
-    async def _execute(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+    async def _execute(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         if fault == 'hang':
             await writer.wait_closed()
         await asyncio.sleep(self.event_interval_seconds)
+        await writer.keep_silent(self.silences.get(0, 0))
         if not self.crashing_parts.isdisjoint(run.list_shared_parts()):
             if self.crashes_after_head:
                 writer.write(encode_stream_head(protocol, run.request_id, True, []))
@@ -343,7 +347,7 @@
         else:
             await self._send_reply(protocol, writer, run, fault)
 
-    async def _send_reply(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+    async def _send_reply(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         body = f'{self.name} ran {run.request_id}'.encode()
         run.finished = True
         if fault == 'extra':
@@ -364,7 +368,7 @@
         header_lines = [*echo_request_id(run.request_id), *signature, *encoding, *self.leaving_header()]
         await send_response(protocol, writer, 200, body, header_lines)
 
-    async def _send_stream(self, protocol: h11.Connection, writer: asyncio.StreamWriter, run: Run, fault: str) -> None:
+    async def _send_stream(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         framed = not fault.startswith('unframed')
         encode = chunk_encoder(protocol) if framed else bytes
         writer.write(encode_stream_head(protocol, run.request_id, framed, self.leaving_header()))
@@ -374,8 +378,7 @@
             writer.write(encode(f'id: {number}\ndata: event {number}\n\n'.encode()))
             await writer.drain()
             await asyncio.sleep(self.event_interval_seconds)
-            if number == first:
-                await asyncio.sleep(self.silence_seconds)
+            await writer.keep_silent(self.silences.get(number, self.silence_seconds if number == first else 0))
             if fault == 'drip':
                 await send_drops(writer, encode)
             if number == self.cut_after_event:
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -9,10 +9,13 @@
 
 import h11
 
+from tamarackfield.core import SYSTEM_CLOCK
+
 #: Faults that close a connection in order before its answer is complete.
 CUTTING_FAULTS = frozenset(('cut', 'unframed_cut'))
 _ENDLESS_PART = 65_536 * b'x'
 _DROP_SECONDS = 0.2
+_CLOSE_CHECK_SECONDS = 0.01
 #: Beginning of an event after which a stream breaks off.
 PARTIAL_EVENT = b'id: 99\ndata: ha'
 SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
@@ -25,11 +28,14 @@
     ----------
     writer : asyncio.StreamWriter
         Sending side of the connection.
+    reader : asyncio.StreamReader
+        Receiving side of the connection.
     """
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, writer: asyncio.StreamWriter, reader: asyncio.StreamReader) -> None:
         """Create a copier without an answer."""
         self.writer = writer
+        self.reader = reader
         self.answer = b''
 
     def __getattr__(self, name: str) -> Any:
@@ -46,6 +52,14 @@
         self.writer.write(self.answer)
         self.answer = b''
 
+    async def keep_silent(self, seconds: float) -> None:
+        """Send nothing for a time, unless the peer closes the connection before, which raises `ConnectionError`."""
+        ends_at = SYSTEM_CLOCK.monotonic() + seconds
+        while SYSTEM_CLOCK.monotonic() < ends_at:
+            if self.reader.at_eof():
+                raise ConnectionResetError('peer closed the connection')
+            await asyncio.sleep(_CLOSE_CHECK_SECONDS)
+
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
