A stream without framing is not ended as complete if its target ended with it

A crash closes such a connection in order, as an end does.

If the target ended, the answer breaks off, or goes on at another target if the route allows it. The caller has had all events by then: only the end of the answer is later. Other answers are unchanged.

Ruled out: a health check of the target (it waits for a slot, and is priced); a new connection in every case (the sidecar does that on its own machine). What remains: a worker that breaks off between two events and lives, and one whose machine vanishes with its sidecar, cannot be told from an end.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -216,6 +216,11 @@
                 logger.bind(request_id=call_state.call.request_id, target=target.record.name).info('successor_sought')
                 delivery.start_search()
 
+        async def has_target_ended() -> bool:
+            """Return whether the target ended together with its answer."""
+            link = self.fleet.find_link(target)
+            return await self.fleet.quarantine.has_target_ended(exchange, exchange.suspected_parts, link)
+
         head = await _read_head(exchange, _silence_timeout(call_state, target), seek_successor, delivery)
         if head is None:
             return MaybeRan('target is silent')
@@ -226,7 +231,8 @@
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
-            return await relay_stream(call_state, Incoming(exchange, head, reservation, seek_successor), delivery)
+            incoming = Incoming(exchange, head, reservation, seek_successor, has_target_ended)
+            return await relay_stream(call_state, incoming, delivery)
         return classify_answer(head, await exchange.read_body())
 
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -112,6 +112,8 @@
         Parts of the prompt that were suspected of a crash when the call was sent.
     first_part_at, last_part_at : float
         Monotonic seconds at which the first and the latest part of the body arrived; 0 before the first.
+    end_reported : bool
+        Whether the sidecar of the target was told that the connection has ended.
     """
 
     def __init__(self, pool: ConnectionPool, dialect: Dialect, call: Call, target: Target) -> None:
@@ -126,6 +128,7 @@
         self.sent_at = 0.0
         self.first_part_at = 0.0
         self.last_part_at = 0.0
+        self.end_reported = False
 
     async def send(
         self,
@@ -228,6 +231,10 @@
         self.first_part_at = self.first_part_at or self.last_part_at
         return bytes(event.data)
 
+    def wrote_seconds(self) -> float:
+        """Return the time from the first to the latest part of the body."""
+        return self.last_part_at - self.first_part_at
+
     def has_connection_ended(self) -> bool:
         """Return whether the call was sent and its connection has ended since."""
         return self.sent_at > 0 and self.connection is not None and self.connection.ended
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -137,10 +137,9 @@
             Whether the run broke off before it had shown that its prompt does not crash the target.
         """
         call = exchange.call
-        wrote_seconds = exchange.last_part_at - exchange.first_part_at
         # A crash looks like the end of an answer that ends with its connection.
         is_clear_end = _is_success(result) and exchange.framing is not BodyFraming.CLOSE
-        is_proven = is_clear_end or wrote_seconds >= PROOF_SECONDS
+        is_proven = is_clear_end or exchange.wrote_seconds() >= PROOF_SECONDS
         if is_proven:
             now = BOOT_CLOCK.monotonic()
             self.gate.record_proof(now)
@@ -149,23 +148,37 @@
         may_have_broken_off = isinstance(result, MaybeRan) or (_is_success(result) and not is_proven)
         if not may_have_broken_off or not exchange.has_connection_ended():
             return False
-        record = exchange.target.record
-        run = BrokenRun(
-            record.name,
-            record.started_ms,
-            call.request_id,
-            exchange.framing is not None,
-            round(wrote_seconds * MS_PER_SECOND),
-            list(call.prompt_parts),
-            sorted(suspected),
-        )
-        if link is not None:
-            link.send_best_effort(run)
+        run = _report_end(exchange, suspected, link)
         if link is None or link.is_silent():
-            address = record.address
-            self.application.spawn(self._check_end(run, address), f'end-of-{record.name}')
+            record = exchange.target.record
+            self.application.spawn(self._check_end(run, record.address), f'end-of-{record.name}')
         return isinstance(result, MaybeRan) and not is_proven
 
+    async def has_target_ended(self, exchange: Exchange, suspected: frozenset[str], link: ManagerLink | None) -> bool:
+        """Find out whether a target ended together with an answer that only its connection ended.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            Exchange whose connection the target closed.
+        suspected : frozenset of str
+            Parts that were suspected of a crash when the call was sent.
+        link : ManagerLink or None
+            Link to the sidecar of the target.
+
+        Returns
+        -------
+        bool
+            True if the sidecar reports the end within `SUSPICION_SECONDS` or, if it does not respond, if the target
+            refuses connections.
+        """
+        run = _report_end(exchange, suspected, link)
+        record = exchange.target.record
+        if link is None or link.is_silent():
+            return await self._record_if_ended(run, record.address)
+        await asyncio.sleep(SUSPICION_SECONDS)
+        return (record.name, record.started_ms) in self.evidence.crashes
+
     async def run(self) -> None:
         """Tell the sidecars what has changed; never return."""
         while True:
@@ -179,12 +192,17 @@
     async def _check_end(self, run: BrokenRun, address: tuple[str, int]) -> None:
         """Find out whether a target has ended, and record the crash if it has; its sidecar does not respond."""
         for _ in range(END_CHECKS):
-            if await _is_refused(address):
-                crash = make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)])
-                self.record_crash(crash)
+            if await self._record_if_ended(run, address):
                 return
             await asyncio.sleep(END_CHECK_INTERVAL_SECONDS)
 
+    async def _record_if_ended(self, run: BrokenRun, address: tuple[str, int]) -> bool:
+        """Record a crash if no process listens at the address of a target; return whether that is so."""
+        has_ended = await _is_refused(address)
+        if has_ended:
+            self.record_crash(make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)]))
+        return has_ended
+
     def _announce_change(self, source: str) -> None:
         evidence = self.evidence
         logger.bind(
@@ -196,6 +214,23 @@
         self.changed.set()
 
 
+def _report_end(exchange: Exchange, suspected: frozenset[str], link: ManagerLink | None) -> BrokenRun:
+    """Report a run whose connection has ended to the sidecar of its target, once."""
+    record = exchange.target.record
+    run = BrokenRun(
+        record.name,
+        record.started_ms,
+        exchange.call.request_id,
+        exchange.framing is not None,
+        round(exchange.wrote_seconds() * MS_PER_SECOND),
+        list(exchange.call.prompt_parts),
+        sorted(suspected),
+    )
+    if link is not None and not exchange.end_reported:
+        exchange.end_reported = link.send_best_effort(run)
+    return run
+
+
 def _is_success(result: AttemptResult) -> bool:
     return isinstance(result, Streamed) or (
         isinstance(result, Answered) and result.head.status < HTTPStatus.MULTIPLE_CHOICES
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -1,11 +1,11 @@
 """Relaying of streams from targets to callers, in whole events.
 
 An answer without framing ends with its connection, whether the target finished it or broke off. A stream is
-complete only if it also ends between two events.
+complete only if it also ends between two events, and its target did not end with it.
 """
 
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 from tamarackfield.core import BOOT_CLOCK
@@ -40,12 +40,15 @@
         Reservation of the call in the batch of the target.
     seek_successor : callable
         Starts to look for a target that goes on with the stream, if one could do so now.
+    has_target_ended : callable
+        Coroutine function that finds out whether the target ended together with the answer.
     """
 
     exchange: Exchange
     head: AnswerHead
     reservation: Reservation
     seek_successor: Callable[[], None]
+    has_target_ended: Callable[[], Awaitable[bool]]
 
 
 async def relay_stream(call_state: CallState, incoming: Incoming, delivery: Delivery) -> AttemptResult:
@@ -91,8 +94,11 @@
         return MaybeRan('stream is silent')
     if splitter.is_inside_event():
         return MaybeRan('stream ended inside an event')
-    if incoming.exchange.framing is BodyFraming.CLOSE and not (call_state.has_events() or responder.head_only):
-        return MaybeRan('connection was closed before the first event')
+    if incoming.exchange.framing is BodyFraming.CLOSE and not responder.head_only:
+        if not call_state.has_events():
+            return MaybeRan('connection was closed before the first event')
+        if await incoming.has_target_ended():
+            return MaybeRan('target ended when it closed the connection')
     await responder.send_body(splitter.buffered)
     await responder.finish()
     return Streamed()
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -42,8 +42,8 @@
         call=make_call(prompt_parts=('p',)),
         target=make_target_state(),
         framing=framing,
-        first_part_at=10.0,
-        last_part_at=10.0 + wrote_seconds,
+        wrote_seconds=lambda: wrote_seconds,
+        end_reported=False,
         has_connection_ended=lambda: connection_ended,
     )
     link = RecordingLink()
--- a/tamarackfield/platform/tests/test_faults.py
+++ b/tamarackfield/platform/tests/test_faults.py
@@ -287,6 +287,40 @@
         assert len(await read_events(response)) == 5
 
 
+@pytest.mark.parametrize('sidecar_responds', [True, False])
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+async def test_unframed_stream_whose_worker_crashes_between_events_is_not_forwarded_as_complete(
+    model_site, path, sidecar_responds
+):
+    async with model_site.stream(path, [ADAPTER]) as first_response:
+        assert len(await read_events(first_response)) == 5
+    if not sidecar_responds:
+        model_site.write_worker_entry(model_site.workers['m1'])
+        await model_site.sidecars['m1'].kill()
+        await model_site.entries[0].wait_for_log_text('event=sidecar_lost')
+    model_site.workers['m1'].fault = WorkerFault('unframed_crash', 1)
+    with pytest.raises(ClientError):
+        async with model_site.stream(path, [ADAPTER]) as response:
+            await read_events(response)
+    assert model_site.workers['m1'].is_crashed()
+
+
+async def test_unframed_stream_whose_worker_crashes_between_events_is_resumed(model_site):
+    second_worker = await model_site.add_worker('m2', MODEL_SERVICE)
+    await model_site.add_sidecar(second_worker)
+    await model_site.wait_for_sidecars(model_site.entries[0])
+    # Earlier requests fill the retry budget.
+    for _ in range(8):
+        async with model_site.stream('/draft/x', [ADAPTER]) as earlier_response:
+            assert len(await read_events(earlier_response)) == 5
+    fault = WorkerFault('unframed_crash', 1)
+    for worker in model_site.workers.values():
+        worker.fault = fault
+    async with model_site.stream('/summary/x', [ADAPTER]) as response:
+        assert len(await read_events(response)) == 5
+    assert sum(worker.is_crashed() for worker in model_site.workers.values()) == 1
+
+
 async def test_unframed_stream_without_any_event_is_not_forwarded_as_complete(model_site):
     worker = model_site.workers['m1']
     worker.event_count = 0
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -381,6 +381,9 @@
             await writer.keep_silent(self.silences.get(number, self.silence_seconds if number == first else 0))
             if fault == 'drip':
                 await send_drops(writer, encode)
+            if fault == 'unframed_crash' and number == last - 1:
+                await self.crash()
+                return
             if number == self.cut_after_event:
                 writer.write(encode(PARTIAL_EVENT))
                 await writer.drain()
--- a/tamarackfield/testing/worker_records.py
+++ b/tamarackfield/testing/worker_records.py
@@ -49,10 +49,10 @@
     ----------
     kind : str
         Fault: empty, or ``errors``, ``shed``, ``pause``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
-        ``unframed_reset``, ``unframed_cut``, ``garbage``, ``cut``, ``unsigned``, ``encoded``, ``endless_head``,
-        ``endless_body``, ``drip``.
+        ``unframed_reset``, ``unframed_cut``, ``unframed_crash``, ``garbage``, ``cut``, ``unsigned``, ``encoded``,
+        ``endless_head``, ``endless_body``, ``drip``.
         An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
-        before the answer is complete.
+        before the answer is complete. With ``unframed_crash`` the worker crashes before the last event.
     remaining_requests : int
         Number of further requests with the fault.
     """
