Requests with the same suspected prompt part go to one engine

Cause: between a crash and its report (0.15 s) further requests with the part were spread over the fleet.

Now each entry sends requests with the same suspected part to the engine that is first for it on the hash ring, without a message. Several such requests end one engine once. A call that this engine did not run waits 0.15 s for the report before it goes to the next. Parts of over a fifth of an entry's requests isolate none, as they would overload one engine.

The test of the choice of a target fails without the isolation. The probe gate moves to its own module, as it stands.

--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -221,6 +221,7 @@
             if refusal:
                 raise self._make_error(call_state, refusal)
         elif parts:
+            await quarantine.wait_for_report(call_state)
             quarantine.require_release(call_state)
 
     def _make_error(self, call_state: CallState, reason: str) -> RequestError | AnswerCutError:
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -50,18 +50,23 @@
         Deadline of the call, in monotonic seconds.
     prompt_tokens : int
         Length of the prompt in tokens; 0 if it is not known.
+    prompt_parts : sequence of str
+        Parts of the prompt that other requests may have as well.
     """
 
     service: str
     adapter: str
     deadline: float
     prompt_tokens: int = 0
+    prompt_parts: Sequence[str] = ()
 
 
 def make_placement(call_state: CallState) -> PlacementRequest:
     """Return the request for the choice of a target for a call."""
     call = call_state.call
-    return PlacementRequest(call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens)
+    return PlacementRequest(
+        call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens, call.prompt_parts
+    )
 
 
 class Candidates:
@@ -195,9 +200,14 @@
             return None
         views = [target.view for target in healthy]
         if placement.adapter:
-            ring = self.ring_of(placement.service)
+            candidates = Candidates(views, self.ring_of(placement.service))
+            isolated_part = self.quarantine.find_isolated_part(placement.prompt_parts)
             request = RoutingRequest(placement.adapter, self.zone, now, placement.deadline, placement.prompt_tokens)
-            view = choose_by_cost(request, Candidates(views, ring), self.rng, _COST_WEIGHTS)
+            view = (
+                next(iter(candidates.ring_order(isolated_part)))
+                if isolated_part
+                else choose_by_cost(request, candidates, self.rng, _COST_WEIGHTS)
+            )
         else:
             view = choose_service_target(views, self.zone, self.rng)
         return next(target for target in healthy if target.view is view)
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -16,12 +16,12 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.policy.probe_gate import ProbeGate
 from tamarackfield.policy.quarantine import (
     PROOF_SECONDS,
     SETTLED_SECONDS,
     Crash,
     Culprit,
-    ProbeGate,
     Quarantine,
     make_crash,
 )
@@ -110,6 +110,15 @@
         if self.evidence.record_crash(report, BOOT_CLOCK.monotonic()):
             self._announce_change(f'{report.target}/{report.started_ms}')
 
+    def find_isolated_part(self, parts: Iterable[str]) -> str:
+        """Return the part that decides to which target a call with some parts is sent, empty if none does."""
+        return self.evidence.find_isolated_part(parts)
+
+    async def wait_for_report(self, call_state: CallState) -> None:
+        """Wait until the end of a target would be known that did not run a call with a suspected part."""
+        if call_state.not_run_targets and self.find_isolated_part(call_state.call.prompt_parts):
+            await asyncio.sleep(SUSPICION_SECONDS)
+
     async def wait_for_suspicion(self, parts: Iterable[str]) -> bool:
         """Wait until the end of a target would be known; return whether parts are suspected of it."""
         await listen_for(SUSPICION_SECONDS)
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -7,6 +7,7 @@
 from tamarackfield.gateway.fleet import Fleet, PlacementRequest
 from tamarackfield.gateway.model import Versions
 from tamarackfield.gateway.tests.samples import make_catalog, make_route, make_target_record
+from tamarackfield.policy.quarantine import Crash
 from tamarackfield.wire.messages import Holdings
 from tamarackfield.wire.reservations import EngineReport
 
@@ -157,3 +158,20 @@
     fleet.versions.record_version('base/a1', 2)
     fleet._refresh_host('127.0.0.1')
     assert 'base/a1' not in target_of(fleet).view.residents
+
+
+def test_requests_with_the_same_suspected_part_go_to_one_target():
+    records = [make_target_record(f't{number}', 'models', address=(f'127.0.0.{number}', 1)) for number in range(1, 7)]
+    entries = [make_fleet(*records) for _ in range(3)]
+    chosen = set()
+    for entry in entries:
+        for number in range(1, 7):
+            attach_link(entry, f't{number}', FakeLink(1, ['base']))
+        for number in range(20):
+            entry.quarantine.evidence.record_request(('a', f'b{number}'))
+        entry.quarantine.evidence.record_crash(Crash('t9', 1, 0, unwritten=frozenset(('a', 'b1'))), 0.0)
+        request = PlacementRequest('models', 'base', 1e9, prompt_parts=('a', 'b1'))
+        chosen.update(entry.choose_target(request, allow_all).record.name for _ in range(20))
+    assert len(chosen) == 1
+    request = PlacementRequest('models', 'base', 1e9, prompt_parts=('a', 'b2'))
+    assert len({entries[0].choose_target(request, allow_all).record.name for _ in range(40)}) > 1
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -1,14 +1,16 @@
 """What the end of an attempt says of the parts of its prompt."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 
 from tamarackfield.core import Application
+from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import Answered, MaybeRan, Streamed
 from tamarackfield.gateway.model import AnswerHead
-from tamarackfield.gateway.quarantine import PromptQuarantine
-from tamarackfield.gateway.tests.samples import make_call, make_target_state
+from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, PromptQuarantine
+from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_state
 from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
 from tamarackfield.web.connection import BodyFraming
 
@@ -82,3 +84,16 @@
 async def test_long_answer_that_only_its_connection_ended_clears_its_parts():
     ended = end_attempt(Streamed(), PROOF_SECONDS, connection_ended=True, framing=BodyFraming.CLOSE)
     assert ended == (frozenset(), False, 0)
+
+
+async def test_call_with_a_suspected_part_that_a_lost_target_did_not_run_waits_for_the_report():
+    quarantine = PromptQuarantine(Application('e'), list)
+    for _ in range(20):
+        quarantine.evidence.record_request('a')
+    quarantine.record_crash(Crash('t8', 1, 0, unwritten=SUSPECT))
+    call_state = CallState(make_call(prompt_parts=('p',)), make_route(), 'models', 1)
+    call_state.record_not_run(make_target_state('t9'), retry_allowed=False)
+    report = Crash('t9', 1, 0, unwritten=SUSPECT, suspected=SUSPECT)
+    asyncio.get_running_loop().call_later(SUSPICION_SECONDS / 3, quarantine.record_crash, report)
+    await quarantine.wait_for_report(call_state)
+    assert quarantine.find_culprit(call_state) is not None
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -19,6 +19,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from tamarackfield.policy.isolation import RequestCounts
+
 #: Time in seconds for which a run writes until it has shown that its prompt does not crash the engine. The engines
 #: of the platform end within 0.15 s of the first token.
 PROOF_SECONDS = 0.25
@@ -34,19 +36,9 @@
 EVIDENCE_SECONDS = 3600.0
 #: Age in seconds from which a culprit is final: clearances of its parts have arrived from all entries by then.
 SETTLED_SECONDS = 1.0
-#: Share of the requests of an entry that a quarantine may refuse, and time in seconds for which it may have seen no
-#: sound run, before single requests are sent as probes: if engines crash on nearly all prompts, the cause need not be
-#: the prompts, and refusing all of them would never show its end.
-MAX_REFUSED_SHARE = 0.5
-MAX_SECONDS_WITHOUT_PROOF = 5.0
-#: Weight of the newest request in the share that is refused.
-REFUSED_SHARE_SMOOTHING = 0.005
-#: Seconds between two probes of one entry: shortest, and longest after further crashes.
-MIN_PROBE_INTERVAL_SECONDS, MAX_PROBE_INTERVAL_SECONDS = 2.0, 600.0
-#: Limits of the crashes, of the proven parts and of the parts with a count that are remembered.
+#: Limits of the crashes and of the proven parts that are remembered.
 MAX_CRASHES = 256
 MAX_PROVEN_PARTS = 4096
-MAX_COUNTED_PARTS = 8192
 
 CrashKey = tuple[str, int]
 Parts = frozenset[str]
@@ -228,6 +220,8 @@
         Parts whose requests are in quarantine.
     suspects : frozenset of str
         Parts that may have caused a crash.
+    scores : Counter
+        Score of each suspect over all crashes.
     """
 
     def __init__(self) -> None:
@@ -235,18 +229,16 @@
         self.crashes: dict[CrashKey, Crash] = {}
         self.culprits: list[Culprit] = []
         self.suspects: Parts = _NO_PARTS
+        self.scores: Counter[str] = Counter()
         # Monotonic seconds at which each crash was learnt.
         self.learnt_at: dict[CrashKey, float] = {}
         # Monotonic seconds of the latest run that proved each part, the latest last.
         self.proven_at: OrderedDict[str, float] = OrderedDict()
-        self.request_counts: Counter[str] = Counter()
+        self.requests = RequestCounts()
 
     def record_request(self, parts: Iterable[str]) -> None:
         """Count a request with some parts; earlier requests count less and less."""
-        self.request_counts.update(parts)
-        if len(self.request_counts) > MAX_COUNTED_PARTS:
-            halves = {part: count // 2 for part, count in self.request_counts.items() if count > 1}
-            self.request_counts = Counter(halves)
+        self.requests.record(parts)
 
     def record_crash(self, report: Crash, now: float) -> bool:
         """Merge the report of a crash; return whether it says something new.
@@ -293,6 +285,10 @@
         present = frozenset(parts)
         return next((culprit for culprit in self.culprits if culprit.parts <= present), None)
 
+    def find_isolated_part(self, parts: Iterable[str]) -> str:
+        """Return the part that decides to which engine a request with some parts is sent, empty if none does."""
+        return self.requests.find_isolated_part(parts, self.scores) if self.scores else ''
+
     def _recently_proven(self, parts: Parts, now: float) -> Parts:
         earliest = now - RECENT_PROOF_SECONDS
         return frozenset(part for part in parts if self.proven_at.get(part, -math.inf) > earliest)
@@ -313,59 +309,16 @@
 
     def _update(self, now: float) -> None:
         found_at = {culprit.parts: culprit.found_at for culprit in self.culprits}
-        self.suspects = _union(crash.suspects() for crash in self.crashes.values())
+        self.scores = _sum_scores(self.crashes.values())
+        self.suspects = frozenset(self.scores)
         self.culprits = [
             replace(culprit, found_at=found_at.get(culprit.parts, now))
-            for culprit in find_culprits(self.crashes.values(), self.request_counts)
+            for culprit in find_culprits(self.crashes.values(), self.requests.by_part)
         ]
 
 
-class ProbeGate:
-    """Decides which requests in quarantine are sent all the same, while nearly all requests are in quarantine.
-
-    Parameters
-    ----------
-    now : float
-        Monotonic seconds.
-
-    Examples
-    --------
-    >>> gate = ProbeGate(0.0)
-    >>> [second for second in range(160) if gate.admit_probe(float(second))]
-    [138, 141, 146, 155]
-    """
-
-    def __init__(self, now: float) -> None:
-        """Create a gate that has refused nothing."""
-        self.refused_share = 0.0
-        self.proven_at = now
-        self.next_probe_at = 0.0
-        self.interval_seconds = MIN_PROBE_INTERVAL_SECONDS
-
-    def record_proof(self, now: float) -> None:
-        """Record that a run showed that engines work."""
-        self.proven_at = now
-        self.interval_seconds = MIN_PROBE_INTERVAL_SECONDS
-
-    def record_sent(self) -> None:
-        """Record a request that is not in quarantine."""
-        self.refused_share -= REFUSED_SHARE_SMOOTHING * self.refused_share
-
-    def admit_probe(self, now: float) -> bool:
-        """Record a request in quarantine; return whether it is sent as a probe."""
-        self.refused_share += REFUSED_SHARE_SMOOTHING * (1 - self.refused_share)
-        due_at = max(self.next_probe_at, self.proven_at + MAX_SECONDS_WITHOUT_PROOF)
-        if self.refused_share <= MAX_REFUSED_SHARE or now <= due_at:
-            return False
-        self.next_probe_at = now + self.interval_seconds
-        self.interval_seconds = min(2 * self.interval_seconds, MAX_PROBE_INTERVAL_SECONDS)
-        return True
-
-
 def _find_culprit(crashes: dict[CrashKey, Crash], request_counts: Counter[str]) -> Culprit | None:
-    scores: Counter[str] = Counter()
-    for crash in crashes.values():
-        scores.update({part: crash.score(part) for part in crash.suspects()})
+    scores = _sum_scores(crashes.values())
     repeated = _union(crash.suspected & crash.suspects() for crash in crashes.values())
     eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE]
     if not eligible:
@@ -382,6 +335,13 @@
     return Culprit(frozenset((best, *rivals)), keys)
 
 
+def _sum_scores(crashes: Iterable[Crash]) -> Counter[str]:
+    scores: Counter[str] = Counter()
+    for crash in crashes:
+        scores.update({part: crash.score(part) for part in crash.suspects()})
+    return scores
+
+
 def _count_crashes_with(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
     """Return the number of crashes of which two parts are suspects."""
     return sum({part, other} <= crash.suspects() for crash in crashes.values())
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -9,16 +9,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tamarackfield.policy.probe_gate import ProbeGate
 from tamarackfield.policy.quarantine import (
     PROOF_SECONDS,
     RECENT_PROOF_SECONDS,
     Crash,
-    ProbeGate,
     Quarantine,
     SuspectRun,
     find_culprits,
     make_crash,
 )
+from tamarackfield.policy.ring import Ring
 
 #: Crashes up to the one from which on requests with the part may reach only three more workers.
 MAX_CRASHES_BEFORE_QUARANTINE = 5
@@ -139,6 +140,7 @@
         self.incarnations = [1 for _ in range(engines)]
         self.down_until = [0.0 for _ in range(engines)]
         self.runs = [{} for _ in range(engines)]
+        self.ring = Ring(dict.fromkeys(map(str, range(engines)), 1.0))
         self.crashing_parts = crashing_parts
         self.other_crashes = other_crashes
         self.quarantine = Quarantine()
@@ -163,19 +165,26 @@
             action(now, *arguments)
 
     def arrive(self, now):
-        """Draw a request and send it, unless it is in quarantine."""
+        """Draw a request and send it."""
         self.at(now + self.rng.expovariate(self.requests_per_second), self.arrive)
         crashes = bool(self.crashing_parts) and now > 5 and self.rng.random() < self.crashing_share
         rare = min(int(self.rng.paretovariate(0.6)), 200)
         parts = frozenset(('a', f'b{rare}', *(self.rng.choice(self.crashing_parts) if crashes else '')))
-        live = [engine for engine, until in enumerate(self.down_until) if until <= now]
         self.quarantine.record_request(parts)
-        refused = self.quarantine.find_culprit(parts) is not None
         self.sent_sound += not crashes
-        self.refused_sound += refused and not crashes
-        if not live or refused:
+        self.send(now, parts, crashes)
+
+    def send(self, now, parts, crashes):
+        """Send a request, unless it is in quarantine; it waits while its engine is down and no entry knows that."""
+        if self.quarantine.find_culprit(parts) is not None:
+            self.refused_sound += not crashes
+            return
+        engine = self.choose_engine(now, self.quarantine.find_isolated_part(parts))
+        if engine is None:
+            return
+        if self.down_until[engine] > now:
+            self.at(now + self.report_seconds, self.send, parts, crashes)
             return
-        engine = self.rng.choice(live)
         number = next(self.numbers)
         self.runs[engine][number] = (now + self.first_token_seconds, parts, self.quarantine.suspects & parts)
         key = (engine, self.incarnations[engine], number)
@@ -185,6 +194,18 @@
             self.at(now + self.first_token_seconds + PROOF_SECONDS, self.prove, key, parts)
             self.at(now + self.run_seconds, self.end, key)
 
+    def choose_engine(self, now, isolated_part):
+        """Return the engine for a request, None if all are known to be down."""
+        live = [engine for engine, until in enumerate(self.down_until) if until <= now]
+        if not isolated_part:
+            return self.rng.choice(live) if live else None
+        reported_before_return = self.restart_seconds - self.report_seconds
+        order = map(int, self.ring.order(isolated_part))
+        return next(
+            (engine for engine in order if engine in live or now < self.down_until[engine] - reported_before_return),
+            None,
+        )
+
     def prove(self, now, key, parts):
         """Record that a run wrote for long enough, if its engine lives."""
         engine, incarnation, _ = key
