A report is encoded once for all entries that get the same one

A sidecar sent each report through PeerStream.send, which encoded it anew for each of its entries, field by field, and compared it with the last one by a copy of the whole dataclass. With 68 entries that is 68 codings and 68 copies of one report. The streams of a sidecar now share an encoder that remembers its last frame of each kind, by identity: the server makes a report at most every 20 ms and hands the same object to all streams. Fields are read by one attrgetter, and compared without the time of the report. Who gets which report and when is unchanged.

The test of one coding for five entries failed with plain streams (ten codings).

--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -10,6 +10,7 @@
 from tamarackfield.manager.tickets import Decline, Ticket
 from tamarackfield.manager.engine import EngineController
 from tamarackfield.policy.quarantine import Crash, Quarantine
+from tamarackfield.wire.codec import make_shared_encoder
 from tamarackfield.wire.crash_reports import BrokenRun, CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
@@ -46,6 +47,7 @@
         self.cached_report: EngineReport | None = None
         self.cached_holdings: Holdings | None = None
         self.report_cache_expires_at = 0.0
+        self.encode_message = make_shared_encoder()
         self.server = ConnectionServer(self.serve_entry)
         self.quarantine = Quarantine()
         controller.on_crash = self.record_crash
@@ -54,9 +56,13 @@
         """Listen for connections of entries."""
         await self.server.listen(host, port)
 
+    def make_stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> PeerStream:
+        """Return a stream to an entry; what all of them are sent is encoded once."""
+        return PeerStream(reader, writer, self.encode_message)
+
     async def serve_entry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one entry until its stream ends."""
-        stream = PeerStream(reader, writer)
+        stream = self.make_stream(reader, writer)
         stream_number = next(self.stream_numbers)
         tasks = []
         try:
--- a/tamarackfield/wire/codec.py
+++ b/tamarackfield/wire/codec.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import functools
+import operator
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import msgpack
 
@@ -17,6 +18,7 @@
 _TYPES_BY_KIND = dict(MESSAGE_TYPES)
 
 FieldCheck = Callable[[object], bool]
+FieldGetter = Callable[[Message], Iterable[object]]
 
 
 class FrameError(TamarackfieldError):
@@ -47,8 +49,21 @@
     bytes
         Msgpack array of the kind and the fields in order.
     """
-    names = _field_checks(type(message))
-    return msgpack.packb([message.kind, *(getattr(message, name) for name in names)])
+    return msgpack.packb((message.kind, *_field_getter(type(message))(message)))
+
+
+def make_shared_encoder() -> Callable[[Message], bytes]:
+    """Return a function like `encode` for several streams, which encodes a message once if all send the same object."""
+    frames_by_kind: dict[int, tuple[Message, bytes]] = {}
+
+    def encode_once(message: Message) -> bytes:
+        known, frame = frames_by_kind.get(message.kind, (None, b''))
+        if known is not message:
+            frame = encode(message)
+            frames_by_kind[message.kind] = (message, frame)
+        return frame
+
+    return encode_once
 
 
 def decode(frame: object) -> Message:
@@ -136,6 +151,15 @@
             yield decode(frame)
 
 
+@functools.cache
+def _field_getter(message_type: type[Message]) -> FieldGetter:
+    """Return a function that returns the fields of a message in order, in one call for most types."""
+    names = [field.name for field in dataclasses.fields(message_type)]
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    return lambda message: [getattr(message, name) for name in names]
+
+
 @functools.cache
 def _field_checks(message_type: type[Message]) -> dict[str, FieldCheck]:
     hints = typing.get_type_hints(message_type)
--- a/tamarackfield/wire/reporting.py
+++ b/tamarackfield/wire/reporting.py
@@ -7,7 +7,10 @@
 """
 
 import asyncio
-from dataclasses import dataclass, replace
+import functools
+import operator
+from collections.abc import Callable
+from dataclasses import dataclass, fields
 from typing import Protocol
 
 from tamarackfield.core import SYSTEM_CLOCK
@@ -85,18 +88,40 @@
     StreamClosedError, PeerBusyError
         If the stream is closed or its write buffer is full.
     """
-    if holdings != sent.holdings:
+    if holdings is not sent.holdings and holdings != sent.holdings:
         stream.send(holdings)
         sent.holdings = holdings
     now = SYSTEM_CLOCK.monotonic()
-    unchanged = sent.report is not None and replace(report, unix_ms=sent.report.unix_ms) == sent.report
-    if unchanged and now < sent.report_sent_at + MAX_REPORT_INTERVAL_SECONDS:
+    if now < sent.report_sent_at + MAX_REPORT_INTERVAL_SECONDS and is_same_load(report, sent.report):
         return
     stream.send(report)
     sent.report = report
     sent.report_sent_at = now
 
 
+def is_same_load(report: LoadReport, sent: LoadReport | None) -> bool:
+    """Return whether two reports differ at most by the time at which they were made.
+
+    Examples
+    --------
+    >>> from dataclasses import replace
+    >>> report = LoadReport(5, 1, True, 8, 0, 0, 4, 0, 250, 900, 12)
+    >>> is_same_load(report, replace(report, unix_ms=6)), is_same_load(report, replace(report, running=1))
+    (True, False)
+    """
+    if report is sent:
+        return True
+    if sent is None or report.kind != sent.kind:
+        return False
+    read_load = _load_getter(type(report))
+    return read_load(report) == read_load(sent)
+
+
+@functools.cache
+def _load_getter(report_type: type[LoadReport]) -> Callable[[LoadReport], object]:
+    return operator.attrgetter(*(field.name for field in fields(report_type) if field.name != 'unix_ms'))
+
+
 async def report_changes(source: ReportSource, stream: PeerStream) -> None:
     """Send reports to one entry until its stream closes.
 
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -4,6 +4,7 @@
 import contextlib
 import ssl
 from collections import deque
+from collections.abc import Callable
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.core.connections import retrieve_close_error
@@ -41,6 +42,8 @@
     ----------
     reader, writer : asyncio streams
         Receiving and sending side of a connected transport.
+    encode_message : callable
+        Encodes a message; streams that send the same messages share a function of `make_shared_encoder`.
 
     Attributes
     ----------
@@ -56,8 +59,14 @@
         Instance name of the peer; its address until the hellos are exchanged.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        encode_message: Callable[[Message], bytes] = encode,
+    ) -> None:
         """Create a stream over a connected transport."""
+        self.encode_message = encode_message
         self.reader = reader
         self.writer = writer
         self.decoder = FrameDecoder()
@@ -87,7 +96,7 @@
             raise StreamClosedError('stream is closed', step='send', peer=self.peer)
         if self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             raise PeerBusyError('peer does not read', step='send', peer=self.peer)
-        frame = encode(message)
+        frame = self.encode_message(message)
         self.bytes_sent += len(frame)
         if not self.unsent_frames:
             asyncio.get_running_loop().call_soon(self.flush)
