The choice of a target visits only the targets of its service

Each choice walked all targets of the directory to find those of one service, and once more to compare their names with those of the ring, for which it built a set. The directory now keeps its targets by service, in the same order, so the choice and its random draws are unchanged; the names are compared without a new set.

The larger part, the checks of each target's link for each choice, remains. The test that no target of another service is visited failed before.

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -136,6 +136,8 @@
         """Create an empty directory."""
         self.clock = clock
         self.targets: dict[str, Target] = {}
+        # The same targets by service and name, in the same order.
+        self.targets_by_service: dict[str, dict[str, Target]] = {}
         # Latest start of an incarnation that left, by name, the latest removal last.
         self.departed: dict[str, int] = {}
 
@@ -203,9 +205,7 @@
         """Return the targets of a service that accept requests; vanished ones only if there is no other."""
         now = self.clock.monotonic()
         usable = [
-            target
-            for target in self.targets.values()
-            if target.record.service == service and target.accepts_requests(now)
+            target for target in self.targets_by_service.get(service, {}).values() if target.accepts_requests(now)
         ]
         listed = [target for target in usable if not target.removal_due_at]
         return listed or usable
@@ -230,6 +230,7 @@
         view = TargetView(record.name, record.zone, batch=max(1, record.batch))
         target = Target(record, view)
         self.targets[record.name] = target
+        self._index_target(target)
         logger.bind(target=record.name, service=record.service, zone=record.zone, started_ms=record.started_ms).info(
             'target_listed'
         )
@@ -248,16 +249,24 @@
             record.draining = True
         elif record.draining:
             logger.bind(target=record.name, source='store').info('target_leaving')
+        if record.service != target.record.service:
+            self.targets_by_service[target.record.service].pop(record.name)
+            target.record = record
+            self._index_target(target)
         target.record = record
         target.listed_at = self.clock.monotonic()
         target.removal_due_at = 0.0
 
+    def _index_target(self, target: Target) -> None:
+        self.targets_by_service.setdefault(target.record.service, {})[target.record.name] = target
+
     def _remove_target(self, target: Target, reason: str) -> None:
         target.removed = True
         if target.record.draining:
             self._remember_departure(target.record.name, max(target.record.started_ms, target.leaving_noticed_ms))
         if self.targets.get(target.record.name) is target:
             self.targets.pop(target.record.name)
+            self.targets_by_service[target.record.service].pop(target.record.name)
         logger.bind(target=target.record.name, reason=reason).info('target_gone')
 
     def _remember_departure(self, name: str, started_ms: int) -> None:
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -220,13 +220,11 @@
 
     def ring_of(self, service: str) -> Ring:
         """Return the hash ring of a service, rebuilt when its set of targets changes."""
-        names = frozenset(
-            target.record.name for target in self.directory.targets.values() if target.record.service == service
-        )
+        names = self.directory.targets_by_service.get(service, {}).keys()
         known, ring = self.rings.get(service, (frozenset(), _EMPTY_RING))
         if known != names:
             ring = Ring(dict.fromkeys(names, 1.0))
-            self.rings[service] = (names, ring)
+            self.rings[service] = (frozenset(names), ring)
         return ring
 
     def _limit_connections(self) -> None:
--- a/tamarackfield/gateway/tests/test_directory.py
+++ b/tamarackfield/gateway/tests/test_directory.py
@@ -77,3 +77,14 @@
     assert names(directory) == ['new']
     directory.upsert(make_target_record('old', started_ms=5))
     assert names(directory) == ['new']
+
+
+def test_target_is_found_by_its_service_only_while_it_is_listed_there():
+    directory = Directory(ManualTime().clock())
+    directory.upsert(make_target_record('t1', address=('127.0.0.1', 1)))
+    directory.upsert(make_target_record('t2', address=('127.0.0.2', 1)))
+    directory.upsert(make_target_record('t1', 'models', address=('127.0.0.1', 1)))
+    assert (names(directory), names(directory, 'models')) == (['t2'], ['t1'])
+    directory.upsert(make_target_record('t1', 'models', address=('127.0.0.1', 1), started_ms=2))
+    directory.remove('t2', store_unreliable=False)
+    assert (names(directory), names(directory, 'models')) == ([], ['t1'])
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -133,7 +133,7 @@
 
     def values(self):
         """Fail."""
-        raise AssertionError('a report of one target visits all of them')
+        raise AssertionError('all targets are visited for one of them or of one service')
 
 
 def test_report_of_one_target_visits_no_other_target():
@@ -175,3 +175,11 @@
     assert len(chosen) == 1
     request = PlacementRequest('models', 'base', 1e9, prompt_parts=('a', 'b2'))
     assert len({entries[0].choose_target(request, allow_all).record.name for _ in range(40)}) > 1
+
+
+def test_choice_visits_no_target_of_another_service():
+    fleet = make_fleet(make_target_record('t1'), make_target_record('t2', 'models', address=('127.0.0.2', 1)))
+    attach_link(fleet, 't2', FakeLink(1, ['base', 'base/a1@1']))
+    fleet.directory.targets = UncountableTargets(fleet.directory.targets)
+    assert choose(fleet, 'base/a1') == 't2'
+    assert choose(fleet, '', 'plain') == 't1'
