Large answers of the store are applied in steps between which an entry serves its callers

What callers saw: when the store reported 10,000 changes at once, an entry did nothing else for about half a second; many peers that asked for its items at once stopped it as well.

Cause: each item was decoded, applied and logged in one pass of the event loop, and so was each answer to a peer. A configuration is one item and comes into force as a whole, as before; if a peer reports a later era of the store between two steps, the rest of the page is left out and all is read again.

Pauses above their processor time are waits for a processor.

--- a/benchmarks/configuration_pause.py
+++ b/benchmarks/configuration_pause.py
@@ -124,30 +124,38 @@
 
 
 class PauseMeter:
-    """Longest time between two polls of the sockets by the running event loop."""
+    """Longest time between two polls of the sockets by the running event loop, and longest processor time."""
 
     def __init__(self) -> None:
         """Measure from now on."""
-        self.longest_seconds = 0.0
-        self.polled_at = SYSTEM_CLOCK.monotonic()
+        self.longest_seconds = (0.0, 0.0)
+        self.polled_at = _read_clocks()
         selector = asyncio.get_running_loop()._selector
         self.poll = selector.select
         selector.select = self.select
 
     def select(self, timeout: float | None) -> Any:
         """Poll the sockets."""
-        self.longest_seconds = max(self.longest_seconds, SYSTEM_CLOCK.monotonic() - self.polled_at)
+        seconds = (now - before for now, before in zip(_read_clocks(), self.polled_at, strict=True))
+        self.longest_seconds = tuple(map(max, self.longest_seconds, seconds))
         ready = self.poll(timeout)
-        self.polled_at = SYSTEM_CLOCK.monotonic()
+        self.polled_at = _read_clocks()
         return ready
 
-    def take_ms(self) -> float:
-        """Return the longest pause in milliseconds, and measure anew."""
-        longest_ms = round(self.longest_seconds * MS_PER_SECOND, 1)
-        self.longest_seconds = 0.0
+    def take_ms(self, phase: str) -> dict[str, float]:
+        """Return the longest pause and the longest processor time in milliseconds, and measure anew."""
+        names = (f'{phase}_ms', f'{phase}_cpu_ms')
+        longest_ms = {
+            name: round(seconds * MS_PER_SECOND, 1) for name, seconds in zip(names, self.longest_seconds, strict=True)
+        }
+        self.longest_seconds = (0.0, 0.0)
         return longest_ms
 
 
+def _read_clocks() -> tuple[float, float]:
+    return SYSTEM_CLOCK.monotonic(), time.thread_time()
+
+
 def make_settings(ports: dict[str, int], peer_address: str) -> dict[str, Any]:
     """Return the settings of the entry."""
     host = peer_address.partition(':')[0]
@@ -192,7 +200,7 @@
         if phase != 'start':
             child.stdin.write(f'{phase} {peer_address}\n'.encode())
         await asyncio.sleep(PHASE_SECONDS)
-        pauses[f'{phase}_ms'] = meter.take_ms()
+        pauses |= meter.take_ms(phase)
     links_up = sum(link.is_up() for link in gateway.fleet.links.values())
     version = gateway.configuration.catalog.version
     newest = gateway.configuration.versions.newest
--- a/tamarackfield/gateway/follower.py
+++ b/tamarackfield/gateway/follower.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, Clock, TamarackfieldError
+from tamarackfield.core.steps import in_steps
 from tamarackfield.gateway.replica import (
     STORE_RECOVERY_SECONDS,
     HistoryLostError,
@@ -137,9 +138,8 @@
             page = await self._await_page(self.store.read_range(self.prefix, after))
             start = start or page.revision
             _require_era(page, start.era)
-            for item in page.items:
-                present.add(item.key)
-                changed += self.apply_item(item)
+            present.update(item.key for item in page.items)
+            changed += await self._apply_page(page)
             more = page.more and bool(page.items)
             after = page.items[-1].key if page.items else ''
         self._end_read(present, start or ORIGIN, changed)
@@ -162,12 +162,22 @@
     async def _watch(self, position: Revision) -> None:
         page = await self._await_page(self.store.watch(self.prefix, position, WATCH_WAIT_SECONDS))
         _require_era(page, position.era)
-        for item in page.items:
-            self.apply_item(item)
+        await self._apply_page(page)
         self._advance_position(page.revision)
         if page.items and self.watch_pause_seconds:
             await asyncio.sleep(self.watch_pause_seconds)
 
+    async def _apply_page(self, page: Page) -> int:
+        """Apply the items of a page; return the number of new ones.
+
+        A peer may report a later era between two steps.
+        """
+        changed = 0
+        async for item in in_steps(page.items):
+            _require_era(page, self.replica.era)
+            changed += self.apply_item(item)
+        return changed
+
     def _advance_position(self, revision: Revision) -> None:
         self.position = max(self.position or ORIGIN, revision)
         self.replica.mark_complete(self.prefix, self.position)
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -8,6 +8,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Address, ConnectionServer, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.steps import in_steps
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
@@ -57,6 +58,7 @@
         self.hello = hello
         self.seeds = seeds
         self.server = ConnectionServer(self.answer_peer)
+        self.answering = asyncio.Lock()
 
     async def listen(self, host: str, port: int) -> None:
         """Start to serve peers."""
@@ -73,16 +75,22 @@
             async with time_limit(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
                 query = await stream.receive()
-                if isinstance(query, AskBeliefs):
-                    stream.send(self.build_beliefs())
-                elif isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
-                    stream.send(self.build_items(knows_eras=query.revision > MAX_NUMBER))
+                async with self.answering:
+                    self._send_answer(stream, query)
+                    # Many peers ask at once; the event loop runs after each answer.
+                    await asyncio.sleep(0)
             await stream.finish()
         except (TamarackfieldError, TimeoutError) as exc:
             logger.bind(peer=stream.peer, error=repr(exc)).debug('peer_query_not_answered')
         finally:
             stream.abort()
 
+    def _send_answer(self, stream: PeerStream, query: Message) -> None:
+        if isinstance(query, AskBeliefs):
+            stream.send(self.build_beliefs())
+        elif isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
+            stream.send(self.build_items(knows_eras=query.revision > MAX_NUMBER))
+
     async def run(self) -> None:
         """Ask peers for what the store may not know, then for items while it is down; never return."""
         await self._ask_seeds(AskBeliefs())
@@ -113,13 +121,13 @@
             payloads=[item.content or b'' for item in known],
         )
 
-    def apply_items(self, items: Items, peer: str) -> None:
+    async def apply_items(self, items: Items, peer: str) -> None:
         """Apply the items and deletions of a peer that are newer than those of this process."""
         previous_revision = self.replica.revision
         rows = zip(items.keys, items.revisions, items.payloads, strict=True)
         reported = [Item(key, unpack_revision(revision), payload) for key, revision, payload in rows]
         present = set(items.keys)
-        for item in reported:
+        async for item in in_steps(reported):
             self._apply_item(item)
         for prefix, packed in zip(items.prefixes, items.positions, strict=True):
             position = unpack_revision(packed)
@@ -195,7 +203,7 @@
                 stream.send(query)
                 answer = await stream.receive()
             if isinstance(answer, Items):
-                self.apply_items(answer, stream.peer)
+                await self.apply_items(answer, stream.peer)
             elif isinstance(answer, Beliefs):
                 self.apply_beliefs(answer, stream.peer)
         except StreamClosedError as exc:
--- a/tamarackfield/gateway/tests/test_era_machine.py
+++ b/tamarackfield/gateway/tests/test_era_machine.py
@@ -194,7 +194,7 @@
         sender, receiver = self.entries[index], self.entries[1 - index]
         if sender.replica.revision > receiver.replica.revision:
             knows_eras = knows_eras or receiver.replica.revision.era > 0
-            receiver.peers.apply_items(sender.peers.build_items(knows_eras), 'peer')
+            asyncio.run(receiver.peers.apply_items(sender.peers.build_items(knows_eras), 'peer'))
 
     @rule(seconds=st.floats(0, 2 * STORE_RECOVERY_SECONDS))
     def wait(self, seconds):
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -8,6 +8,7 @@
 
 from tamarackfield.core import Address
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.steps import in_steps
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
 from tamarackfield.gateway.revisions import MAX_ERA, MAX_NUMBER, Revision
 from tamarackfield.platform.headers import parse_number
@@ -59,7 +60,7 @@
         if after_key:
             query['after'] = after_key
         era, document = await self._call_store('kv-range', query, READ_TIMEOUT_SECONDS)
-        return _decode_page(document, 'items', era)
+        return await _decode_page(document, 'items', era)
 
     async def watch(self, prefix: str, after: Revision, wait_seconds: float) -> Page:
         """Return the changes since a revision; wait until there is one or the wait is over.
@@ -74,7 +75,7 @@
         wait_ms = int(wait_seconds * MS_PER_SECOND)
         query = {'path_prefix': prefix, 'after': str(after.number), 'wait_ms': str(wait_ms)}
         era, document = await self._call_store('kv-watch', query, wait_seconds + WATCH_MARGIN_SECONDS)
-        return _decode_page(document, 'events', era)
+        return await _decode_page(document, 'events', era)
 
     async def _call_store(self, call: str, query: dict[str, str], timeout_seconds: float) -> tuple[int, Any]:
         """Return the era and the document of an answer."""
@@ -104,12 +105,12 @@
         return era
 
 
-def _decode_page(document: dict[str, Any], member: str, era: int) -> Page:
+async def _decode_page(document: dict[str, Any], member: str, era: int) -> Page:
     """Decode a page; ``at`` is the revision of the store at the time of the answer."""
     revision, raw_items = document.get('at'), document.get(member)
     if not _is_number(revision) or not isinstance(raw_items, list):
         raise StoreError(f"store answer lacks an integer 'at' or a list {member!r}", 'read_answer')
-    decoded = [_decode_item(raw, era) for raw in raw_items]
+    decoded = [_decode_item(raw, era) async for raw in in_steps(raw_items)]
     items = tuple(item for item in decoded if item is not None)
     return Page(items, Revision(era, revision), bool(document.get('has_more')))
 
