A pause of the entry is not reported to a sidecar as a pause of its engine

What was seen: in a test, a pause of the entry between two chunks of a stream was reported with its whole length (1.0 s) as a wait for the target; a sidecar slows the prompts of its engine for such reports.

Cause: the wait was measured in real time; it is now measured in time in which the entry could read. The test failed before.

--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -177,9 +177,9 @@
             silence.waiting = None
         if not chunk:
             return
-        incoming.reservation.report_wait(BOOT_CLOCK.monotonic() - waiting_since)
+        incoming.reservation.report_wait(listening_seconds() - waiting_since)
         yield chunk
-        waiting_since = BOOT_CLOCK.monotonic()
+        waiting_since = listening_seconds()
 
 
 async def _send_events(call_state: CallState, events: list[bytes], responder: Responder) -> None:
