--- a/tamarackfield/gateway/tests/test_stalled_relay.py
+++ b/tamarackfield/gateway/tests/test_stalled_relay.py
@@ -22,10 +22,15 @@
         return self.chunks.pop(0)
 
 
+async def has_not_ended():
+    """Return that the target of the stream has not ended."""
+    return False
+
+
 async def test_time_in_which_this_process_stood_still_is_not_reported_as_a_wait_for_the_target():
     waits = []
     reservation = SimpleNamespace(report_wait=waits.append)
-    incoming = Incoming(PausedExchange(), None, reservation, lambda: None)
+    incoming = Incoming(PausedExchange(), None, reservation, lambda: None, has_not_ended)
     chunks = [chunk async for chunk in _read_chunks(incoming, _Silence(None), None)]
     assert chunks == [b'first', b'second']
     assert max(waits) < STALL_SECONDS / 2
