Test of answers that arrive in a stall: a limit above the resolution of the clock

The large answer failed in one run on a loaded machine. Up to 0.25 s of a stall is not noticed, so a limit of 0.3 s left as little as 0.05 s to read 3 MB: a timed assert. The limit is now 2 s and the stall 3 s, near those of the calls that have large answers (1 and 3.8 s).

--- a/tamarackfield/web/tests/test_stalled_process.py
+++ b/tamarackfield/web/tests/test_stalled_process.py
@@ -17,6 +17,9 @@
 LIMIT_SECONDS = 0.3
 #: Time for which the event loop is blocked, above every limit of these tests.
 STALL_SECONDS = 0.8
+#: Limit of a call, long enough to read a large answer in what a stall that is noticed late leaves of it.
+CALL_SECONDS = 2.0
+CALL_STALL_SECONDS = 3.0
 REQUEST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
 LIMITS = HttpLimits(request_seconds=LIMIT_SECONDS, idle_seconds=LIMIT_SECONDS)
 
@@ -142,7 +145,7 @@
         with peer:
             peer.recv(65_536)
             received.set()
-            time.sleep(STALL_SECONDS / 2)
+            time.sleep(CALL_STALL_SECONDS / 2)
             peer.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size + body)
 
     received = asyncio.Event()
@@ -150,11 +153,11 @@
     with socket.create_server((HOST, 0)) as listener:
         serving = asyncio.create_task(asyncio.to_thread(serve, listener))
         calling = asyncio.create_task(
-            call_json(pool, (HOST, listener.getsockname()[1]), 'GET', '/', timeout_seconds=LIMIT_SECONDS)
+            call_json(pool, (HOST, listener.getsockname()[1]), 'GET', '/', timeout_seconds=CALL_SECONDS)
         )
         while not received.is_set():
             await asyncio.sleep(0.001)
-        time.sleep(STALL_SECONDS)
+        time.sleep(CALL_STALL_SECONDS)
         assert len((await calling).document) == size - 2
         await serving
     pool.close()
