Test: a stream is whole after its entry and its sidecar stood still together

An entry or a sidecar that alone is silent for over 2 s is still given up by the other, and its streams are cut; that is what the time-out is for.

Read without finding: orders and status of the engine, cancellations, resumption, the caller's write time-out (30 s) and the deadline (20 s) do not end an answer so early there, as far as read.

--- a/tamarackfield/testing/tests/test_adapter_promises.py
+++ b/tamarackfield/testing/tests/test_adapter_promises.py
@@ -8,6 +8,7 @@
 from tamarackfield.testing.calls import expected_text, is_correct_answer, request_completion, retry_completion
 from tamarackfield.testing.cluster import Cluster, TargetSpec, address, make_bundle
 from tamarackfield.testing.processes import wait_until
+from tamarackfield.wire.stream import HEARTBEAT_INTERVAL_SECONDS, SILENCE_TIMEOUT_SECONDS
 
 FIRST = 'draft@v1'
 SECOND = 'draft@v2'
@@ -85,6 +86,23 @@
         assert (await cluster.control('engine-1'))['broken_pins'] == 0
 
 
+@pytest.mark.parametrize('first_to_go_on', ['entry-1', 'engine-1-sidecar'])
+async def test_stream_is_whole_after_its_entry_and_its_sidecar_stood_still_together(tmp_path, first_to_go_on):
+    async with make_cluster(tmp_path) as cluster:
+        call = functools.partial(request_completion, cluster.ports['entry-1'])
+        assert (await call(FIRST)).is_complete
+        stream = asyncio.create_task(call(FIRST, 250, stream=True))
+        await wait_engine_counter(cluster, 'steps', 100)
+        both = sorted(('entry-1', 'engine-1-sidecar'), key=lambda name: name != first_to_go_on)
+        for name in both:
+            cluster.processes[name].freeze()
+        await asyncio.sleep(SILENCE_TIMEOUT_SECONDS + HEARTBEAT_INTERVAL_SECONDS)
+        for name in both:
+            cluster.processes[name].thaw()
+        answer = await stream
+        assert (answer.text, answer.error) == (expected_text(FIRST, 250), {})
+
+
 @WITH_AND_WITHOUT_FENCING
 async def test_second_sidecar_does_not_break_pins_of_a_frozen_one(tmp_path, fencing):
     cluster = make_cluster(tmp_path, fencing=fencing)
