--- a/tamarackfield/platform/tests/test_crashing_prompts.py
+++ b/tamarackfield/platform/tests/test_crashing_prompts.py
@@ -127,6 +127,20 @@
         assert 400 not in {status for _, status in crashing.statuses['sound']}
 
 
+@pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
+async def test_sound_requests_with_the_same_first_part_are_served_while_the_crashing_ones_come(tmp_path, path):
+    async with running_site(tmp_path) as site:
+        crashing = CrashingSite(site, seed=9)
+        await crashing.build()
+        await crashing.send_traffic(2, kinds=('sound',), paths=(path,))
+        before = [status for _, status in crashing.statuses['sound']]
+        await crashing.send_traffic(2 * CONTACT_SECONDS + 3, paths=(path,))
+        known_at = crashing.list_crashes()[:5][-1] + 2 * CONTACT_SECONDS
+        after = [status for at, status in crashing.statuses['sound'] if at > known_at]
+        assert min(len(before), len(after)) >= 20
+        assert after.count(200) / len(after) >= before.count(200) / len(before) / 2
+
+
 async def test_request_in_quarantine_is_refused_at_once_and_not_invited_back(tmp_path):
     async with running_site(tmp_path) as site:
         crashing = CrashingSite(site, seed=3)
--- a/tamarackfield/platform/tests/test_pauses.py
+++ b/tamarackfield/platform/tests/test_pauses.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from tamarackfield.testing.platform_site import MODEL_SERVICE, read_events
 from tamarackfield.testing.platform_worker import WorkerFault
 from tamarackfield.testing.processes import wait_until
+from tamarackfield.web.client import ClientError
 
 LONG_PAUSE = '30'
 
@@ -90,3 +92,21 @@
         arrivals = len(worker.list_arrivals())
     assert (await waiting)[0] == 503
     assert len(worker.list_arrivals()) == arrivals
+
+
+async def test_stream_that_breaks_off_is_not_resumed_at_a_worker_that_pauses(model_site):
+    paused, entry = model_site.workers['m1'], model_site.entries[0]
+    other = await model_site.add_worker('m2', MODEL_SERVICE)
+    turn_away(paused, LONG_PAUSE, requests=100)
+    adapter = ('Tamarackfield-Model', 'base/a0')
+    assert (await model_site.call('/draft/x', 'POST', b'x', [adapter]))[0] == 503
+    await entry.wait_for_log_text('event=target_paused')
+    await model_site.add_sidecar(other)
+    await model_site.wait_for_sidecars(entry)
+    arrivals = len(paused.list_arrivals())
+    other.cut_after_event = 2
+    with pytest.raises(ClientError):
+        async with model_site.stream('/summary/x', [adapter]) as response:
+            await read_events(response)
+    assert len(other.runs) == 1
+    assert len(paused.list_arrivals()) == arrivals
--- a/tamarackfield/platform/tests/test_store_returns.py
+++ b/tamarackfield/platform/tests/test_store_returns.py
@@ -1,6 +1,7 @@
 """The store comes back from an older copy: nothing in force reverts, and what is written again is applied."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -50,6 +51,22 @@
     assert b'tamarackfield_store_era 2' in metrics
 
 
+async def test_return_of_the_store_leaves_one_line_for_each_prefix_with_both_eras_and_what_differs(one_worker_site):
+    store = one_worker_site.store
+    copy = store.make_copy()
+    await one_worker_site.add_worker('w2', 'other')
+    put_config(one_worker_site, 5, make_route('/newer/', 'idempotent', 'other'))
+    await wait_for_status(one_worker_site, '/newer/x', 200)
+    store.return_from_copy(copy)
+    entry = one_worker_site.entries[0]
+    await entry.wait_for_log_text('event=older_configuration_ignored')
+    await entry.wait_for_log_text(RETURN_LOGGED)
+    lines = [line for line in entry.read_log().splitlines() if RETURN_LOGGED in line]
+    prefixes = [re.search(r'prefix=(\S+) before=1 era=2 changed=\d+ missing=\d+', line)[1] for line in lines]
+    assert len(prefixes) == len(set(prefixes))
+    assert any(not line.endswith('missing=0') for line in lines)
+
+
 async def test_change_with_a_reissued_revision_is_applied(one_worker_site):
     store = one_worker_site.store
     copy = store.make_copy()
