--- a/tamarackfield/gateway/tests/test_stalled_relay.py
+++ b/tamarackfield/gateway/tests/test_stalled_relay.py
@@ -8,7 +8,7 @@
 
 STALL_SECONDS = 1.0
 #: Delivery of a run without a successor.
-KEPT = SimpleNamespace(is_replaced=lambda: False)
+KEPT = SimpleNamespace(is_replaced=bool)
 
 
 class PausedExchange:
