Entries read the limit of requests a second that a target states, and log it

The platform adapter now decodes Server-Limit; a change is logged as target_limit with what said so, each chosen line has the limit in force, and the gauge targets_limited counts such targets. The header is for the layer and is not passed on, like Server-Leaving. An answer without the header ends the limit only if its request was sent after the limit was last stated. Nothing is decided by it yet.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -216,6 +216,9 @@
             'target_connections_opened': lambda: self.pool.opened,
             'target_connections_reused': lambda: self.pool.reused,
             'targets_listed': lambda: len(self.directory.targets),
+            'targets_limited': lambda: sum(
+                target.request_limit is not None for target in self.directory.targets.values()
+            ),
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'shedding_callers': lambda: int(self.maintenance.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -51,6 +51,10 @@
         Adapters that were evicted lately as keys, the latest last.
     paused_until : float
         Monotonic seconds until which the target wants no request; 0 if it has not asked for a pause.
+    request_limit : float or None
+        Requests a second that it takes from all entries together; None while it states no limit.
+    limit_noticed_at : float
+        Monotonic seconds at which this process last heard of its limit; 0 before.
     leaving_noticed_ms : int
         Unix milliseconds at which an answer last said that the target leaves; 0 if none did.
     viewed_holdings : tuple
@@ -67,6 +71,8 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
     paused_until: float = 0.0
+    request_limit: float | None = None
+    limit_noticed_at: float = 0.0
     leaving_noticed_ms: int = 0
     viewed_holdings: tuple[object, int] = (None, 0)
 
@@ -93,6 +99,16 @@
             logger.bind(target=self.record.name, seconds=round(until - now, 3)).info('target_paused')
         self.paused_until = until
 
+    def record_limit(self, limit: float | None, source: str, now: float) -> bool:
+        """Record the limit that the target states now, None for none; return whether it changed."""
+        if limit is not None:
+            self.limit_noticed_at = now
+        if limit == self.request_limit:
+            return False
+        logger.bind(target=self.record.name, source=source, before=self.request_limit, limit=limit).info('target_limit')
+        self.request_limit = limit
+        return True
+
     def record_leaving_answer(self) -> None:
         """Record that an answer says that the target leaves; answers do not say of which incarnation they are."""
         self.leaving_noticed_ms = SYSTEM_CLOCK.unix_ms()
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -270,6 +270,7 @@
         outstanding=view.outstanding,
         holds=call_state.adapter_key() in view.residents,
         failing=round(target.health.failure_ratio, 2),
+        limit='' if target.request_limit is None else target.request_limit,
         left_ms=round((call_state.call.deadline - now) * MS_PER_SECOND),
     ).info('chosen')
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -189,7 +189,7 @@
             connection.skip_answer()
 
     def record_notices(self, head: AnswerHead) -> None:
-        """Record what an answer says of its target: that it leaves, or wants no request for a while."""
+        """Record what an answer says of its target: that it leaves, wants no request for a while, or only so many."""
         # Another instance at the address refuses the call with this status.
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
@@ -197,6 +197,10 @@
             self.target.record_leaving_answer()
         if head.pause_seconds:
             self.target.pause(head.pause_seconds, BOOT_CLOCK.monotonic())
+        # An answer that was begun before the limit was stated does not end it.
+        ends_limit = head.genuine and self.sent_at > self.target.limit_noticed_at
+        if head.request_limit is not None or ends_limit:
+            self.target.record_limit(head.request_limit, 'answer', BOOT_CLOCK.monotonic())
 
     async def read_body(self) -> bytes:
         """Read the complete body.
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -239,6 +239,8 @@
         Whether the target states that it leaves.
     pause_seconds : float
         Time for which a target that turned the request away wants no more, in seconds; 0 if not stated.
+    request_limit : float or None
+        Requests a second that the target takes from all entries together; None if not stated.
     """
 
     status: int
@@ -251,6 +253,7 @@
     keep_alive_seconds: float = 0.0
     leaving: bool = False
     pause_seconds: float = 0.0
+    request_limit: float | None = None
 
 
 @dataclass(slots=True)
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -12,8 +12,10 @@
 from tamarackfield.platform.headers import (
     LEAVING_HEADER,
     LEAVING_VALUE,
+    LIMIT_HEADER,
     RETRY_AFTER_HEADER,
     parse_number,
+    parse_request_limit,
     parse_retry_after,
 )
 from tamarackfield.web import HttpRequest
@@ -52,7 +54,7 @@
     )
 )
 #: Headers of an answer that are not forwarded; the request id is set again by the entry.
-_UNFORWARDED_HEADERS = _HOP_BY_HOP_HEADERS | {_REQUEST_ID_LOWER, LEAVING_HEADER.encode()}
+_UNFORWARDED_HEADERS = _HOP_BY_HOP_HEADERS | {_REQUEST_ID_LOWER, LEAVING_HEADER.encode(), LIMIT_HEADER.encode()}
 #: Headers of a request to a worker that only the system may set; those of callers are dropped.
 _SYSTEM_HEADERS = frozenset(
     (
@@ -152,6 +154,7 @@
             answered_by=fields.get(_INSTANCE_HEADER, b'').decode('latin-1'),
             pause_seconds=_read_pause_seconds(status, fields),
             leaving=fields.get(LEAVING_HEADER.encode()) == LEAVING_VALUE.encode(),
+            request_limit=parse_request_limit(fields.get(LIMIT_HEADER.encode(), b'').decode('latin-1')),
             keep_alive_seconds=_parse_keep_alive_seconds(fields.get(b'keep-alive', b'')),
         )
 
--- a/tamarackfield/platform/headers.py
+++ b/tamarackfield/platform/headers.py
@@ -11,11 +11,13 @@
 #: Header with which a worker says in all its answers that it leaves, in lower case, and its value.
 LEAVING_HEADER = 'server-leaving'
 LEAVING_VALUE = '1'
+#: Header with which a worker says in its answers how many requests a second it takes from all machines, in lower case.
+LIMIT_HEADER = 'server-limit'
 #: Header with which a worker that turns a request away says for how long it wants no more, in lower case.
 RETRY_AFTER_HEADER = 'retry-after'
 #: Limit of the digits of a number in a header; longer ones count as missing.
 _MAX_NUMBER_DIGITS = 15
-_SECONDS = re.compile(r'\d+(?:\.\d*)?')
+_DECIMAL = re.compile(r'\d+(?:\.\d*)?')
 
 
 def parse_number(text: str) -> int | None:
@@ -32,6 +34,23 @@
     return int(stripped)
 
 
+def parse_request_limit(text: str) -> float | None:
+    """Return the requests a second in a Server-Limit header, None if it has none; a malformed one is logged.
+
+    Examples
+    --------
+    >>> parse_request_limit(' 4.5'), parse_request_limit('')
+    (4.5, None)
+    """
+    stripped = text.strip()
+    if not stripped:
+        return None
+    if not _DECIMAL.fullmatch(stripped) or len(stripped) > _MAX_NUMBER_DIGITS:
+        logger.bind(text=stripped).info('request_limit_malformed')
+        return None
+    return float(stripped)
+
+
 def parse_retry_after(text: str, now: float) -> float:
     """Return the seconds in a Retry-After header, 0 if it has none; a malformed one is logged and reads as none.
 
@@ -50,7 +69,7 @@
     stripped = text.strip()
     if not stripped:
         return 0.0
-    if _SECONDS.fullmatch(stripped):
+    if _DECIMAL.fullmatch(stripped):
         return float(stripped)
     try:
         date = email.utils.parsedate_to_datetime(stripped)
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -48,6 +48,8 @@
     ----------
     announces_leaving : bool
         Whether every answer says that the worker leaves.
+    request_limit : str
+        Requests a second that every answer names as the limit of the worker; empty for none.
     retry_after : str
         ``Retry-After`` of the answers to requests that it turns away with the fault ``pause``.
     crashing_parts : frozenset of str
@@ -67,6 +69,7 @@
     """
 
     announces_leaving = False
+    request_limit = ''
     retry_after = '1'
     crashing_parts: frozenset[str] = frozenset()
     crashes_after_head = True
@@ -192,7 +195,7 @@
         target = head.target.decode()
         request_id = headers.get('tamarackfield-request-id', '')
         named = request_id if self.names_calls else ''
-        header_lines = [*(echo_request_id(named) if named else []), *self.leaving_header()]
+        header_lines = [*(echo_request_id(named) if named else []), *self.notice_headers()]
         if target == '/v1/report':
             await send_response(protocol, writer, 200, self.make_report(), header_lines)
         elif target == '/v1/order':
@@ -205,9 +208,10 @@
                 Run(request_id, head.method.decode(), target, headers, body),
             )
 
-    def leaving_header(self) -> list[tuple[str, str]]:
-        """Return the header that says that the worker leaves, if it does."""
-        return [('Server-Leaving', '1')] if self.announces_leaving else []
+    def notice_headers(self) -> list[tuple[str, str]]:
+        """Return the headers that say that the worker leaves, and how many requests it takes."""
+        leaving = [('Server-Leaving', '1')] if self.announces_leaving else []
+        return [*leaving, ('Server-Limit', self.request_limit)] if self.request_limit else leaving
 
     def make_report(self) -> dict[str, Any]:
         """Return the status report of the worker."""
@@ -287,7 +291,7 @@
             if pause:
                 extra.append(('Retry-After', pause))
             await send_response(
-                protocol, writer, status, None, [*echo_request_id(run.request_id), *extra, *self.leaving_header()]
+                protocol, writer, status, None, [*echo_request_id(run.request_id), *extra, *self.notice_headers()]
             )
             return
         self.runs.append(run)
@@ -338,7 +342,7 @@
             head = encode_head([*echo_request_id(run.request_id), SIGNATURE, ('Content-Type', content_type)])
             await send_endless_bytes(writer, head if fault == 'endless_body' else b'HTTP/1.1 200 OK\r\nPad: ')
         if fault == 'errors':
-            header_lines = [*echo_request_id(run.request_id), SIGNATURE, *self.leaving_header()]
+            header_lines = [*echo_request_id(run.request_id), SIGNATURE, *self.notice_headers()]
             await send_response(protocol, writer, 500, {'error': 'failed'}, header_lines)
             run.finished = True
             return
@@ -353,25 +357,25 @@
         if fault == 'extra':
             writer.write(encode_answer('another-request', b'not for you', []))
         if fault.startswith('unframed'):
-            writer.write(encode_answer(run.request_id, body, self.leaving_header(), framed=False))
+            writer.write(encode_answer(run.request_id, body, self.notice_headers(), framed=False))
             await writer.drain()
             if fault == 'unframed_reset':
                 reset_connection(writer)
             writer.close()
             return
         if fault == 'cut':
-            writer.write(encode_answer(run.request_id, body, self.leaving_header())[:-3])
+            writer.write(encode_answer(run.request_id, body, self.notice_headers())[:-3])
             writer.close()
             return
         signature = [] if fault == 'unsigned' else [SIGNATURE]
         encoding = [('Content-Encoding', 'gzip')] if fault == 'encoded' else []
-        header_lines = [*echo_request_id(run.request_id), *signature, *encoding, *self.leaving_header()]
+        header_lines = [*echo_request_id(run.request_id), *signature, *encoding, *self.notice_headers()]
         await send_response(protocol, writer, 200, body, header_lines)
 
     async def _send_stream(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         framed = not fault.startswith('unframed')
         encode = chunk_encoder(protocol) if framed else bytes
-        writer.write(encode_stream_head(protocol, run.request_id, framed, self.leaving_header()))
+        writer.write(encode_stream_head(protocol, run.request_id, framed, self.notice_headers()))
         first = int(run.headers.get('last-event-id', '0')) + 1
         last = self.event_count - 1 if fault in CUTTING_FAULTS else self.event_count
         for number in range(first, last + 1):
