One gate paces the requests of all entries to a target that states a limit

Cause: nothing in the layer bounded the rate at which a target gets requests, and no process read the limit. Reading it in each entry would not have been enough: the limit holds for the whole deployment, and no entry knows what the others send. With an equal share each, every entry may still send one request at once (8 entries at 1.2 a second: 4.8 + 8 in four seconds, 12.2 allowed), and at 68 entries the share is one request in 57 s.

Ruled out: a limit kept by each entry by itself (one entry alone was above it); requests that had waited or were repeated (all 78 were first attempts, 2 of 77 had waited for more than 50 ms).

Now one process paces all requests to such a target (generic cell rate algorithm): the sidecar of an engine, which grants each of its requests; for a plain target, or an engine whose sidecar does not respond, a sidecar chosen by rendezvous hashing; without sidecars, an entry of the seeds. A second choice admits a quarter of the rate, so that entries which disagree about who responds stay below one and a half times the limit. An entry that reaches no gate sends a probe within two minutes. Entries and sidecars tell each other of limits, so that processes that restart know them. Requests that cannot be admitted go to other targets, or are refused at once with the time of the next turn.

Before: 78 and 79 requests within 4 s in the two cases of the test, 17 allowed. After: both pass, with at least half of the limit used. The test of the log line calls until it is served: the first request after a limit is stated waits for its turn.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -94,6 +94,7 @@
         self.fleet = Fleet(
             self.application, directory, self.configuration.versions, self.hello, settings.manager_port, settings.zone
         )
+        self.fleet.limits.seeds = lambda: self.settings.seeds
         self.pool = ConnectionPool()
         attempt_runner = AttemptRunner(self.fleet, self.pool, platform.dialect, self.budget_for)
         self.dispatcher = Dispatcher(self.fleet, attempt_runner, self.budget_for)
@@ -219,6 +220,7 @@
             'targets_limited': lambda: sum(
                 target.request_limit is not None for target in self.directory.targets.values()
             ),
+            'requests_held_back_by_limit': lambda: self.fleet.limits.held_back,
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'shedding_callers': lambda: int(self.maintenance.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -32,6 +32,7 @@
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import ConnectionPool
+from tamarackfield.wire.request_limits import LIMIT_CODE
 from tamarackfield.wire.reservations import REDIRECT_CODE, Declined
 from tamarackfield.wire.stream import PeerBusyError, StreamClosedError
 
@@ -85,10 +86,17 @@
                 clean_up.callback(reservation.release)
                 if refused is not None:
                     return refused
+            if target.request_limit is not None and reservation.link is None:
+                may_wait = not self.fleet.has_unlimited_target(call_state.service, call_state.allows)
+                refused = await self.fleet.limits.require_permit(call_state, target, may_wait)
+                if refused is not None:
+                    return refused
+                reservation.permitted = True
             target.health.record_request()
             target.view.outstanding += 1
             clean_up.callback(_count_attempt_end, target)
             exchange = Exchange(self.pool, self.dialect, call_state.call, target)
+            exchange.on_limit_change = self.fleet.limits.announce
             clean_up.callback(exchange.close)
             result = await self._send_and_receive(call_state, exchange, reservation, delivery)
             if call_state.adapter_key():
@@ -111,10 +119,12 @@
         target.view.unreported += 1
         target.view.unreported_tokens += call_state.call.prompt_tokens
         try:
-            number, answer = await link.reserve(self._make_reservation_request(call_state))
+            number, answer = await link.reserve(self._make_reservation_request(call_state, target))
         except (StreamClosedError, PeerBusyError) as exc:
             return NotRun(f'sidecar: {exc.message}', sent=False)
         if isinstance(answer, Declined):
+            if answer.code == LIMIT_CODE:
+                self.fleet.limits.record_refusal(target, answer.retry_ms / MS_PER_SECOND)
             return NotRun(
                 f'sidecar declined: {answer.code}',
                 sent=False,
@@ -124,16 +134,20 @@
         reservation.link = link
         reservation.number = number
         reservation.version = answer.version
+        reservation.permitted = True
         call_state.waited_seconds += answer.waited_ms / MS_PER_SECOND
         return None
 
-    def _make_reservation_request(self, call_state: CallState) -> ReservationRequest:
+    def _make_reservation_request(self, call_state: CallState, target: Target) -> ReservationRequest:
         call = call_state.call
         route = call_state.route
         now = BOOT_CLOCK.monotonic()
         adapter = call_state.adapter_key()
         version = self.fleet.versions.newest.get(adapter, 0)
         start_within = call.received_at + route.objective_seconds - now
+        redirectable = call_state.may_be_redirected() and (
+            target.request_limit is None or self.fleet.has_unlimited_target(call_state.service, call_state.allows)
+        )
         return ReservationRequest(
             label=call.request_id,
             adapter=adapter,
@@ -142,7 +156,7 @@
             remaining_seconds=call.deadline - now,
             start_within_seconds=start_within,
             prompt_tokens=call.prompt_tokens,
-            redirectable=call_state.may_be_redirected(),
+            redirectable=redirectable,
         )
 
     async def _send_and_receive(
@@ -156,7 +170,7 @@
 
         def authorize_send() -> str:
             """Return why the call may not be sent; if it may, spend the retry budget and record the call as sent."""
-            refusal = self._explain_refusal(call_state, target)
+            refusal = self._explain_refusal(call_state, target, reservation)
             if not refusal:
                 self._record_sent(call_state, exchange, delivery)
             return refusal
@@ -182,12 +196,14 @@
             return False
         return self.fleet.choose_target(make_placement(call_state), call_state.allows) is not None
 
-    def _explain_refusal(self, call_state: CallState, target: Target) -> str:
+    def _explain_refusal(self, call_state: CallState, target: Target, reservation: Reservation) -> str:
         """Return why a call may not be sent to a target now, empty if it may."""
         now = BOOT_CLOCK.monotonic()
         refusal = target.explain_refusal(now)
         if refusal:
             return f'{refusal} before the call was sent'
+        if target.request_limit is not None and not reservation.permitted:
+            return 'target stated a limit before the call was sent'
         if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
             return 'deadline passed before the call was sent'
         if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -15,6 +15,7 @@
 from tamarackfield.policy import TargetView
 from tamarackfield.policy.health import TargetHealth
 from tamarackfield.policy.pauses import extend_pause
+from tamarackfield.policy.request_limits import seconds_between_requests
 
 #: Number of evicted adapters that count as evicted lately, as a multiple of the adapters that a target holds.
 RECENT_PLACES = 4
@@ -55,6 +56,11 @@
         Requests a second that it takes from all entries together; None while it states no limit.
     limit_noticed_at : float
         Monotonic seconds at which this process last heard of its limit; 0 before.
+    permit_due_at : float
+        Monotonic seconds before which its gate admits no further request; 0 if that is not known.
+    probe_due_at : float
+        Monotonic seconds from which it may be called though it has a limit and no gate can be reached; 0 before the
+        first such call.
     leaving_noticed_ms : int
         Unix milliseconds at which an answer last said that the target leaves; 0 if none did.
     viewed_holdings : tuple
@@ -73,6 +79,8 @@
     paused_until: float = 0.0
     request_limit: float | None = None
     limit_noticed_at: float = 0.0
+    permit_due_at: float = 0.0
+    probe_due_at: float = 0.0
     leaving_noticed_ms: int = 0
     viewed_holdings: tuple[object, int] = (None, 0)
 
@@ -107,8 +115,18 @@
             return False
         logger.bind(target=self.record.name, source=source, before=self.request_limit, limit=limit).info('target_limit')
         self.request_limit = limit
+        self.permit_due_at = 0.0
+        self.view.request_seconds = 0.0 if limit is None else seconds_between_requests(limit)
         return True
 
+    def takes_request(self, now: float, wait_seconds: float) -> bool:
+        """Return whether it wants requests now, and its gate may admit one that waits there for some time."""
+        return not self.is_paused(now) and now + wait_seconds >= self.permit_due_at
+
+    def returns_at(self) -> float:
+        """Return when it takes requests again, because of a pause or its limit; in the past if it takes them."""
+        return max(self.paused_until, self.permit_due_at)
+
     def record_leaving_answer(self) -> None:
         """Record that an answer says that the target leaves; answers do not say of which incarnation they are."""
         self.leaving_noticed_ms = SYSTEM_CLOCK.unix_ms()
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -176,7 +176,7 @@
         """Record when the caller may come back if no target wants a request now."""
         seconds = self.fleet.seconds_until_return(call_state.service)
         if seconds:
-            call_state.notes.append('every target asked for a pause')
+            call_state.notes.append('every target pauses or is at its limit')
             call_state.retry_seconds = seconds
 
     def _handle_result(self, call_state: CallState, target: Target, result: AttemptResult) -> Answered | None:
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -114,6 +114,8 @@
         Monotonic seconds at which the first and the latest part of the body arrived; 0 before the first.
     end_reported : bool
         Whether the sidecar of the target was told that the connection has ended.
+    on_limit_change : callable
+        Called with the target when an answer changes what is known of its limit.
     """
 
     def __init__(self, pool: ConnectionPool, dialect: Dialect, call: Call, target: Target) -> None:
@@ -129,6 +131,7 @@
         self.first_part_at = 0.0
         self.last_part_at = 0.0
         self.end_reported = False
+        self.on_limit_change: Callable[[Target], None] = _ignore_change
 
     async def send(
         self,
@@ -197,10 +200,12 @@
             self.target.record_leaving_answer()
         if head.pause_seconds:
             self.target.pause(head.pause_seconds, BOOT_CLOCK.monotonic())
-        # An answer that was begun before the limit was stated does not end it.
-        ends_limit = head.genuine and self.sent_at > self.target.limit_noticed_at
-        if head.request_limit is not None or ends_limit:
-            self.target.record_limit(head.request_limit, 'answer', BOOT_CLOCK.monotonic())
+        # An answer to another call, or one begun before the limit was stated, does not end it.
+        is_newer = head.request_id == self.call.request_id and self.sent_at > self.target.limit_noticed_at
+        if head.request_limit is None and not (head.genuine and is_newer):
+            return
+        if self.target.record_limit(head.request_limit, 'answer', BOOT_CLOCK.monotonic()):
+            self.on_limit_change(self.target)
 
     async def read_body(self) -> bytes:
         """Read the complete body.
@@ -294,3 +299,7 @@
     if head.status < HTTPStatus.MULTIPLE_CHOICES and not head.genuine:
         return MaybeRan(f'status {head.status} without the mark of the target')
     return Answered(head, body)
+
+
+def _ignore_change(target: Target) -> None:
+    """Do nothing."""
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -11,11 +11,13 @@
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.quarantine import PromptQuarantine
+from tamarackfield.gateway.request_limits import RequestLimits
 from tamarackfield.gateway.model import Catalog, Engine, Versions
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
 from tamarackfield.policy.residency import MAX_CONCURRENT_LOADS
+from tamarackfield.policy.request_limits import MAX_PERMIT_WAIT_SECONDS
 from tamarackfield.policy.pauses import draw_return_seconds
 from tamarackfield.policy.service_routing import choose_service_target
 from tamarackfield.wire.messages import Hello, Holdings
@@ -134,6 +136,7 @@
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.quarantine = PromptQuarantine(application, self.links.values)
+        self.limits = RequestLimits(directory, self.links, hello)
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
         self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
@@ -189,10 +192,13 @@
             None if no target can accept the call now.
         """
         now = BOOT_CLOCK.monotonic()
-        permitted = [
+        reachable = [
             target
             for target in self.directory.usable_targets(placement.service)
-            if allowed(target) and target.has_connection_capacity() and not target.is_paused(now)
+            if allowed(target) and target.has_connection_capacity()
+        ]
+        permitted = [target for target in reachable if target.takes_request(now, 0)] or [
+            target for target in reachable if target.takes_request(now, MAX_PERMIT_WAIT_SECONDS)
         ]
         usable = [target for target in permitted if self._can_serve(target, placement.adapter)]
         healthy = [usable[index] for index in select_usable([target.health for target in usable], now)]
@@ -212,10 +218,18 @@
             view = choose_service_target(views, self.zone, self.rng)
         return next(target for target in healthy if target.view is view)
 
+    def has_unlimited_target(self, service: str, allowed: Callable[[Target], bool]) -> bool:
+        """Return whether a target of a service takes requests now and limits their number not at all."""
+        now = BOOT_CLOCK.monotonic()
+        return any(
+            target.request_limit is None and allowed(target) and target.takes_request(now, 0)
+            for target in self.directory.usable_targets(service)
+        )
+
     def seconds_until_return(self, service: str) -> float:
-        """Return after how many seconds a caller of a service may come back; 0 unless all its targets pause."""
+        """Return after how many seconds a caller of a service may come back; 0 unless no target takes requests now."""
         now = BOOT_CLOCK.monotonic()
-        ends = [target.paused_until for target in self.directory.usable_targets(service)]
+        ends = [target.returns_at() for target in self.directory.usable_targets(service)]
         return draw_return_seconds(ends, now, self.rng) if ends and min(ends) > now else 0.0
 
     def ring_of(self, service: str) -> Ring:
@@ -264,6 +278,7 @@
         host = address[0]
         link = ManagerLink(address, self.hello, lambda: self._facts_for(host), lambda: self._refresh_host(host))
         self.quarantine.attach(link)
+        self.limits.attach(link)
         self.links[host] = link
         self.tasks[host] = self.application.supervise(link.run, f'sidecar-{host}')
 
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 from loguru import logger
 
@@ -17,6 +18,7 @@
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
 from tamarackfield.wire.crash_reports import CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
+from tamarackfield.wire.request_limits import RequestLimit
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError, connect
 
@@ -108,6 +110,8 @@
         self.known_crashes: dict[CrashKey, Crash] = {}
         self.on_crash: Callable[[Crash], None] = _ignore_crash
         self.list_crashes: Callable[[], Iterable[Crash]] = tuple
+        self.on_limit: Callable[[RequestLimit], None] = _ignore_limit
+        self.list_limits: Callable[[], Iterable[RequestLimit]] = tuple
 
     def is_up(self) -> bool:
         """Return whether the sidecar responds and can grant requests."""
@@ -161,13 +165,23 @@
         PeerBusyError
             If too many messages wait to be sent to the sidecar.
         """
+        return await self.ask(partial(_make_reserve, request=request), request.remaining_seconds)
+
+    async def ask(self, make_message: Callable[[int], Message], seconds: float) -> tuple[int, Answer]:
+        """Send a request that the sidecar grants or declines, made from its number, and wait for the answer.
+
+        Raises
+        ------
+        StreamClosedError, PeerBusyError
+            As in `reserve`; ``seconds`` is the time limit.
+        """
         number = next(self.reservation_numbers)
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.pending[number] = answer
         reply: Answer | None = None
         try:
-            async with time_limit(request.remaining_seconds + ANSWER_MARGIN_SECONDS):
-                self._send(_make_reserve(number, request))
+            async with time_limit(seconds + ANSWER_MARGIN_SECONDS):
+                self._send(make_message(number))
                 reply = await self._await_answer(answer)
         except TimeoutError:
             raise StreamClosedError('sidecar did not answer', step='reserve', peer=self._peer_name()) from None
@@ -177,10 +191,6 @@
                 self.release(number)
         return number, reply
 
-    def report_started(self, number: int) -> None:
-        """Report to the sidecar that the answer to a request has begun."""
-        self.send_best_effort(Started(number))
-
     def report_pause(self, number: int, seconds: float) -> None:
         """Report to the sidecar for how long the stream of a request paused."""
         self.send_best_effort(Paused(number, round(seconds * MS_PER_SECOND)))
@@ -209,6 +219,8 @@
                 crash = decode_crash(message)
                 self.known_crashes[crash.key()] = crash
                 self.on_crash(crash)
+            case RequestLimit():
+                self.on_limit(message)
             case Draining(reason):
                 self.draining = True
                 logger.bind(sidecar=self._peer_name(), reason=reason).info('sidecar_stopping')
@@ -244,6 +256,8 @@
         self.send_facts()
         for crash in self.list_crashes():
             self.report_crash(crash)
+        for limit in self.list_limits():
+            self.send_best_effort(limit)
 
     def _store_report(self, report: EngineReport) -> None:
         previous = self.report
@@ -316,12 +330,15 @@
         Version of the adapter that the target must run; 0 for any.
     longest_pause_seconds : float
         Longest pause between two events for which the answer is still on time.
+    permitted : bool
+        Whether a gate has admitted the attempt, should its target limit its requests.
     """
 
     link: ManagerLink | None = None
     number: int = 0
     version: int = 0
     longest_pause_seconds: float = math.inf
+    permitted: bool = False
 
     def release(self) -> None:
         """Release the slot."""
@@ -331,7 +348,7 @@
     def report_started(self) -> None:
         """Report that the answer has begun."""
         if self.link is not None:
-            self.link.report_started(self.number)
+            self.link.send_best_effort(Started(self.number))
 
     def report_wait(self, seconds: float) -> None:
         """Report the silence of the target before a part of the answer, if it is close to the longest allowed."""
@@ -343,6 +360,10 @@
     logger.bind(target=crash.target, started_ms=crash.started_ms).debug('crash_not_recorded')
 
 
+def _ignore_limit(message: RequestLimit) -> None:
+    logger.bind(target=message.target).debug('limit_not_recorded')
+
+
 def _make_reserve(number: int, request: ReservationRequest) -> Reserve:
     return Reserve(
         request_id=number,
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -13,8 +13,10 @@
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
 from tamarackfield.gateway.replica import Item, Replica
+from tamarackfield.gateway.request_limits import EntryGates
 from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
 from tamarackfield.wire.messages import Hello, Message
+from tamarackfield.wire.request_limits import AskPermit
 from tamarackfield.wire.reservations import AskBeliefs, AskItems, Beliefs, Items
 from tamarackfield.wire.stream import PeerStream, StreamClosedError, connect
 
@@ -59,6 +61,7 @@
         self.seeds = seeds
         self.server = ConnectionServer(self.answer_peer)
         self.answering = asyncio.Lock()
+        self.gates = EntryGates()
 
     async def listen(self, host: str, port: int) -> None:
         """Start to serve peers."""
@@ -75,6 +78,8 @@
             async with time_limit(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
                 query = await stream.receive()
+                if isinstance(query, AskPermit):
+                    stream.send(await self.gates.wait_for_answer(query))
                 async with self.answering:
                     self._send_answer(stream, query)
                     # Many peers ask at once; the event loop runs after each answer.
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -7,9 +7,10 @@
 known, so that its entry can try another target. A request that would start later than its latency objective is
 redirected while another target still has the time to load its adapter: popular adapters fill the batches of their
 engines while others idle. No request whose adapter is resident waits while a batch slot is free, except for prefill
-pacing.
+pacing and the limit of requests a second that an engine may state.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -20,11 +21,14 @@
     Plan,
     Ticket,
     TicketKey,
+    WaitCause,
     find_wait_cause,
 )
 from tamarackfield.policy.load_pacing import LoadPacer, is_reload
 from tamarackfield.policy.prefill import PrefillPacer
+from tamarackfield.policy.request_limits import MAX_PERMIT_WAIT_SECONDS, RequestPacer
 from tamarackfield.policy.residency import LoadOrder, Order, Residency
+from tamarackfield.wire.request_limits import LIMIT_CODE
 from tamarackfield.wire.reservations import REDIRECT_CODE
 
 #: Fraction of the time until a request's deadline that it may spend queued here; the remainder is for its run.
@@ -71,6 +75,8 @@
         self.draining = False
         self.prefill = PrefillPacer()
         self.load_pacer = LoadPacer()
+        # Its limit is infinite while the engine states none.
+        self.request_pacer = RequestPacer(math.inf, 0)
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.load_seconds = INITIAL_LOAD_SECONDS
 
@@ -167,7 +173,8 @@
                 tokens_ahead += ticket.tokens
                 self._order_load(plan, ticket, waiting_adapters)
                 batch_full = self.used_batch_slots() >= self.batch if self._is_adapter_available(ticket) else None
-                ticket.waits.count(find_wait_cause(ticket, self.residency, waiting_adapters, batch_full), now)
+                cause = find_wait_cause(ticket, self.residency, waiting_adapters, batch_full)
+                ticket.waits.count(cause if self.request_pacer.due_at(now) <= now else WaitCause.LIMIT, now)
         return plan
 
     def used_batch_slots(self) -> int:
@@ -216,6 +223,8 @@
             return 'no_such_adapter'
         wait_until = ticket.enqueued_at + MAX_WAIT_FRACTION * (ticket.deadline - ticket.enqueued_at)
         load_wait_seconds = 0.0 if self._is_adapter_available(ticket) else self.load_seconds
+        if _exceeds_limit(ticket, self.request_pacer.due_at(now, ahead), now + load_wait_seconds):
+            return LIMIT_CODE
         if now >= wait_until or now + max(load_wait_seconds, self.expected_wait_seconds(ahead)) > ticket.deadline:
             return 'too_late'
         return 'full' if now + self.expected_wait_seconds(ahead) > wait_until else ''
@@ -232,10 +241,12 @@
         wait_seconds = self.expected_wait_seconds(ahead)
         if _is_load_refused(ticket, self.load_refusals):
             wait_seconds = max(wait_seconds, self.load_refusals[ticket.adapter].until - now)
-        return max(MIN_RETRY_SECONDS, wait_seconds)
+        return max(MIN_RETRY_SECONDS, wait_seconds, self.request_pacer.due_at(now, ahead) - now)
 
     def _can_grant(self, ticket: Ticket, now: float) -> bool:
         has_slot = self._is_adapter_available(ticket) and self.used_batch_slots() < self.batch
+        if self.request_pacer.due_at(now) > now:
+            return False
         return has_slot and self.prefill.can_dispatch(ticket.tokens, now)
 
     def _is_adapter_available(self, ticket: Ticket) -> bool:
@@ -250,6 +261,7 @@
         ticket.granted_at = now
         self.granted[ticket.key] = ticket
         self.prefill.record_dispatch(ticket.key, ticket.tokens, now)
+        self.request_pacer.record_sent(now)
         if '/' in ticket.adapter:
             self.residency.pin(ticket.adapter, now)
         plan.grants.append(ticket)
@@ -274,3 +286,10 @@
 def _is_load_refused(ticket: Ticket, refusals: dict[str, LoadRefusal]) -> bool:
     refusal = refusals.get(ticket.adapter)
     return refusal is not None and refusal.version >= ticket.version
+
+
+def _exceeds_limit(ticket: Ticket, due_at: float, startable_at: float) -> bool:
+    """Return whether a request would wait for too long for its turn under the limit of the engine."""
+    # A redirectable request has other targets to go to.
+    wait_seconds = 0 if ticket.redirectable else MAX_PERMIT_WAIT_SECONDS
+    return due_at > max(startable_at, ticket.enqueued_at + wait_seconds)
--- a/tamarackfield/manager/engine_client.py
+++ b/tamarackfield/manager/engine_client.py
@@ -52,6 +52,8 @@
         Whether the engine is loading a base model.
     draining : bool
         Whether the engine drains and accepts no new work.
+    request_limit : float or None
+        Requests a second that it takes from all entries together; None if it states none.
     """
 
     started_ms: int
@@ -63,6 +65,7 @@
     queued: int
     loading_model: bool
     draining: bool
+    request_limit: float | None = None
 
 
 class OrderResult(enum.Enum):
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import itertools
+import math
 
 from loguru import logger
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, ConnectionServer, TamarackfieldError, cancel_and_wait
 from tamarackfield.core.clock import MS_PER_SECOND, NS_PER_SECOND
-from tamarackfield.manager.tickets import Decline, Ticket
+from tamarackfield.manager.admission import AdmissionController
 from tamarackfield.manager.engine import EngineController
+from tamarackfield.manager.request_limits import TargetLimits
+from tamarackfield.manager.tickets import Decline, Ticket
 from tamarackfield.policy.quarantine import Crash, Quarantine
 from tamarackfield.wire.codec import make_shared_encoder
 from tamarackfield.wire.crash_reports import BrokenRun, CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
 from tamarackfield.wire.reporting import report_changes
+from tamarackfield.wire.request_limits import AskPermit, RequestLimit, encode_limit
 from tamarackfield.wire.reservations import Declined, EngineReport, Facts, Granted, Paused, Release, Reserve, Started
 from tamarackfield.wire.stream import PeerBusyError, PeerStream, StreamClosedError
 
@@ -50,6 +54,8 @@
         self.encode_message = make_shared_encoder()
         self.server = ConnectionServer(self.serve_entry)
         self.quarantine = Quarantine()
+        self.limits = TargetLimits()
+        self.limits.on_change = self._tell_entries
         controller.on_crash = self.record_crash
 
     async def listen(self, host: str, port: int) -> None:
@@ -92,8 +98,8 @@
                 self.controller.decision_due.set()
             case Paused(_, pause_ms):
                 self._record_pause(pause_ms, now)
-            case BrokenRun() | CrashReport():
-                self._handle_crash_message(message)
+            case BrokenRun() | CrashReport() | AskPermit() | RequestLimit():
+                self._handle_target_message(stream_number, message, now)
             case Release():
                 admission.release((stream_number, message.request_id), now)
                 self.controller.decision_due.set()
@@ -103,17 +109,21 @@
     def record_crash(self, report: Crash) -> None:
         """Record what this process or an entry knows of a crash; tell all entries if it is new."""
         if self.quarantine.record_crash(report, BOOT_CLOCK.monotonic()):
-            message = encode_crash(self.quarantine.crashes[report.key()])
-            for stream in self.streams:
-                _send(stream, message)
+            self._tell_entries(encode_crash(self.quarantine.crashes[report.key()]))
 
     async def run_decisions(self) -> None:
         """Decide on queued requests after every change, and at the latest after the decision interval."""
         controller = self.controller
         while True:
-            await _wait_for_event(controller.decision_due, self._seconds_until_next_decision())
+            await _wait_for_event(
+                controller.decision_due, _seconds_until_next_decision(controller.admission, self.limits)
+            )
             controller.decision_due.clear()
-            plan = controller.admission.make_plan(BOOT_CLOCK.monotonic())
+            now = BOOT_CLOCK.monotonic()
+            self._update_own_limit(now)
+            for stream_number, answer in self.limits.decide(now):
+                _send(self.streams_by_number.get(stream_number), answer)
+            plan = controller.admission.make_plan(now)
             for ticket in plan.grants:
                 self._send_grant(ticket)
             for decline in plan.declines:
@@ -174,8 +184,7 @@
         """Notify every entry that this process stops."""
         self.draining = True
         self.report_cache_expires_at = 0.0
-        for stream in self.streams:
-            _send(stream, Draining('the sidecar stops'))
+        self._tell_entries(Draining('the sidecar stops'))
 
     async def close(self) -> None:
         """Send what is queued on every stream, then close all of them and end their tasks."""
@@ -183,19 +192,32 @@
         await asyncio.gather(*(stream.finish() for stream in self.streams))
         await self.server.close()
 
-    def _handle_crash_message(self, message: BrokenRun | CrashReport) -> None:
-        if isinstance(message, BrokenRun):
-            self.controller.record_broken_run(message)
-        else:
-            self.record_crash(decode_crash(message))
+    def _update_own_limit(self, now: float) -> None:
+        """Let admission keep to the limit of the engine, of which its reports or its answers to entries tell."""
+        controller = self.controller
+        facts = controller.facts
+        if controller.has_current_facts():
+            limit_mrps = encode_limit(controller.state.request_limit)
+            self.limits.record_report(RequestLimit(facts.target, facts.started_ms, limit_mrps), now)
+        controller.admission.request_pacer = self.limits.pacer_for(facts.target, facts.started_ms, now)
+
+    def _handle_target_message(
+        self, stream_number: int, message: BrokenRun | CrashReport | AskPermit | RequestLimit, now: float
+    ) -> None:
+        match message:
+            case BrokenRun():
+                self.controller.record_broken_run(message)
+            case CrashReport():
+                self.record_crash(decode_crash(message))
+            case AskPermit():
+                self.limits.ask(stream_number, message, now)
+                self.controller.decision_due.set()
+            case RequestLimit():
+                self.limits.record(message, now)
 
-    def _seconds_until_next_decision(self) -> float:
-        """Return how long to wait for a change before a decision is due by time alone."""
-        admission = self.controller.admission
-        seconds_left = admission.prefill.next_dispatch_at() - BOOT_CLOCK.monotonic()
-        if not admission.waiting or seconds_left <= 0:
-            return MAX_DECISION_INTERVAL_SECONDS
-        return min(MAX_DECISION_INTERVAL_SECONDS, max(MIN_DECISION_INTERVAL_SECONDS, seconds_left))
+    def _tell_entries(self, message: Message) -> None:
+        for stream in self.streams:
+            _send(stream, message)
 
     def _record_pause(self, pause_ms: int, now: float) -> None:
         pacer = self.controller.admission.prefill
@@ -239,6 +261,8 @@
         # Before any grant, so that the entry knows the culprits when it sends a request.
         for crash in self.quarantine.crashes.values():
             _send(stream, encode_crash(crash))
+        for limit in self.limits.list_messages():
+            _send(stream, limit)
         logger.bind(entry=stream.peer).info('entry_connected')
 
     def _remove_stream(self, stream_number: int, stream: PeerStream) -> None:
@@ -249,6 +273,17 @@
         self.controller.decision_due.set()
 
 
+def _seconds_until_next_decision(admission: AdmissionController, limits: TargetLimits) -> float:
+    """Return how long to wait for a change before a decision is due by time alone."""
+    now = BOOT_CLOCK.monotonic()
+    paced_until = math.inf
+    if admission.waiting:
+        paced_until = max(admission.prefill.next_dispatch_at(), admission.request_pacer.due_at(0))
+    due = [due_at for due_at in (limits.next_due_at(now), paced_until) if due_at > now]
+    seconds_left = min(due, default=math.inf) - now
+    return min(MAX_DECISION_INTERVAL_SECONDS, max(MIN_DECISION_INTERVAL_SECONDS, seconds_left))
+
+
 def _make_ticket(stream_number: int, message: Reserve, now: float) -> Ticket:
     key = (stream_number, message.request_id)
     deadline = now + message.left_ms / MS_PER_SECOND
--- a/tamarackfield/manager/tickets.py
+++ b/tamarackfield/manager/tickets.py
@@ -20,6 +20,8 @@
     BATCH = 'batch'
     #: The engine still prefills the prompts of earlier requests.
     PREFILL = 'prefill'
+    #: The engine has got as many requests as it takes at the rate that it states.
+    LIMIT = 'limit'
 
 
 @dataclass(slots=True)
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -154,11 +154,16 @@
             answered_by=fields.get(_INSTANCE_HEADER, b'').decode('latin-1'),
             pause_seconds=_read_pause_seconds(status, fields),
             leaving=fields.get(LEAVING_HEADER.encode()) == LEAVING_VALUE.encode(),
-            request_limit=parse_request_limit(fields.get(LIMIT_HEADER.encode(), b'').decode('latin-1')),
+            request_limit=parse_request_limit(_join_values(headers, LIMIT_HEADER)),
             keep_alive_seconds=_parse_keep_alive_seconds(fields.get(b'keep-alive', b'')),
         )
 
 
+def _join_values(headers: HeaderLines, name: str) -> str:
+    """Return the text of a header; the values of repeated ones are joined by commas."""
+    return ','.join(text.decode('latin-1') for key, text in headers if key.lower() == name.encode())
+
+
 def _read_pause_seconds(status: int, fields: dict[bytes, bytes]) -> float:
     """Return for how many seconds a worker that turned a request away wants no more, 0 if it does not say."""
     text = fields.get(RETRY_AFTER_HEADER.encode(), b'')
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -19,8 +19,10 @@
 from tamarackfield.platform.headers import (
     LEAVING_HEADER,
     LEAVING_VALUE,
+    LIMIT_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
+    parse_request_limit,
     parse_retry_after,
 )
 from tamarackfield.platform.holdings import MALFORMED, read_holdings
@@ -84,7 +86,8 @@
         except MALFORMED as exc:
             raise ClientError(f'worker report is malformed: {exc!r}', 'report', str(self.address), sent=True) from exc
         says_leaving = answer.headers.get(LEAVING_HEADER) == LEAVING_VALUE
-        return replace(state, draining=True) if says_leaving else state
+        request_limit = parse_request_limit(answer.headers.get(LIMIT_HEADER, ''))
+        return replace(state, draining=state.draining or says_leaving, request_limit=request_limit)
 
     async def send_order(self, order: Order | ModelOrder, terms: OrderTerms) -> OrderResult:
         """Send an order to one incarnation of the worker; any other incarnation refuses it.
--- a/tamarackfield/platform/tests/test_request_limits.py
+++ b/tamarackfield/platform/tests/test_request_limits.py
@@ -7,6 +7,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.platform_site import MODEL_SERVICE, PLAIN_SERVICE, running_site
+from tamarackfield.testing.processes import wait_until
 
 ENTRIES = 3
 #: Limit, time after its first statement from which it is to be kept, and the window in which requests are counted.
@@ -82,7 +83,11 @@
     assert (status, 'server-limit' in headers) == (200, False)
     await one_worker_site.entries[0].wait_for_log_text('event=target_limit')
     one_worker_site.workers['w1'].request_limit = ''
-    await one_worker_site.call('/look/x')
+
+    async def is_served():
+        return (await one_worker_site.call('/look/x'))[0] == 200
+
+    await wait_until(is_served, 'a call is admitted')
     await one_worker_site.entries[0].wait_for_log_text('limit=None')
 
 
--- a/tamarackfield/policy/affine.py
+++ b/tamarackfield/policy/affine.py
@@ -24,6 +24,8 @@
 MAX_CANDIDATES = 16
 #: Cost in seconds of each step along the ring, so that equal targets do not all load the same adapter.
 RANK_PENALTY_SECONDS = 0.1
+#: Cost in seconds of loading an adapter at a target that limits its requests: other targets can serve it more often.
+LIMITED_HOME_PENALTY_SECONDS = 1.0
 #: Targets with the adapter resident or loading whose cost exceeds the least by at most this fraction are near-ties; one
 #: is drawn at random.
 NEAR_TIE_FRACTION = 0.05
@@ -92,9 +94,10 @@
     stall = expected_load_stall(request.adapter, target)
     zone_cost = 0.0 if request.zone == target.zone else CROSS_ZONE_SECONDS
     prefill_wait = expected_prefill_wait(target, request.now)
-    pressure = queue_wait + prefill_wait + stall * (1 + weights.load_stalls)
+    limit_wait = target.request_seconds * (target.queued + target.unreported)
+    pressure = max(queue_wait, limit_wait) + prefill_wait + stall * (1 + weights.load_stalls)
     if stall:
-        pressure += RANK_PENALTY_SECONDS * rank
+        pressure += RANK_PENALTY_SECONDS * rank + LIMITED_HOME_PENALTY_SECONDS * bool(target.request_seconds)
     free_fraction = 1 - min(1.0, pending / target.batch)
     underfill_cost = weights.batch_efficiency * free_fraction * target.service_seconds / target.batch
     run_seconds = request.prompt_tokens * target.token_seconds + target.service_seconds
--- a/tamarackfield/policy/ring.py
+++ b/tamarackfield/policy/ring.py
@@ -1,8 +1,8 @@
-"""Consistent-hash ring: the order of targets for a key, found without visiting all of them."""
+"""Orders of names for a key that many processes agree on: a consistent-hash ring, and rendezvous hashing."""
 
 import bisect
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import xxhash
 
@@ -10,6 +10,21 @@
 POINTS_PER_UNIT_SPEED = 32
 
 
+def order_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
+    """Return names in an order that depends on the key, and on no other name than the two compared [1]_.
+
+    Examples
+    --------
+    >>> order_by_rendezvous('target-1', ('a', 'b', 'c')), order_by_rendezvous('target-2', ('a', 'b', 'c'))
+    (['a', 'c', 'b'], ['c', 'a', 'b'])
+
+    References
+    ----------
+    .. [1] D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+    """
+    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f'{key}|{name}'.encode()))
+
+
 class Ring:
     """Immutable consistent-hash ring; a target has points in proportion to its speed.
 
--- a/tamarackfield/policy/routing.py
+++ b/tamarackfield/policy/routing.py
@@ -69,6 +69,8 @@
         Prefill time of one token; 0 if not reported.
     unreported_tokens : int
         Prompt tokens that this entry sent since the last report.
+    request_seconds : float
+        Seconds between two requests that its limit allows; 0 without a limit.
     """
 
     name: str
@@ -91,6 +93,7 @@
     prompt_seconds: float = 0.0
     token_seconds: float = 0.0
     unreported_tokens: int = 0
+    request_seconds: float = 0.0
 
 
 class FleetView(Protocol):
