--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -69,7 +69,6 @@
     """
 
     announces_leaving = False
-    request_limit = ''
     retry_after = '1'
     crashing_parts: frozenset[str] = frozenset()
     crashes_after_head = True
@@ -103,6 +102,7 @@
         self.event_interval_seconds = 0.005
         self.cut_after_event = 0
         self.silences: dict[int, float] = {}
+        self.request_limit = ''
         self.crash_reason = ''
         self.crashed_at: list[float] = []
         self.server: asyncio.Server | None = None
@@ -151,8 +151,9 @@
         return bool(self.crashed_at) and self.server is not None and not self.server.is_serving()
 
     async def restart(self) -> None:
-        """Stop and start as a new incarnation with the same name, without models, adapters and fences."""
+        """Stop and start as a new incarnation with the same name, without models, adapters, fences and limit."""
         await self.stop()
+        self.request_limit = ''
         self.started_unix_ms = max(self.started_unix_ms + 1, SYSTEM_CLOCK.unix_ms())
         self.sequence = 0
         self.highest_fence = 0
@@ -281,6 +282,7 @@
         run.began_at = SYSTEM_CLOCK.monotonic()
         run.incarnation = self.started_unix_ms
         run.announced_leaving = self.announces_leaving
+        run.stated_limit = self.request_limit
         refusal_status = self._refusal_status(run.headers)
         fault = self.fault.next_fault()
         if fault in {'shed', 'pause'} or refusal_status:
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -12,6 +12,7 @@
 from tamarackfield.testing.platform_worker import PlatformWorker, WorkerFault
 from tamarackfield.testing.relay import FAULTY_MODES, Relay, no_faults
 from tamarackfield.testing.soak.crashes import crash_on_part
+from tamarackfield.testing.soak.limits import state_limit
 from tamarackfield.testing.soak.plan import PlannedFault
 from tamarackfield.testing.soak.site import EVENT_SECONDS, DrainWindow, SoakSite
 from tamarackfield.testing.soak.standstills import change_limits, hold_entry, silence_worker
@@ -358,23 +359,32 @@
     'worker_silent': silence_worker,
     'limits_changed': change_limits,
 }
+#: Additions after those, in a further series of their own.
+LIMIT_FAULTS: dict[str, Fault] = {'limit_stated': state_limit}
+#: Faults that are drawn beside `LIMIT_FAULTS` where only limits are to be tested.
+BESIDE_LIMITS = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'sidecar_stopped', 'sidecar_paused')
 #: Fault functions by name, of all series.
-ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS
+ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS
 
 
 class Series(StrEnum):
-    """Series of faults of a run; those of `FORMER` are as they were before the last one was added."""
+    """Series of faults of a run; `FORMER` and `EARLIER` are all series as they were before the last two were added."""
 
     ALL = 'all'
     FORMER = 'former'
     STANDSTILLS = 'standstills'
+    EARLIER = 'earlier'
+    LIMITS = 'limits'
 
 
 def list_kinds(series: Series) -> list[tuple[str, ...]]:
     """Return the names of the faults of each series, empty for one that is left out."""
-    kinds = [tuple(faults) for faults in (FAULTS, FURTHER_FAULTS, LATEST_FAULTS, STANDSTILL_FAULTS)]
-    if series is Series.FORMER:
-        return kinds[:-1]
-    if series is Series.STANDSTILLS:
-        return [*(() for _ in kinds[:-1]), kinds[-1]]
-    return kinds
+    kinds = [tuple(faults) for faults in (FAULTS, FURTHER_FAULTS, LATEST_FAULTS, STANDSTILL_FAULTS, LIMIT_FAULTS)]
+    former, standstills, limits = kinds[:-2], kinds[-2], kinds[-1]
+    series_kinds = {
+        Series.FORMER: former,
+        Series.EARLIER: [*former, standstills],
+        Series.STANDSTILLS: [*(() for _ in former), standstills],
+        Series.LIMITS: [*(() for _ in former), BESIDE_LIMITS, limits],
+    }
+    return series_kinds.get(series, kinds)
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -18,6 +18,7 @@
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import AT_MOST_ONCE_PATHS, STREAM_PATHS, Call
 from tamarackfield.testing.soak.crashes import check_late_runs, check_refusal
+from tamarackfield.testing.soak.limits import check_limits
 from tamarackfield.testing.soak.losses import check_losses
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.site import DrainWindow, SoakSite
@@ -39,6 +40,9 @@
 NOTIFICATION_DELAY_SECONDS = 5.0
 #: Faults that may delay a request or the notification that its caller disconnected.
 REQUEST_DELAYING_FAULTS = ('link_disturbed', 'link_delayed', 'entry_paused', 'entry_held')
+#: Faults that stop an entry or let it start again, and faults of links.
+ENTRY_DISTURBING_FAULTS = ('entry_paused', 'entry_held', 'entry_killed', 'entry_stopped')
+LINK_DISTURBING_FAULTS = ('link_disturbed', 'link_delayed', 'connections_reset')
 #: Faults after which a worker's address has another incarnation, which has asked for no pause.
 WORKER_RESTARTING_FAULTS = ('worker_restarted', 'worker_left', 'worker_replaced', 'worker_announced_leaving')
 #: Faults that may delay the notification of an entry that a worker was removed.
@@ -228,6 +232,7 @@
         if worker.crash_reason:
             site.record_violation(f'{worker.name} exceeded its capacity: {worker.crash_reason}')
     _check_notices(site, observations)
+    _check_limits(site, observations)
     check_late_runs(site, CRASH_NOTICE_DELAYING_FAULTS)
     for drain_window in site.drain_windows:
         _check_drain_window(site, observations, drain_window)
@@ -252,6 +257,17 @@
                 site.record_violation(text, asked_at)
 
 
+def _check_limits(site: SoakSite, observations: Observations) -> None:
+    def is_excused(entry: str, since: float, until: float) -> bool:
+        """Return whether an entry was disturbed, or a link, which may be one of its links."""
+        disturbed = site.overlaps_fault(ENTRY_DISTURBING_FAULTS, since, until, entry)
+        return disturbed or site.overlaps_fault(LINK_DISTURBING_FAULTS, since, until)
+
+    for stated in site.stated_limits:
+        for text, at in check_limits(observations.calls, stated, is_excused):
+            site.record_violation(text, at)
+
+
 def _check_drain_window(site: SoakSite, observations: Observations, drain_window: DrainWindow) -> None:
     worker: PlatformWorker = drain_window.worker
     begins_at = drain_window.begins_at + observations.lag_seconds
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -6,6 +6,7 @@
 import pathlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Any
 
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.incidents import Incident, format_violation
@@ -51,6 +52,7 @@
         self.locks: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
         self.incidents: list[Incident] = []
         self.drain_windows: list[DrainWindow] = []
+        self.stated_limits: list[Any] = []
         self.violations: list[str] = []
         self.configuration_version = 1
         self.variation = Variation()
@@ -164,6 +166,7 @@
             worker.sends_second_copies = False
             worker.event_interval_seconds = EVENT_SECONDS
             worker.silence_seconds = 0.0
+            worker.request_limit = ''
             self.write_worker_entry(worker)
 
     async def wait_ready(self) -> None:
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -7,6 +7,7 @@
 from tamarackfield.testing.soak.callers import CRASHING_PART, Call
 from tamarackfield.testing.soak.crashes import check_late_runs
 from tamarackfield.testing.soak.faults import Series
+from tamarackfield.testing.soak.limits import StatedLimit, check_limits
 from tamarackfield.testing.soak.main import run_soak
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
@@ -31,6 +32,8 @@
     # An entry gave up a silent stream for other workers, which rejected the call, and cut it.
     (7002, 6.0, 8, Series.STANDSTILLS),
 )
+#: Seeds on which the code before request limits were kept fails.
+LIMIT_SEEDS = (9101,)
 
 
 def make_call(path='/look/x', status=200, body=b'w1 ran c1', complete=True, retry_after='1'):
@@ -55,6 +58,13 @@
     assert any(call.is_answered_successfully() for call in soak.observations.calls.values())
 
 
+@pytest.mark.parametrize('seed', LIMIT_SEEDS)
+async def test_limits_are_kept_while_entries_and_sidecars_restart(tmp_path, seed):
+    soak = await run_soak(tmp_path, seed, 14.0, 8, Series.LIMITS)
+    assert soak.site.violations == []
+    assert soak.site.stated_limits
+
+
 def test_correct_answers_show_no_violation():
     assert find_violations(make_call(), 'w1') == []
     assert find_violations(make_call('/summary/x', body=COMPLETE_STREAM), 'm1', 'm2') == []
@@ -153,6 +163,17 @@
     assert len(list(check_pauses(calls, worker))) == violations
 
 
+@pytest.mark.parametrize(('requests', 'excused', 'violations'), [(18, False, 1), (17, False, 0), (18, True, 0)])
+def test_requests_beyond_the_limit_of_a_worker_are_detected(requests, excused, violations):
+    worker = PlatformWorker('w1', 'ledger', '127.0.0.1', 1)
+    calls = {f'c{number}': make_timed_call(f'c{number}', 4 + number / 10) for number in range(requests)}
+    calls['first'] = make_timed_call('first', 0.0)
+    worker.runs = [make_timed_run(call) for call in calls.values()]
+    worker.runs[-1].stated_limit = '2'
+    stated = StatedLimit(worker, 1, 2.0, begins_at=0.0)
+    assert len(list(check_limits(calls, stated, lambda *period: excused))) == violations
+
+
 def test_refusal_of_a_prompt_that_crashes_no_worker_is_a_violation():
     refused = make_call('/draft/x', 400, b'')
     refused.request_id = 'call-30'
--- a/tamarackfield/testing/worker_records.py
+++ b/tamarackfield/testing/worker_records.py
@@ -10,7 +10,8 @@
     """One request that a worker started.
 
     ``worker`` and ``incarnation`` are its name and start at that time, ``began_at`` is in monotonic seconds;
-    ``announced_leaving`` is whether its answer said that the worker leaves; ``sound`` whether the worker, without a
+    ``announced_leaving`` is whether its answer said that the worker leaves, ``stated_limit`` the limit of requests that
+    the worker stated when it began, empty for none; ``sound`` whether the worker, without a
     fault of its own, finished it or found its connection closed by the other side.
     """
 
@@ -24,6 +25,7 @@
     finished: bool = False
     incarnation: int = 0
     announced_leaving: bool = False
+    stated_limit: str = ''
     sound: bool = False
 
     def list_shared_parts(self) -> list[str]:
