--- a/tamarackfield/cli/request_timeline.py
+++ b/tamarackfield/cli/request_timeline.py
@@ -30,6 +30,8 @@
         'target_leaving',
         'target_vanished',
         'target_left_out',
+        'target_limit',
+        'target_paused',
         'target_gone',
         'address_has_another_target',
     )
