--- a/tamarackfield/policy/tests/test_request_limits.py
+++ b/tamarackfield/policy/tests/test_request_limits.py
@@ -102,6 +102,19 @@
     assert len(sent_at) >= 0.7 * limit * 20
 
 
+@pytest.mark.parametrize('limit', [1.2, 4.8, 30.0])
+def test_entries_that_disagree_about_the_gate_stay_below_the_limit(limit):
+    gates = [RequestPacer(limit, 0.0), RequestPacer(limit * BACKUP_GATE_SHARE, 0.0)]
+    sent_at = []
+    for number in range(2000):
+        now = 20 + number / 100
+        pacer = gates[number % 2]
+        if pacer.due_at(now) <= now:
+            pacer.record_sent(now)
+            sent_at.append(now)
+    assert count_densest_window(sent_at) <= allowed_in_window(limit)
+
+
 def test_equal_shares_break_a_low_limit():
     # Each entry has one request saved up when callers come: why entries do not divide the rate.
     sent_at = replay(1.2, 68, requests_per_second=200, share_per_entry=True)
