A call to an engine that names no model asks for its permit as a second choice

The sidecar of an engine grants the whole limit to the calls that it places. A call without a model passes by it, and asked another sidecar for the whole limit as well: twice the limit together. Found by reading; no caller of the known deployments sends such calls.

--- a/tamarackfield/gateway/request_limits.py
+++ b/tamarackfield/gateway/request_limits.py
@@ -103,9 +103,10 @@
 
         A call that has another target to go to may not wait for its turn.
         """
+        # The sidecar of an engine is its first choice.
+        passes_by_sidecar = target.record.address[0] in self.links
         for rank, ask in enumerate(self._list_gates(target)):
-            # The sidecar of an engine is the first choice of those that can reach it.
-            backup = rank > 0 or bool(call_state.adapter_key())
+            backup = passes_by_sidecar or rank > 0
             answer = await ask(partial(_make_ask, call_state, target, may_wait, backup))
             if isinstance(answer, Granted):
                 return None
--- a/tamarackfield/policy/tests/test_affine.py
+++ b/tamarackfield/policy/tests/test_affine.py
@@ -56,6 +56,22 @@
     assert choose_target_name(views) == loading_target.name
 
 
+def test_adapter_is_not_loaded_at_a_target_that_limits_its_requests():
+    views = make_views(6)
+    first_choice = choose_target_name(views)
+    next(view for view in views if view.name == first_choice).request_seconds = 0.5
+    assert choose_target_name(views) != first_choice
+
+
+def test_holder_at_its_limit_is_left_for_a_target_that_has_to_load_the_adapter():
+    views = make_views(6)
+    views[2].residents = frozenset(('a@1',))
+    views[2].request_seconds = 0.8
+    assert choose_target_name(views) == 't2'
+    views[2].unreported = 2
+    assert choose_target_name(views) != 't2'
+
+
 def test_overloaded_holder_is_not_chosen():
     views = make_views(6)
     views[0].residents = frozenset(('a@1',))
