The error of a task that ends just before its cancellation is retrieved and logged

Cause: the task that reads the head of an answer had ended with an error (the worker reset the connection) in the same pass in which the attempt was cancelled; cancel_and_wait passed over tasks that had ended, and nobody else asked for the error. Callers saw nothing. The same holds for every use of cancel_and_wait; the search for a successor and the handler of a request may end in this way too. Ruled out: request limits, which have no part in it. Now cancel_and_wait retrieves the errors of all tasks it is given and logs them: expected ones as task_ended_with_error, others as task_failed. The test failed before.

--- a/tamarackfield/core/connections.py
+++ b/tamarackfield/core/connections.py
@@ -12,6 +12,8 @@
 
 from loguru import logger
 
+from tamarackfield.core.errors import TamarackfieldError
+
 #: Time after which a task that still runs is cancelled again.
 CANCEL_INTERVAL_SECONDS = 0.5
 #: Passes of the event loop in which a connection that the kernel has established is accepted and gets its transport:
@@ -21,20 +23,36 @@
 ServeConnection = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-async def cancel_and_wait(tasks: Iterable[asyncio.Future[Any]]) -> None:
+async def cancel_and_wait(
+    tasks: Iterable[asyncio.Future[Any]], expected: tuple[type[Exception], ...] = (TamarackfieldError, OSError)
+) -> None:
     """Cancel tasks and wait until none runs; a task that suppresses a cancellation is cancelled again.
 
     Parameters
     ----------
     tasks : iterable of asyncio.Future
-        Tasks to cancel, except the current one; their results and exceptions are not retrieved.
+        Tasks to cancel, except the current one; their results are not retrieved, and their exceptions are logged.
+    expected : tuple of types
+        Exceptions that are no fault of the program.
     """
     current = asyncio.current_task()
-    remaining = {task for task in tasks if task is not current and not task.done()}
+    cancelled = [task for task in tasks if task is not current]
+    remaining = {task for task in cancelled if not task.done()}
     while remaining:
         for task in remaining:
             task.cancel()
         _, remaining = await asyncio.wait(remaining, timeout=CANCEL_INTERVAL_SECONDS)
+    for task in cancelled:
+        _log_error(task, expected)
+
+
+def _log_error(task: asyncio.Future[Any], expected: tuple[type[Exception], ...]) -> None:
+    """Log the error of a task that ended before its cancellation: whoever waited for it may have been cancelled too."""
+    error = None if task.cancelled() else task.exception()
+    if isinstance(error, expected):
+        logger.bind(error=repr(error)).debug('task_ended_with_error')
+    elif error is not None:
+        logger.bind(error=repr(error)).opt(exception=error).error('task_failed')
 
 
 async def retrieve_close_error(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tamarackfield/core/tests/test_connections.py
+++ b/tamarackfield/core/tests/test_connections.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 
-from tamarackfield.core import ConnectionServer, cancel_and_wait
+from tamarackfield.core import ConnectionServer, TamarackfieldError, cancel_and_wait
 
 HOST = '127.0.0.1'
 
@@ -96,3 +97,15 @@
     await cancel_and_wait((task,))
     assert task.done()
     assert len(cancellations) == 2
+
+
+async def test_error_of_a_task_that_ended_just_before_its_cancellation_is_not_reported_by_the_loop(errors):
+    async def fail():
+        raise TamarackfieldError('answer ended early', step='read', peer='w1')
+
+    tasks = [asyncio.create_task(fail())]
+    await asyncio.sleep(0)
+    await cancel_and_wait(tasks)
+    assert tasks.pop().done()
+    gc.collect()
+    assert errors == []
--- a/tamarackfield/gateway/handover.py
+++ b/tamarackfield/gateway/handover.py
@@ -12,7 +12,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, cancel_and_wait
 from tamarackfield.policy.handover import Succession
-from tamarackfield.web import Responder
+from tamarackfield.web import HANDLER_ERRORS, Responder
 
 
 class Delivery:
@@ -87,7 +87,7 @@
         """End the successor if there is one, because this run goes on or the caller is answered."""
         if self.task is None:
             return
-        await cancel_and_wait((self.task,))
+        await cancel_and_wait((self.task,), HANDLER_ERRORS)
         self.task = None
         self.withdraw()
         self.succession = Succession(first_ended=self.succession.first_ended)
--- a/tamarackfield/web/__init__.py
+++ b/tamarackfield/web/__init__.py
@@ -4,10 +4,11 @@
 from tamarackfield.web.limits import HTTP_SCHEMA, HttpLimits
 from tamarackfield.web.pool import ConnectionPool
 from tamarackfield.web.request import HttpRequest
-from tamarackfield.web.responder import AnswerCutError, CallerDisconnectedError, Responder
+from tamarackfield.web.responder import HANDLER_ERRORS, AnswerCutError, CallerDisconnectedError, Responder
 from tamarackfield.web.server import HttpServer, make_internal_error
 
 __all__ = [
+    'HANDLER_ERRORS',
     'HTTP_SCHEMA',
     'AnswerCutError',
     'CallerDisconnectedError',
--- a/tamarackfield/web/responder.py
+++ b/tamarackfield/web/responder.py
@@ -12,6 +12,7 @@
 
 from tamarackfield.core.clock import SYSTEM_CLOCK
 from tamarackfield.core.time_limits import time_limit
+from tamarackfield.core.errors import RequestError
 from tamarackfield.web.request import REQUEST_ID_HEADER
 
 #: Format of the number that the kernel returns for the size of a send queue.
@@ -31,6 +32,10 @@
     """This process ends an answer that has begun and cannot be completed, by closing the connection."""
 
 
+#: Errors in which the handler of a request may end; any other is a fault of the program.
+HANDLER_ERRORS = (RequestError, CallerDisconnectedError, OSError)
+
+
 class Responder:
     """Writes one answer to the caller.
 
--- a/tamarackfield/web/server.py
+++ b/tamarackfield/web/server.py
@@ -18,7 +18,7 @@
 from tamarackfield.web.request import REQUEST_ID_HEADER, HttpRequest, choose_request_id, make_overload_error
 from tamarackfield.web.request_end import record_unread, recorded_end
 from tamarackfield.web.request_reader import MAX_READ_BYTES, BodyBudget, RequestReader
-from tamarackfield.web.responder import CallerDisconnectedError, Responder
+from tamarackfield.web.responder import HANDLER_ERRORS, CallerDisconnectedError, Responder
 
 #: Limit on connections that wait to be accepted; a burst of callers connects at once.
 LISTEN_BACKLOG = 512
@@ -225,14 +225,14 @@
                 await self._check_early_read(early_read, handler_task)
             await handler_task
         finally:
-            await cancel_and_wait((early_read, handler_task))
+            await cancel_and_wait((early_read, handler_task), HANDLER_ERRORS)
         self._buffer_early_byte(early_read)
 
     async def _run_handler(self, request: HttpRequest, responder: Responder) -> None:
         """Run the handler; convert an unexpected exception into a `RequestError`."""
         try:
             await self.server.handler(request, responder)
-        except (RequestError, CallerDisconnectedError, OSError):
+        except HANDLER_ERRORS:
             raise
         except Exception as exc:
             bound = logger.bind(request_id=request.request_id, path=request.path, step='handle', error=repr(exc))
@@ -242,7 +242,7 @@
     async def _check_early_read(self, early_read: asyncio.Future[bytes], handler_task: asyncio.Future[None]) -> None:
         if early_read.exception() is None and early_read.result():
             return
-        await cancel_and_wait((handler_task,))
+        await cancel_and_wait((handler_task,), HANDLER_ERRORS)
         raise CallerDisconnectedError('caller closed the connection')
 
     def _buffer_early_byte(self, early_read: asyncio.Future[bytes]) -> None:
