--- a/tamarackfield/web/tests/test_stalled_process.py
+++ b/tamarackfield/web/tests/test_stalled_process.py
@@ -39,11 +39,16 @@
 
 
 async def open_callers(server, count=1):
-    """Open connections that the server has accepted."""
-    connections = [await asyncio.open_connection(HOST, server.port) for _ in range(count)]
-    while len(server.idle) < count:
-        await asyncio.sleep(0)
-    return connections
+    """Open connections that the server has accepted; all anew if some have passed the idle limit meanwhile."""
+    while True:
+        connections = await asyncio.gather(*(asyncio.open_connection(HOST, server.port) for _ in range(count)))
+        while len(server.idle) < count and not any(reader.at_eof() for reader, _ in connections):
+            await asyncio.sleep(0)
+        if len(server.idle) == count:
+            return connections
+        await close_callers(connections)
+        while server.idle:
+            await asyncio.sleep(0)
 
 
 async def read_status(reader):
@@ -75,9 +80,10 @@
 async def test_request_that_arrives_in_a_stall_beyond_the_idle_limit_is_answered(server, stall, count, kept):
     connections = await open_callers(server, count)
     if kept:
-        for reader, writer in connections:
+        for _, writer in connections:
             writer.write(REQUEST)
-            assert await read_status(reader) == 200
+        statuses = await asyncio.gather(*(read_status(reader) for reader, _ in connections))
+        assert statuses == count * [200]
         while server.busy:
             await asyncio.sleep(0)
     stall_after_sending([writer for _, writer in connections], REQUEST, stall)
