A gate in an entry keeps no answer for an entry that no longer waits

Found by reading: an answer that was decided after its asker had left stayed in a dictionary for ever, some tens of bytes each, in deployments without sidecars.

--- a/tamarackfield/gateway/request_limits.py
+++ b/tamarackfield/gateway/request_limits.py
@@ -148,16 +148,27 @@
         """Create gates that nobody has asked."""
         self.limits = TargetLimits()
         self.numbers = itertools.count(1)
-        self.answers: dict[int, Answer] = {}
+        self.waiters: dict[int, asyncio.Future[Answer]] = {}
 
     async def wait_for_answer(self, message: AskPermit) -> Answer:
         """Return the decision on the request of an entry, which waits for `MAX_PERMIT_WAIT_SECONDS` at most."""
         number = next(self.numbers)
+        waiter: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.waiters[number] = waiter
         self.limits.ask(number, message, BOOT_CLOCK.monotonic())
-        while number not in self.answers:
-            self.answers.update(self.limits.decide(BOOT_CLOCK.monotonic()))
-            await asyncio.sleep(GATE_CHECK_SECONDS)
-        return self.answers.pop(number)
+        try:
+            while not waiter.done():
+                self._decide()
+                await asyncio.wait((waiter,), timeout=GATE_CHECK_SECONDS)
+            return waiter.result()
+        finally:
+            self.waiters.pop(number)
+
+    def _decide(self) -> None:
+        for number, answer in self.limits.decide(BOOT_CLOCK.monotonic()):
+            waiter = self.waiters.get(number)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(answer)
 
 
 async def _ask_sidecar(link: ManagerLink, make_message: MessageMaker) -> Answer | None:
--- a/tamarackfield/gateway/tests/test_request_limits.py
+++ b/tamarackfield/gateway/tests/test_request_limits.py
@@ -1,14 +1,15 @@
 """The gate that an entry asks for a permit, and what it does without one."""
 
+import asyncio
 import itertools
 
 import pytest
 
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Directory
-from tamarackfield.gateway.request_limits import RequestLimits
+from tamarackfield.gateway.request_limits import EntryGates, RequestLimits
 from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_record
-from tamarackfield.wire.request_limits import LIMIT_CODE
+from tamarackfield.wire.request_limits import LIMIT_CODE, AskPermit
 from tamarackfield.wire.reservations import Declined, Granted
 from tamarackfield.wire.stream import StreamClosedError
 
@@ -100,6 +101,15 @@
     assert (await ask(limits, target)).sent is False
 
 
+async def test_entry_that_no_longer_waits_leaves_nothing_at_the_gate_of_another():
+    gates = EntryGates()
+    asks = [asyncio.create_task(gates.wait_for_answer(AskPermit(1, 'r', 't1', 1, 500, 0, 200, False))) for _ in '12']
+    await asyncio.sleep(0)
+    asks[0].cancel()
+    assert isinstance(await asks[1], Declined)
+    assert (gates.waiters, asks[0].cancelled()) == ({}, True)
+
+
 def test_limit_of_another_incarnation_is_not_taken_over():
     limits, target = make_limits({})
     message = limits.list_messages()[0]
