--- a/tamarackfield/gateway/request_limits.py
+++ b/tamarackfield/gateway/request_limits.py
@@ -16,7 +16,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, Address, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.core.time_limits import time_limit
+from tamarackfield.core.time_limits import time_limit, wait_within
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.exchange import NotRun
@@ -159,7 +159,7 @@
         try:
             while not waiter.done():
                 self._decide()
-                await asyncio.wait((waiter,), timeout=GATE_CHECK_SECONDS)
+                await wait_within(waiter, GATE_CHECK_SECONDS)
             return waiter.result()
         finally:
             self.waiters.pop(number)
