Logs and a gauge tell how long ago the store last answered an entry

Callers saw 404 by an old configuration; the no_route line had its version, but nothing told whether the entry had heard from the store meanwhile: store_lost comes only when a call times out. no_route, request and configuration_in_force now have store_age_seconds, store_lost and store_regained silent_seconds, configuration_in_force the era and revision of its item, and store_age_seconds is a gauge. An old version with a high age is hypothesis 1, with a low one hypothesis 2; hypothesis 3 has an answer or refusal between the return of the store and the 404.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -90,7 +90,8 @@
         self.budgets: dict[str, SharedRetryBudget] = {}
         directory = Directory()
         self.directory = directory
-        self.configuration = Configuration(platform.decode, directory)
+        self.replica = Replica()
+        self.configuration = Configuration(platform.decode, directory, self.store_age_seconds)
         self.fleet = Fleet(
             self.application, directory, self.configuration.versions, self.hello, settings.manager_port, settings.zone
         )
@@ -126,6 +127,10 @@
         configured = self.configuration.catalog is not None and listed
         return configured and not self.draining and not self.maintenance.is_shedding()
 
+    def store_age_seconds(self) -> float:
+        """Return the time since the store last answered this entry."""
+        return self.replica.store_age_seconds(SYSTEM_CLOCK.monotonic())
+
     def budget_for(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
@@ -198,7 +203,6 @@
         platform = self.platform
         settings = self.settings
         watch_pause = min(settings.leaving_seconds, settings.change_seconds) * WATCH_PAUSE_SHARE
-        self.replica = Replica()
         self.followers = [
             Follower(platform.store_prefix, platform.store, self.replica, self.configuration.apply_item, watch_pause)
         ]
@@ -228,6 +232,7 @@
             'engine_crashes_known': lambda: len(self.fleet.quarantine.evidence.crashes),
             'store_revision': lambda: self.replica.revision.number,
             'store_era': lambda: self.replica.era,
+            'store_age_seconds': self.store_age_seconds,
             'store_down': lambda: sum(store_status.down for store_status in self.replica.store_statuses),
         }
         for name, read in gauges.items():
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -102,10 +102,14 @@
         route = routes.find_route(call.host, path)
         if route is None:
             version = self.configuration.catalog.version if self.configuration.catalog else 0
-            logger.bind(request_id=call.request_id, host=call.host, path=path, version=version).info('no_route')
+            bound = logger.bind(request_id=call.request_id, host=call.host, path=path, version=version)
+            bound.bind(store_age_seconds=self._store_age()).info('no_route')
             raise RequestError('no route leads there', step='route', code='not_found', status=HTTPStatus.NOT_FOUND)
         return route
 
+    def _store_age(self) -> float:
+        return round(self.configuration.store_age_seconds(), 3)
+
     def _log_request(self, call_state: CallState, ending: str) -> None:
         call = call_state.call
         route = call_state.route
@@ -122,6 +126,7 @@
             route=route.name,
             service=call_state.service,
             version=call_state.configuration_version,
+            store_age_seconds=self._store_age(),
             adapter=call_state.adapter_key(),
             prompt_parts=','.join(call.prompt_parts),
             target=call_state.target_name,
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -46,12 +46,20 @@
         Decodes an item.
     directory : Directory
         Directory of the targets.
+    store_age_seconds : callable
+        Returns the time since the store last answered, for logs.
     """
 
-    def __init__(self, decode: Callable[[Item], DecodedItem], directory: Directory) -> None:
+    def __init__(
+        self,
+        decode: Callable[[Item], DecodedItem],
+        directory: Directory,
+        store_age_seconds: Callable[[], float],
+    ) -> None:
         """Start without a catalog."""
         self.decode = decode
         self.directory = directory
+        self.store_age_seconds = store_age_seconds
         self.versions = Versions()
         self.catalog: Catalog | None = None
         self.catalog_item: Item | None = None
@@ -116,6 +124,11 @@
         self.catalog = catalog
         self.catalog_item = item
         self.routes = RouteTable(catalog)
-        logger.bind(version=catalog.version, routes=len(catalog.routes), services=len(catalog.services)).info(
-            'configuration_in_force'
-        )
+        logger.bind(
+            version=catalog.version,
+            routes=len(catalog.routes),
+            services=len(catalog.services),
+            era=item.revision.era,
+            revision=item.revision.number,
+            store_age_seconds=round(self.store_age_seconds(), 3),
+        ).info('configuration_in_force')
--- a/tamarackfield/gateway/follower.py
+++ b/tamarackfield/gateway/follower.py
@@ -189,9 +189,10 @@
             raise StoreError('answer is of an earlier era of the store', 'read_answer')
         self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
         now = self.clock.monotonic()
-        down_since = self.store_status.failing_since
+        down_since, answered_at = self.store_status.failing_since, self.store_status.answered_at
         if self.store_status.record_answer(now):
-            logger.bind(prefix=self.prefix, away_seconds=round(now - down_since, 3)).info('store_regained')
+            bound = logger.bind(prefix=self.prefix, away_seconds=round(now - down_since, 3))
+            bound.bind(silent_seconds=round(now - answered_at, 3)).info('store_regained')
         return page
 
     def _observe_era(self, era: int) -> None:
@@ -199,8 +200,10 @@
         self.replica.era = max(self.replica.era, era)
 
     async def _handle_failure(self, exc: StoreError) -> None:
-        if self.store_status.record_failure(self.clock.monotonic()):
-            logger.bind(prefix=self.prefix, step=exc.step, error=exc.message).warning('store_lost')
+        now = self.clock.monotonic()
+        if self.store_status.record_failure(now):
+            bound = logger.bind(prefix=self.prefix, step=exc.step, error=exc.message)
+            bound.bind(silent_seconds=round(now - self.store_status.answered_at, 3)).warning('store_lost')
         await asyncio.sleep(self.retry_pause_seconds * random.uniform(MIN_JITTER_SHARE, 1))
         self.retry_pause_seconds = min(MAX_RETRY_PAUSE_SECONDS, 2 * self.retry_pause_seconds)
 
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -114,11 +114,9 @@
         def encode(revision: Revision) -> int:
             return revision.pack() if knows_eras else revision.number
 
-        answered_at = min(store_status.answered_at for store_status in self.replica.store_statuses)
-        age_ms = round((SYSTEM_CLOCK.monotonic() - answered_at) * MS_PER_SECOND)
         return Items(
             revision=encode(self.replica.revision),
-            age_ms=max(0, age_ms),
+            age_ms=round(self.replica.store_age_seconds(SYSTEM_CLOCK.monotonic()) * MS_PER_SECOND),
             prefixes=list(self.replica.complete),
             positions=[encode(position) for position in self.replica.complete.values()],
             keys=[item.key for item in known],
--- a/tamarackfield/gateway/replica.py
+++ b/tamarackfield/gateway/replica.py
@@ -117,7 +117,7 @@
     Parameters
     ----------
     answered_at : float
-        Time of the last answer.
+        Time of the last answer; 0 before the first.
     failing_since, recovered_at : float
         First failure of the latest outage, and the answer that ended the latest finished outage; 0 before the first.
     down : bool
@@ -240,6 +240,10 @@
             store_status.is_unreliable(now) for store_status in self.store_statuses
         )
 
+    def store_age_seconds(self, now: float) -> float:
+        """Return the time since the store last answered the follower that has waited longest for it."""
+        return max(0.0, now - min(store_status.answered_at for store_status in self.store_statuses))
+
     def mark_complete(self, prefix: str, revision: Revision) -> None:
         """Record that all items of a prefix are known as of a revision."""
         self.complete[prefix] = max(revision, self.complete.get(prefix, ORIGIN))
--- a/tamarackfield/gateway/tests/test_callers.py
+++ b/tamarackfield/gateway/tests/test_callers.py
@@ -37,7 +37,7 @@
 
 
 async def test_internal_error_is_not_logged_as_caller_disconnect():
-    configuration = SimpleNamespace(catalog=make_catalog(make_route()))
+    configuration = SimpleNamespace(catalog=make_catalog(make_route()), store_age_seconds=float)
     configuration.routes = RouteTable(configuration.catalog)
     interface = CallerInterface(
         configuration, FaultyDispatcher(), lambda request: make_call(), MetricRegistry('test'), random.Random(1)
--- a/tamarackfield/gateway/tests/test_era_machine.py
+++ b/tamarackfield/gateway/tests/test_era_machine.py
@@ -120,7 +120,7 @@
 
     def __init__(self, store, time):
         self.directory = Directory(time.clock())
-        self.configuration = Configuration(decode, self.directory)
+        self.configuration = Configuration(decode, self.directory, float)
         self.replica = Replica()
         self.follower = QuickFollower('', store, self.replica, self.configuration.apply_item, clock=time.clock())
         self.peers = PeerExchange(self.replica, [self.follower], None, list, self.configuration)
--- a/tamarackfield/gateway/tests/test_long_work.py
+++ b/tamarackfield/gateway/tests/test_long_work.py
@@ -76,7 +76,7 @@
 
 async def test_event_loop_runs_between_the_answers_to_peers(monkeypatch):
     counter = PassCounter()
-    configuration = Configuration(lambda item: UnreadableItem('unused'), Directory())
+    configuration = Configuration(lambda item: UnreadableItem('unused'), Directory(), float)
     exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration)
     answered_at = []
     build = exchange.build_beliefs
