Failing tests: an entry knows nothing new for seconds after the store lost its calls

The store loses the watch of an entry, or two or four calls in a row, and answers again: three seconds later an added route gets 404, and a draining worker 16 of 30 requests.

--- a/tamarackfield/testing/platform_site.py
+++ b/tamarackfield/testing/platform_site.py
@@ -26,6 +26,8 @@
 DRAIN_SECONDS = 2.0
 #: Time after which a changed configuration is in force.
 CHANGE_SECONDS = 2.0
+#: Time after the end of a disruption from which an instance counts as undisturbed again.
+CONTACT_SECONDS = 3.0
 #: Retry budget of a service: ratio to its requests, additional number of retries, and window.
 RETRY_RATIO, RETRY_ALLOWANCE, RETRY_WINDOW_SECONDS = 0.2, 50, 10.0
 #: Maximum number of workers that a call may run on, unless its route sets a lower limit.
@@ -267,6 +269,7 @@
                 'budget_window_s': RETRY_WINDOW_SECONDS,
                 'drain_ms': DRAIN_SECONDS * _MS_PER_SECOND,
                 'config_apply_ms': CHANGE_SECONDS * _MS_PER_SECOND,
+                'contact_ms': CONTACT_SECONDS * _MS_PER_SECOND,
                 'grace_s': 8,
             },
             'provider': {'address': f'{self.store_host}:{self.store_port}'},
--- a/tamarackfield/testing/platform_store.py
+++ b/tamarackfield/testing/platform_store.py
@@ -43,6 +43,8 @@
         #: IP addresses of the callers that receive the fault; empty for all callers.
         self.faulted_hosts: set[str] = set()
         self.calls: list[str] = []
+        #: Number of calls, the first ones, that are never answered.
+        self.lost_calls = 0
         self.server = HttpServer(self.handle_request, answer_error)
 
     def put(self, key: str, document: Any) -> int:
@@ -102,10 +104,15 @@
             if self.items.get(key) == copy.items[key]:
                 self.delete(key)
 
+    def lose_calls(self) -> None:
+        """Leave the calls that wait without an answer for good, as if their connections had fallen silent."""
+        self.lost_calls = len(self.calls)
+
     async def handle_request(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         query = dict(urllib.parse.parse_qsl(request.query, keep_blank_values=True))
         self.calls.append(request.path)
+        number = len(self.calls)
         address = responder.writer.get_extra_info('peername')[0]
         if self.fault and (not self.faulted_hosts or address in self.faulted_hosts):
             await self._answer_with_fault(responder)
@@ -113,7 +120,7 @@
         if request.path == '/v1/kv-range':
             await self._send(responder, 200, self._read_range(query))
         elif request.path == '/v1/kv-watch':
-            await self._answer_watch(query, responder)
+            await self._answer_watch(query, responder, number)
         else:
             await self._send(responder, 404, {})
 
@@ -144,7 +151,7 @@
         page_items = [self.items[key] for key in keys[:MAX_PAGE_ITEMS]]
         return {'items': page_items, 'has_more': len(keys) > MAX_PAGE_ITEMS, 'at': self.revision}
 
-    async def _answer_watch(self, query: dict[str, str], responder: Responder) -> None:
+    async def _answer_watch(self, query: dict[str, str], responder: Responder, number: int) -> None:
         after = int(query['after'])
         try:
             async with asyncio.timeout(int(query['wait_ms']) / _MS_PER_SECOND):
@@ -152,7 +159,7 @@
                     await self.changed.wait()
         except TimeoutError:
             pass  # noqa: WPS420 the answer without events is sent below
-        if self.fault == 'silent':
+        if self.fault == 'silent' or number <= self.lost_calls:
             await asyncio.Event().wait()
         if not self._has_history(after):
             await self._send(responder, 410, {})
