Calls of the store that are silent are repeated on a new connection; all waits follow from the bound

Cause: an entry had one call at a time and waited 3.8 s for its answer, whatever had become of it. A call that is under way when the store falls silent is never answered, so the wait went on after the return; all entries' waits began with the same change and ended together, so that the exchange between entries found nobody who knew more.

Ruled out: changes that were passed over or taken for older (store_age_seconds was 4.6 s at each refusal that broke the rule, and all versions came with the first answer); the pauses before a retry (regained 0.05 to 0.2 s after the last time-out).

Fix: the pause, the time of a watch and a short call are worked out from the least of the bounds (policy/store_reads.py); a silent call is repeated by a short one on a new connection every 0.2 to 0.4 s and the first answer wins (gateway/hedged_calls.py). A refused call is repeated after at most 0.5 s (1 s before). Shares of the bound: 0.5 stays for the pause, 0.4 leaves a tenth for a short call.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -31,9 +31,6 @@
 GRACE_MARGIN_SECONDS = 0.5
 #: Lower bound, in seconds, of the time-out for receiving a complete request, body included.
 MIN_REQUEST_TIMEOUT_SECONDS = 10.0
-#: Pause between two watches of the store, as a share of the time within which a draining target must stop receiving
-#: new requests and a changed configuration must be in force. Changes in the meantime arrive with the next watch.
-WATCH_PAUSE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -202,9 +199,14 @@
     def _build_followers(self) -> None:
         platform = self.platform
         settings = self.settings
-        watch_pause = min(settings.leaving_seconds, settings.change_seconds) * WATCH_PAUSE_SHARE
         self.followers = [
-            Follower(platform.store_prefix, platform.store, self.replica, self.configuration.apply_item, watch_pause)
+            Follower(
+                platform.store_prefix,
+                platform.store,
+                self.replica,
+                self.configuration.apply_item,
+                settings.find_read_times(),
+            )
         ]
         self.peers = PeerExchange(
             self.replica,
--- a/tamarackfield/gateway/follower.py
+++ b/tamarackfield/gateway/follower.py
@@ -1,16 +1,19 @@
 """Reader of the store that keeps a local copy up to date: it reads all items, then watches for changes.
 
-All is read again if the store has lost its history, or has come back from an older copy and counts a new era.
+All is read again if the store has lost its history, or has come back from an older copy and counts a new era. A call
+that is silent is repeated on a new connection (`hedged_calls`), so that the reader does not wait for an answer that
+was lost; `tamarackfield.policy.store_reads` says when.
 """
 
 import asyncio
 import random
-from collections.abc import Awaitable
+from functools import partial
 
 from loguru import logger
 
 from tamarackfield.core import SYSTEM_CLOCK, Clock, TamarackfieldError
 from tamarackfield.core.steps import in_steps
+from tamarackfield.gateway.hedged_calls import HedgedCall, OnProgress, first_answer
 from tamarackfield.gateway.replica import (
     STORE_RECOVERY_SECONDS,
     HistoryLostError,
@@ -23,19 +26,24 @@
     StoreStatus,
 )
 from tamarackfield.gateway.revisions import ORIGIN, Revision
+from tamarackfield.policy.store_reads import (
+    MAX_RETRY_PAUSE_SECONDS,
+    MIN_RETRY_PAUSE_SECONDS,
+    SHORT_SILENCE_SECONDS,
+    ReadTimes,
+)
 
-#: Seconds for which a watch waits for a change; short, so that a dead connection is detected.
-WATCH_WAIT_SECONDS = 3.0
 #: Seconds for which an item that an older copy of the store restored counts as deleted; the entry of an instance
 #: that is gone expires earlier, after three missed heartbeats.
 RESTORED_ITEM_SECONDS = 10.0
-#: Initial and maximum backoff, in seconds, before a failed call is retried.
-MIN_RETRY_PAUSE_SECONDS = 0.1
-MAX_RETRY_PAUSE_SECONDS = 1.0
-#: Lower bound of the random share of a pause that is slept; the jitter keeps instances from calling at once.
+#: Lower bound of the random share of a pause, or of the time for a short call; the jitter keeps instances from calling
+#: at once.
 MIN_JITTER_SHARE = 0.5
 
 
+_DEFAULT_TIMES = ReadTimes()
+
+
 class EraChangedError(TamarackfieldError):
     """The store came back from an older copy: all items must be read again."""
 
@@ -53,8 +61,8 @@
         Local copy that is updated.
     listener : callable
         Called with each change.
-    watch_pause_seconds : float
-        Pause between a watch that returned changes and the next one, which batches the changes meanwhile.
+    times : ReadTimes
+        Times of its reads.
     clock : Clock
         Monotonic clock.
     """
@@ -65,7 +73,7 @@
         store: StoreReader,
         replica: Replica,
         listener: Listener,
-        watch_pause_seconds: float = 0.0,
+        times: ReadTimes = _DEFAULT_TIMES,
         clock: Clock = SYSTEM_CLOCK,
     ) -> None:
         """Prepare a follower that starts with a complete read."""
@@ -73,7 +81,7 @@
         self.store = store
         self.replica = replica
         self.listener = listener
-        self.watch_pause_seconds = watch_pause_seconds
+        self.times = times
         self.clock = clock
         self.store_status = StoreStatus()
         replica.store_statuses.append(self.store_status)
@@ -135,7 +143,8 @@
         start: Revision | None = None
         more = True
         while more:
-            page = await self._await_page(self.store.read_range(self.prefix, after))
+            read = HedgedCall(partial(self.store.read_range, self.prefix, after), _draw_short_silence())
+            page = await self._await_page(read, read)
             start = start or page.revision
             _require_era(page, start.era)
             present.update(item.key for item in page.items)
@@ -160,12 +169,18 @@
         self._advance_position(start)
 
     async def _watch(self, position: Revision) -> None:
-        page = await self._await_page(self.store.watch(self.prefix, position, WATCH_WAIT_SECONDS))
+        times = self.times
+        check = HedgedCall(partial(self._start_watch, position, 0.0), _draw_short_silence())
+        watch = HedgedCall(partial(self._start_watch, position, times.wait_seconds), times.silence_seconds)
+        page = await self._await_page(check if self.store_status.down else watch, check)
         _require_era(page, position.era)
         await self._apply_page(page)
         self._advance_position(page.revision)
-        if page.items and self.watch_pause_seconds:
-            await asyncio.sleep(self.watch_pause_seconds)
+        if page.items and times.pause_seconds:
+            await asyncio.sleep(times.pause_seconds)
+
+    async def _start_watch(self, position: Revision, wait_seconds: float, on_progress: OnProgress) -> Page:
+        return await self.store.watch(self.prefix, position, wait_seconds, on_progress)
 
     async def _apply_page(self, page: Page) -> int:
         """Apply the items of a page; return the number of new ones.
@@ -182,8 +197,8 @@
         self.position = max(self.position or ORIGIN, revision)
         self.replica.mark_complete(self.prefix, self.position)
 
-    async def _await_page(self, work: Awaitable[Page]) -> Page:
-        page = await work
+    async def _await_page(self, call: HedgedCall[Page], repeated_call: HedgedCall[Page]) -> Page:
+        page = await first_answer(call, repeated_call, self._handle_silence)
         self._observe_era(page.revision.era)
         if page.revision.era < self.replica.era:
             raise StoreError('answer is of an earlier era of the store', 'read_answer')
@@ -199,15 +214,26 @@
         """Record the era that an answer states; a later one requires a complete read."""
         self.replica.era = max(self.replica.era, era)
 
-    async def _handle_failure(self, exc: StoreError) -> None:
+    def _handle_silence(self) -> None:
+        self.store.renew_connections()
+        self._record_failure('call', 'a call is not answered')
+
+    def _record_failure(self, step: str, error: str) -> None:
         now = self.clock.monotonic()
         if self.store_status.record_failure(now):
-            bound = logger.bind(prefix=self.prefix, step=exc.step, error=exc.message)
+            bound = logger.bind(prefix=self.prefix, step=step, error=error)
             bound.bind(silent_seconds=round(now - self.store_status.answered_at, 3)).warning('store_lost')
+
+    async def _handle_failure(self, exc: StoreError) -> None:
+        self._record_failure(exc.step, exc.message)
         await asyncio.sleep(self.retry_pause_seconds * random.uniform(MIN_JITTER_SHARE, 1))
         self.retry_pause_seconds = min(MAX_RETRY_PAUSE_SECONDS, 2 * self.retry_pause_seconds)
 
 
+def _draw_short_silence() -> float:
+    return SHORT_SILENCE_SECONDS * random.uniform(MIN_JITTER_SHARE, 1)
+
+
 def _require_era(page: Page, era: int) -> None:
     """Raise `EraChangedError` if a page is of another era than the call that it answers."""
     if page.revision.era != era:
--- a/tamarackfield/gateway/replica.py
+++ b/tamarackfield/gateway/replica.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from tamarackfield.core import TamarackfieldError
+from tamarackfield.gateway.hedged_calls import OnProgress
 from tamarackfield.gateway.revisions import ORIGIN, Revision
 
 #: Seconds after the recovery of the store within which live instances register expired items again.
@@ -98,10 +99,13 @@
 class StoreReader(Protocol):
     """Read calls of the store."""
 
-    async def read_range(self, prefix: str, after_key: str) -> Page:
+    def renew_connections(self) -> None:
+        """Make later calls use new connections."""
+
+    async def read_range(self, prefix: str, after_key: str, on_progress: OnProgress) -> Page:
         """Return a page of the items after a key; raise `StoreError` on failure."""
 
-    async def watch(self, prefix: str, after: Revision, wait_seconds: float) -> Page:
+    async def watch(self, prefix: str, after: Revision, wait_seconds: float, on_progress: OnProgress) -> Page:
         """Return the changes since a revision; raise `StoreError` or `HistoryLostError` on failure."""
 
 
--- a/tamarackfield/gateway/settings.py
+++ b/tamarackfield/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from tamarackfield.core import Address
+from tamarackfield.policy.store_reads import ReadTimes, find_read_times
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,8 @@
         Time within which a draining target must stop receiving new requests.
     change_seconds : float
         Time within which a changed configuration must be in force.
+    recovery_seconds : float
+        Time after the end of a disruption from which the other times must be kept again.
     grace_seconds : float
         Grace period between the stop signal and the end of the process.
     max_connections : int
@@ -54,5 +57,10 @@
     retry_window_seconds: float
     leaving_seconds: float
     change_seconds: float
+    recovery_seconds: float
     grace_seconds: float
     max_connections: int
+
+    def find_read_times(self) -> ReadTimes:
+        """Return the times of the reads of the store by which each of its changes is in force in time."""
+        return find_read_times(min(self.leaving_seconds, self.change_seconds, self.recovery_seconds))
--- a/tamarackfield/platform/entry.py
+++ b/tamarackfield/platform/entry.py
@@ -76,6 +76,7 @@
         retry_window_seconds=reader.read(float, 'bounds', 'budget_window_s'),
         leaving_seconds=reader.read(_to_seconds, 'bounds', 'drain_ms'),
         change_seconds=reader.read(_to_seconds, 'bounds', 'config_apply_ms'),
+        recovery_seconds=reader.read(_to_seconds, 'bounds', 'contact_ms'),
         grace_seconds=reader.read(float, 'bounds', 'grace_s'),
         max_connections=reader.read(_connection_limit, 'limits', 'max_fds'),
     )
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -9,6 +9,7 @@
 from tamarackfield.core import Address
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.steps import in_steps
+from tamarackfield.gateway.hedged_calls import OnProgress
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
 from tamarackfield.gateway.revisions import MAX_ERA, MAX_NUMBER, Revision
 from tamarackfield.platform.headers import parse_number
@@ -17,10 +18,9 @@
 from tamarackfield.web.json_calls import call_json
 from tamarackfield.web.pool import ConnectionPool
 
-#: Time-out of a range read; a healthy store answers in a few milliseconds.
-READ_TIMEOUT_SECONDS = 1.0
-#: Time beyond the wait of a watch within which its answer must arrive.
-WATCH_MARGIN_SECONDS = 0.8
+#: Time-out of a call beyond its wait. Callers repeat a silent call much earlier; a slow store, or a large answer over
+#: a slow link, may take this long.
+CALL_TIMEOUT_SECONDS = 8.0
 _STATUS_OK = 200
 #: Status of a watch whose start revision is older than the history that the store keeps.
 _STATUS_GONE = 410
@@ -48,7 +48,11 @@
         self.pool = ConnectionPool()
         self.era = 0
 
-    async def read_range(self, prefix: str, after_key: str) -> Page:
+    def renew_connections(self) -> None:
+        """Close the idle connections, which may have fallen silent."""
+        self.pool.close()
+
+    async def read_range(self, prefix: str, after_key: str, on_progress: OnProgress) -> Page:
         """Return one page of the items after a key.
 
         Raises
@@ -59,10 +63,10 @@
         query = {'path_prefix': prefix}
         if after_key:
             query['after'] = after_key
-        era, document = await self._call_store('kv-range', query, READ_TIMEOUT_SECONDS)
+        era, document = await self._call_store('kv-range', query, 0.0, on_progress)
         return await _decode_page(document, 'items', era)
 
-    async def watch(self, prefix: str, after: Revision, wait_seconds: float) -> Page:
+    async def watch(self, prefix: str, after: Revision, wait_seconds: float, on_progress: OnProgress) -> Page:
         """Return the changes since a revision; wait until there is one or the wait is over.
 
         Raises
@@ -74,14 +78,23 @@
         """
         wait_ms = int(wait_seconds * MS_PER_SECOND)
         query = {'path_prefix': prefix, 'after': str(after.number), 'wait_ms': str(wait_ms)}
-        era, document = await self._call_store('kv-watch', query, wait_seconds + WATCH_MARGIN_SECONDS)
+        era, document = await self._call_store('kv-watch', query, wait_seconds, on_progress)
         return await _decode_page(document, 'events', era)
 
-    async def _call_store(self, call: str, query: dict[str, str], timeout_seconds: float) -> tuple[int, Any]:
+    async def _call_store(
+        self, call: str, query: dict[str, str], wait_seconds: float, on_progress: OnProgress
+    ) -> tuple[int, Any]:
         """Return the era and the document of an answer."""
         path = f'/v1/{call}?{urllib.parse.urlencode(query)}'
         try:
-            answer = await call_json(self.pool, self.address, 'GET', path, timeout_seconds=timeout_seconds)
+            answer = await call_json(
+                self.pool,
+                self.address,
+                'GET',
+                path,
+                timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+                on_progress=on_progress,
+            )
         except ClientError as exc:
             raise StoreError(exc.message, exc.step, exc.peer) from exc
         peer = str(self.address)
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
@@ -84,6 +85,8 @@
         Idle time before the current exchange.
     idle_timeout_seconds : float
         Idle time-out that the target announces; 0 if it announces none.
+    on_progress : callable or None
+        Called each time bytes of an answer arrive.
     """
 
     def __init__(self, peer: str) -> None:
@@ -102,6 +105,7 @@
         self.released_at = 0.0
         self.idle_seconds = 0.0
         self.idle_timeout_seconds = 0.0
+        self.on_progress: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable keep-alive."""
@@ -114,6 +118,8 @@
             self.fail('bytes arrived outside an exchange')
             return
         self.has_answer_bytes = True
+        if self.on_progress is not None:
+            self.on_progress()
         self.parser.receive_data(data)
         self.unread_bytes += len(data)
         if self.unread_bytes > MAX_UNREAD_BYTES:
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -43,6 +44,7 @@
     headers: tuple[tuple[str, str], ...] = (),
     timeout_seconds: float = 1.0,
     id_header: str = '',
+    on_progress: Callable[[], None] | None = None,
 ) -> JsonAnswer:
     """Send one request and decode the JSON answer.
 
@@ -63,6 +65,8 @@
     id_header : str
         Header with which the server says in an answer to which request it belongs; empty if it does not. An answer
         to another request is skipped.
+    on_progress : callable, optional
+        Called with each part of the answer that arrives.
 
     Returns
     -------
@@ -85,7 +89,7 @@
     request = h11.Request(method=method, target=path, headers=header_lines)
     try:
         async with time_limit(timeout_seconds):
-            head, answer = await _exchange(pool, address, request, body, (id_header, request_id))
+            head, answer = await _exchange(pool, address, request, body, (id_header, request_id), on_progress)
     except TimeoutError:
         raise ClientError(f'no answer within {timeout_seconds} s', 'call', peer, sent=True) from None
     answer_headers = {name.decode('ascii'): text.decode('latin-1') for name, text in head.headers}
@@ -99,10 +103,16 @@
     return JsonAnswer(head.status_code, answer_headers, document)
 
 
-async def _exchange(
-    pool: ConnectionPool, address: Address, request: h11.Request, body: bytes, identity: tuple[str, str]
+async def _exchange(  # noqa: WPS211 the parts of one request
+    pool: ConnectionPool,
+    address: Address,
+    request: h11.Request,
+    body: bytes,
+    identity: tuple[str, str],
+    on_progress: Callable[[], None] | None,
 ) -> tuple[h11.Response, bytes]:
     connection = await pool.acquire(address, MAX_IDLE_SECONDS)
+    connection.on_progress = on_progress
     try:
         connection.send(request, body)
         while True:
@@ -112,6 +122,7 @@
                 return head, answer
             connection.skip_answer()
     finally:
+        connection.on_progress = None
         pool.release(address, connection)
 
 
