A slow store is read however slow: the first of the hedged calls is kept

With eight calls open the oldest was given up after 1.6 to 3.2 s, so that a store that answers after 2 s was read in some runs only (test_store_that_answers_later_than_a_call_counts_as_silent_is_read_all_the_same[2.0] failed in one of two runs). The first call is kept up to its own time-out, and the others rotate.

--- a/tamarackfield/gateway/hedged_calls.py
+++ b/tamarackfield/gateway/hedged_calls.py
@@ -16,7 +16,8 @@
 from tamarackfield.core.time_limits import listening_seconds, time_limit
 from tamarackfield.policy.store_reads import SHORT_SILENCE_SECONDS
 
-#: Limit of the calls that are unanswered at the same time; the oldest one is given up.
+#: Limit of the calls that are unanswered at the same time. The first one is kept, which a slow server answers first, and
+#: the oldest of the others is given up.
 MAX_CALLS = 8
 
 Answer = TypeVar('Answer')
@@ -94,7 +95,7 @@
                 on_silence()
                 running.append(RunningCall(repeated_call))
                 if len(running) > MAX_CALLS:
-                    await cancel_and_wait((running.pop(0).task,))
+                    await cancel_and_wait((running.pop(1).task,))
     finally:
         await cancel_and_wait([unanswered.task for unanswered in running])
 
