Odd items of other writers name no worker and end nothing

What operators saw: one odd entry among those of the workers, and the machines that read the list ended again and again. Here: slots of 1e999 raised OverflowError in the follower's task, which ended and started again; a model name that is a list, or an adapter version of 5,000 digits, got through decoding and ended the task that applies changes, again and again; a start above 64 bits ended the message to the sidecar; so did fields of the configuration, of versions and of engine reports. In the own interface one odd instance hid all others of its list.

Each field is now checked for type and range where it is decoded (core/fields.py), an item that raises anything else is logged with its traceback and passed over, and JSON that is nested too deeply counts as malformed everywhere.

--- a/tamarackfield/bundle/delta.py
+++ b/tamarackfield/bundle/delta.py
@@ -12,9 +12,7 @@
 from tamarackfield.bundle.shard_table import bucket_index
 from tamarackfield.bundle.shards import ShardError, decode_shard, describe_shard, encode_shard
 from tamarackfield.bundle.signing import Envelope, encode_envelope, encode_payload
-
-#: Exceptions raised when a delta of the wrong structure is applied.
-_MALFORMED_ERRORS = (ValueError, LookupError, TypeError, AttributeError)
+from tamarackfield.core.fields import MALFORMED
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +105,7 @@
             _apply_section_changes(old, section, changes, listing[section], shards)
         manifest = {'number': delta['number'], 'signing_keys': delta['signing_keys'], 'shards': listing}
         envelope = encode_envelope(encode_payload(manifest), delta['signature'], delta['public_key'])
-    except _MALFORMED_ERRORS as exc:
+    except MALFORMED as exc:
         raise ShardError(f'delta is malformed: {exc!r}', step='apply_delta') from None
     return envelope, shards
 
--- a/tamarackfield/discovery/instances.py
+++ b/tamarackfield/discovery/instances.py
@@ -10,11 +10,11 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from loguru import logger
 
 from tamarackfield.core import TamarackfieldError
+from tamarackfield.core.fields import MALFORMED, require_list, require_text
 from tamarackfield.core.problems import split_address
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.web import fetch
@@ -29,8 +29,6 @@
 LEAVING_STATE = 'leaving'
 _OK = 200
 _INSTANCES_PATH = '/v1/instances'
-#: Exceptions raised when a list of the wrong structure is parsed.
-_MALFORMED_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 
 
 class InstanceListError(TamarackfieldError):
@@ -170,7 +168,14 @@
     {'10.0.0.1:1'}
     """
     try:
-        listing: list[Any] = json.loads(content)['instances']
-        return {str(instance['address']) for instance in listing if instance.get('state') == LEAVING_STATE}
-    except _MALFORMED_ERRORS as exc:
+        listing = require_list(json.loads(content)['instances'])
+    except MALFORMED as exc:
         raise InstanceListError(f'malformed instance list: {exc!r}', step='read_instances') from None
+    leaving = set()
+    for instance in listing:
+        try:
+            if instance.get('state') == LEAVING_STATE:
+                leaving.add(require_text(instance['address']))
+        except MALFORMED as exc:
+            logger.bind(error=repr(exc)).warning('instance_malformed')
+    return leaving
--- a/tamarackfield/discovery/tests/test_instances.py
+++ b/tamarackfield/discovery/tests/test_instances.py
@@ -1,8 +1,11 @@
 """Targets listed as leaving get no new work, but a wrong list must not exclude most of the fleet."""
 
 import functools
+import json
 
-from tamarackfield.discovery.instances import LeavingTargets, ObservedTarget
+import pytest
+
+from tamarackfield.discovery.instances import InstanceListError, LeavingTargets, ObservedTarget, parse_leaving
 from tamarackfield.testing.cluster import Cluster, TargetSpec, address, make_bundle
 from tamarackfield.testing.processes import wait_until
 
@@ -50,3 +53,15 @@
 async def has_read_listing(cluster, listed):
     """Return whether the entry read a list that marks this many targets."""
     return (await cluster.read_status('entry-1'))['listed_as_leaving'] == listed
+
+
+@pytest.mark.parametrize('odd', [None, 5, [], {'state': 'leaving'}, {'state': 'leaving', 'address': ['10.0.0.1:1']}])
+def test_odd_instance_does_not_hide_those_that_leave(odd):
+    leaving = {'address': ADDRESS, 'state': 'leaving'}
+    assert parse_leaving(json.dumps({'instances': [odd, leaving]}).encode()) == {ADDRESS}
+
+
+@pytest.mark.parametrize('content', [b'5', b'{"instances": {}}', b''.join((100_000 * b'[', 100_000 * b']'))])
+def test_list_that_cannot_be_read_is_an_error_of_the_list(content):
+    with pytest.raises(InstanceListError):
+        parse_leaving(content)
--- a/tamarackfield/gateway/configuration.py
+++ b/tamarackfield/gateway/configuration.py
@@ -80,7 +80,16 @@
         store_unreliable : bool
             Whether the store fails or failed recently, so that a deletion may be spurious.
         """
-        match self.decode(item):
+        try:
+            self._apply_decoded(item, self.decode(item), store_unreliable)
+        except Exception as exc:  # noqa: BLE001 whatever one item raises, the work on the others goes on
+            bound = logger.bind(key=item.key, revision=item.revision.number, error=repr(exc))
+            bound.opt(exception=True).error('item_not_applied')
+        for listener in self.listeners:
+            listener()
+
+    def _apply_decoded(self, item: Item, decoded: DecodedItem, store_unreliable: bool) -> None:
+        match decoded:
             case Catalog() as catalog:
                 self._apply_catalog(catalog, item)
             case TargetRecord() as record:
@@ -92,8 +101,6 @@
                     logger.bind(adapter=adapter, version=version, revision=item.revision.number).info('adapter_version')
             case UnreadableItem(reason):
                 logger.bind(key=item.key, revision=item.revision.number, reason=reason).warning('item_passed_over')
-        for listener in self.listeners:
-            listener()
 
     def _remove_target(self, item: Item, name: str, fault: str, store_unreliable: bool) -> None:
         if fault:
@@ -121,9 +128,9 @@
         if previous is not None and catalog.version < previous.version:
             logger.bind(version=catalog.version, in_force=previous.version).warning('older_configuration_ignored')
             return
+        self.routes = RouteTable(catalog)
         self.catalog = catalog
         self.catalog_item = item
-        self.routes = RouteTable(catalog)
         logger.bind(
             version=catalog.version,
             routes=len(catalog.routes),
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -8,6 +8,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, Address, TamarackfieldError
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.fields import MALFORMED, require_list, require_text, require_whole
 from tamarackfield.manager.tickets import ModelOrder
 from tamarackfield.manager.engine_client import (
     EngineEndedError,
@@ -25,7 +26,7 @@
     parse_request_limit,
     parse_retry_after,
 )
-from tamarackfield.platform.holdings import MALFORMED, read_holdings
+from tamarackfield.platform.holdings import read_holdings, require_adapter
 from tamarackfield.policy.residency import LoadOrder, Order
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import JsonAnswer, call_json
@@ -136,15 +137,15 @@
     of this incarnation in Unix milliseconds.
     """
     versioned_adapters = [name.rpartition('@') for name in read_holdings(document['models']) if '@' in name]
-    loading = [name.rpartition('@')[0] or name for name in document.get('incoming', [])]
+    incoming = [require_adapter(name) for name in require_list(document.get('incoming', []))]
     return EngineState(
-        started_ms=int(document['born']),
-        sequence=int(document['seq']),
-        models=frozenset(model['name'] for model in document['models']),
+        started_ms=require_whole(document['born']),
+        sequence=require_whole(document['seq']),
+        models=frozenset(require_text(model['name']) for model in document['models']),
         resident_versions={adapter: int(version) for adapter, _, version in versioned_adapters},
-        loading=tuple(loading),
-        running=int(document.get('running', 0)),
-        queued=int(document.get('queued', 0)),
+        loading=tuple(name.rpartition('@')[0] or name for name in incoming),
+        running=require_whole(document.get('running', 0)),
+        queued=require_whole(document.get('queued', 0)),
         loading_model=bool(document.get('busy')),
         draining=document.get('state') == 'draining',
     )
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -1,10 +1,12 @@
 """Decoding of the items that the operator and the workers write to the store."""
 
+import ipaddress
 import json
 from typing import Any
 
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.core.problems import split_address
+from tamarackfield.core.fields import MALFORMED, require_decimal, require_list, require_text, require_whole
+from tamarackfield.core.problems import Address, split_address
 from tamarackfield.gateway.configuration import AdapterVersion, DecodedItem, TargetRemoved, UnreadableItem
 from tamarackfield.gateway.model import (
     DEFAULT_PAUSE_SECONDS,
@@ -17,7 +19,7 @@
     TargetRecord,
 )
 from tamarackfield.gateway.replica import Item
-from tamarackfield.platform.holdings import MALFORMED, read_holdings
+from tamarackfield.platform.holdings import read_holdings
 
 #: Prefix of all keys, those of the operator and those of workers: one watch of it follows both.
 STORE_PREFIX = ''
@@ -52,7 +54,8 @@
         if item.key == _CONFIG_KEY:
             return decode_catalog(document)
         if item.key.startswith(_VERSION_PREFIX):
-            return AdapterVersion(f'{document["model"]}/{document["adapter"]}', int(document['version']))
+            model, adapter = require_text(document['model']), require_text(document['adapter'])
+            return AdapterVersion(f'{model}/{adapter}', require_whole(document['version']))
     except MALFORMED as exc:
         return UnreadableItem(repr(exc))
     return UnreadableItem('key is unknown')
@@ -68,13 +71,13 @@
     """
     limits = document['limits']
     return Catalog(
-        version=int(document['version']),
-        routes=tuple(_decode_route(route) for route in document['routes']),
-        services={service['name']: _decode_service(service) for service in document['services']},
+        version=require_whole(document['version']),
+        routes=tuple(_decode_route(route) for route in require_list(document['routes'])),
+        services={service.name: service for service in map(_decode_service, require_list(document['services']))},
         limits=Limits(
-            body_bytes=int(limits['max_body_bytes']),
-            header_seconds=limits['header_timeout_ms'] / MS_PER_SECOND,
-            idle_seconds=limits['idle_timeout_ms'] / MS_PER_SECOND,
+            body_bytes=require_whole(limits['max_body_bytes']),
+            header_seconds=_read_seconds(limits['header_timeout_ms']),
+            idle_seconds=_read_seconds(limits['idle_timeout_ms']),
         ),
     )
 
@@ -84,29 +87,29 @@
     kind = route['kind']
     if kind not in _ROUTE_KINDS:
         raise ValueError(f'route kind {kind!r} is not one of {sorted(_ROUTE_KINDS)}')
-    traffic_split = route.get('traffic_split') or [{'service': route['service'], 'weight': 1}]
+    traffic_split = require_list(route.get('traffic_split') or [{'service': route['service'], 'weight': 1}])
     return Route(
-        name=route['name'],
-        host=route['hostname'],
-        prefix=route['path_prefix'],
+        name=require_text(route['name']),
+        host=require_text(route['hostname']),
+        prefix=require_text(route['path_prefix']),
         repeatable=kind == 'idempotent',
         streaming=kind == 'streaming',
         resumable=bool(route.get('resumable')),
-        timeout_seconds=route['timeout_ms'] / MS_PER_SECOND,
-        objective_seconds=route.get('target_latency_ms', route['timeout_ms']) / MS_PER_SECOND,
-        priority=int(route.get('priority', 0)),
+        timeout_seconds=_read_seconds(route['timeout_ms']),
+        objective_seconds=_read_seconds(route.get('target_latency_ms', route['timeout_ms'])),
+        priority=require_whole(route.get('priority', 0)),
         # Limits the workers that a request may be sent to, not the number of sends.
-        max_targets=max(1, int(route.get('max_attempts', 1))),
-        splits=tuple((share['service'], float(share['weight'])) for share in traffic_split),
-        pause_seconds=route['gap_target_ms'] / MS_PER_SECOND if 'gap_target_ms' in route else DEFAULT_PAUSE_SECONDS,
+        max_targets=max(1, require_whole(route.get('max_attempts', 1))),
+        splits=tuple((require_text(share['service']), require_decimal(share['weight'])) for share in traffic_split),
+        pause_seconds=_read_seconds(route['gap_target_ms']) if 'gap_target_ms' in route else DEFAULT_PAUSE_SECONDS,
     )
 
 
 def _decode_service(service: dict[str, Any]) -> Service:
     engine = service.get('engine')
     return Service(
-        service['name'],
-        int(service.get('max_conns', 0)),
+        require_text(service['name']),
+        require_whole(service.get('max_conns', 0)),
         None if engine is None else _decode_engine(engine),
     )
 
@@ -117,14 +120,18 @@
     Its ``weights_mb`` is the memory for weights and adapters, that of a model is the size of its weights.
     """
     models = tuple(
-        BaseModel(model['name'], float(model['weights_mb']), float(model.get('adapter_size_mb', 0)))
-        for model in engine['models']
+        BaseModel(
+            require_text(model['name']),
+            require_decimal(model['weights_mb']),
+            require_decimal(model.get('adapter_size_mb', 0)),
+        )
+        for model in require_list(engine['models'])
     )
     return Engine(
-        batch=int(engine['slots']),
-        adapter_places=int(engine.get('adapter_slots', 0)),
-        weight_mb=float(engine['weights_mb']),
-        loads_per_second=float(engine.get('loads_per_s', 1)),
+        batch=require_whole(engine['slots']),
+        adapter_places=require_whole(engine.get('adapter_slots', 0)),
+        weight_mb=require_decimal(engine['weights_mb']),
+        loads_per_second=require_decimal(engine.get('loads_per_s', 1)),
         models=models,
     )
 
@@ -141,23 +148,30 @@
 
 
 def _decode_worker_entry(name: str, entry: dict[str, Any]) -> TargetRecord:
-    started_ms, state = entry['born'], entry['state']
-    string_members = (entry['service'], entry['address'], entry['zone'])
-    has_integer_start = isinstance(started_ms, int) and not isinstance(started_ms, bool)
-    if (
-        state not in _WORKER_STATES
-        or not has_integer_start
-        or not all(isinstance(member, str) for member in string_members)
-    ):
-        raise ValueError('worker entry has a field of the wrong type or an unknown state')
+    if entry['state'] not in _WORKER_STATES:
+        raise ValueError('state of the worker is unknown')
+    if isinstance(entry['born'], float):
+        raise TypeError('start of the worker is not a whole number')
     return TargetRecord(
-        name=name,
-        service=entry['service'],
-        zone=entry['zone'],
-        address=split_address(entry['address']),
+        name=require_text(name),
+        service=require_text(entry['service']),
+        zone=require_text(entry['zone']),
+        address=_read_address(entry['address']),
         # Number of requests that it runs at once; for a model worker, its batch size.
-        batch=int(entry['slots']),
-        draining=state == 'draining',
-        started_ms=started_ms,
+        batch=require_whole(entry['slots']),
+        draining=entry['state'] == 'draining',
+        started_ms=require_whole(entry['born']),
         holdings=tuple(read_holdings(entry.get('models', []))),
     )
+
+
+def _read_address(text: Any) -> Address:
+    """Return an address to which connections can be opened."""
+    host, port = split_address(require_text(text))
+    if not port or ipaddress.ip_address(host).is_unspecified:
+        raise ValueError(f'{text!r} is not the address of a worker')
+    return host, port
+
+
+def _read_seconds(milliseconds: Any) -> float:
+    return require_decimal(milliseconds) / MS_PER_SECOND
--- a/tamarackfield/platform/settings.py
+++ b/tamarackfield/platform/settings.py
@@ -12,7 +12,7 @@
 
 from tamarackfield.core import Problem
 from tamarackfield.core.problems import json_path
-from tamarackfield.platform.holdings import MALFORMED
+from tamarackfield.core.fields import MALFORMED
 
 #: Port on which both programs serve their metrics; deploy/system.toml states the same port.
 METRICS_PORT = 9464
--- a/tamarackfield/platform/store.py
+++ b/tamarackfield/platform/store.py
@@ -8,12 +8,12 @@
 
 from tamarackfield.core import Address
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.fields import MALFORMED, require_text
 from tamarackfield.core.steps import in_steps
 from tamarackfield.gateway.hedged_calls import OnProgress
 from tamarackfield.gateway.replica import HistoryLostError, Item, Page, StoreError
 from tamarackfield.gateway.revisions import MAX_ERA, MAX_NUMBER, Revision
 from tamarackfield.platform.headers import parse_number
-from tamarackfield.platform.holdings import MALFORMED
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.json_calls import call_json
 from tamarackfield.web.pool import ConnectionPool
@@ -129,7 +129,7 @@
 
 
 def _is_number(revision: Any) -> bool:
-    return isinstance(revision, int) and 0 <= revision <= MAX_NUMBER
+    return isinstance(revision, int) and not isinstance(revision, bool) and 0 <= revision <= MAX_NUMBER
 
 
 def _decode_item(raw: Any, era: int) -> Item | None:
@@ -142,7 +142,7 @@
         content = None if deleted else base64.b64decode(raw['value'], validate=True)
         if not _is_number(raw['revision']):
             raise ValueError('revision is not a number in range')
-        return Item(str(raw['key']), Revision(era, raw['revision']), content)
+        return Item(require_text(raw['key']), Revision(era, raw['revision']), content)
     except MALFORMED as exc:
         logger.bind(error=repr(exc)).warning('item_malformed')
         return None
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -150,5 +150,5 @@
         return None
     try:
         return json.loads(answer)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise ClientError(f'answer is not JSON: {exc}', 'read_answer', peer, sent=True) from exc
