A stream that broke off goes on with its rest only

What operators saw: the text of an error in the middle of a stream, or a stream that ended as if it were complete. Here: a resumed answer whose event has no number was passed on behind the last event and completed the stream; an empty one completed it too. A resumed attempt that was answered 200 with another content, 204, 400 or 404 went to the same worker up to four times more, each of which cost the retry budget and may run.

Cause: the head of a resumed answer was checked, its events were not; and an answer that cannot be passed on was recorded as one that was. Fix: the rest of a stream begins with an event after the last one that the caller has, else the run failed; any answer other than a stream excludes its worker. A stream whose next worker has nothing more is cut, not completed: nobody knows whether it was whole, and the caller may resume it. Ruled out: completing it when the worker's answer is framed, as a faulty worker answers the same.

--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -162,6 +162,9 @@
             return None
         if call_state.outcome() is not Outcome.NOT_RUN and not route.may_run_again:
             return None
+        if call_state.first_event_at and not call_state.last_event:
+            call_state.notes.append('events without numbers cannot be resumed')
+            return None
         if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
             call_state.notes.append('retry budget is spent')
             return None
@@ -190,21 +193,26 @@
                 call_state.record_not_run(target, retry_allowed=sent and bool(call_state.adapter_key()))
                 call_state.retry_seconds = max(call_state.retry_seconds, retry_seconds)
             case MaybeRan(reason):
-                self._add_note(call_state, target, f'may have run: {reason}')
-                call_state.record_maybe_ran(target)
-                record_target_result(target, succeeded=False)
+                self._record_failed(call_state, target, f'may have run: {reason}')
             case Answered(head) if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                 self._add_note(call_state, target, f'answered {head.status}')
                 call_state.record_maybe_ran(target)
                 call_state.failure = result
                 if not head.pause_seconds:
                     record_target_result(target, succeeded=False)
+            case Answered(head) if call_state.head_sent:
+                self._record_failed(call_state, target, f'answered {head.status}, not with the rest of the stream')
             case _:
                 call_state.record_answered(target)
                 record_target_result(target, succeeded=True)
                 return result if isinstance(result, Answered) else None
         return None
 
+    def _record_failed(self, call_state: CallState, target: Target, note: str) -> None:
+        self._add_note(call_state, target, note)
+        call_state.record_maybe_ran(target)
+        record_target_result(target, succeeded=False)
+
     def _add_note(self, call_state: CallState, target: Target, text: str) -> None:
         age = BOOT_CLOCK.monotonic() - target.listed_at
         call_state.notes.append(f'{target.record.name}: {text} (listed {age:.1f} s ago)')
--- a/tamarackfield/gateway/hedged_calls.py
+++ b/tamarackfield/gateway/hedged_calls.py
@@ -16,7 +16,7 @@
 from tamarackfield.core.time_limits import listening_seconds, time_limit
 from tamarackfield.policy.store_reads import SHORT_SILENCE_SECONDS
 
-#: Limit of the calls that are unanswered at the same time. The first one is kept, which a slow server answers first, and
+#: Limit of the calls that are unanswered at the same time. The first, which a slow server answers first, is kept, and
 #: the oldest of the others is given up.
 MAX_CALLS = 8
 
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -1,7 +1,8 @@
 """Relaying of streams from targets to callers, in whole events.
 
 An answer without framing ends with its connection, whether the target finished it or broke off. A stream is
-complete only if it also ends between two events, and its target did not end with it.
+complete only if it also ends between two events, and its target did not end with it. The rest of a stream that broke
+off begins with an event after the last one that the caller has: anything else is not a part of that stream.
 """
 
 import math
@@ -76,6 +77,7 @@
     await delivery.stop_search()
     await delivery.claim()
     responder = delivery.responder
+    broke_off_at = call_state.last_event if call_state.head_sent else 0
     if not call_state.head_sent:
         call_state.head_sent = True
         await responder.send_head(incoming.head.status, incoming.head.headers)
@@ -87,23 +89,43 @@
         if silence.record_progress(len(chunk), bool(events)):
             await delivery.stop_search()
         call_state.partial_event_bytes = len(splitter.buffered)
+        if broke_off_at == call_state.last_event and not _may_continue(events, broke_off_at):
+            return MaybeRan('answer is not the rest of the stream')
         await _send_events(call_state, events, responder)
         if splitter.exceeds_limit():
             return MaybeRan('event is too large')
     if silence.gave_up:
         return MaybeRan('stream is silent')
-    if splitter.is_inside_event():
-        return MaybeRan('stream ended inside an event')
-    if incoming.exchange.framing is BodyFraming.CLOSE and not responder.head_only:
-        if not call_state.has_events():
-            return MaybeRan('connection was closed before the first event')
-        if await incoming.has_target_ended():
-            return MaybeRan('target ended when it closed the connection')
+    if broke_off_at and broke_off_at == call_state.last_event:
+        return MaybeRan('answer has nothing of the rest of the stream')
+    fault = await _explain_incomplete_end(call_state, incoming, splitter, responder)
+    if fault:
+        return MaybeRan(fault)
     await responder.send_body(splitter.buffered)
     await responder.finish()
     return Streamed()
 
 
+async def _explain_incomplete_end(
+    call_state: CallState, incoming: Incoming, splitter: EventSplitter, responder: Responder
+) -> str:
+    """Return why a stream whose body has ended is not complete, empty if it is."""
+    if splitter.is_inside_event():
+        return 'stream ended inside an event'
+    if incoming.exchange.framing is not BodyFraming.CLOSE or responder.head_only:
+        return ''
+    if not call_state.has_events():
+        return 'connection was closed before the first event'
+    return 'target ended when it closed the connection' if await incoming.has_target_ended() else ''
+
+
+def _may_continue(events: list[bytes], broke_off_at: int) -> bool:
+    """Return whether events may continue a stream after an event, 0 for one that begins."""
+    numbers = (event_number(event) for event in events)
+    first_new = next((number for number in numbers if not 0 < number <= broke_off_at), None)
+    return not broke_off_at or first_new != 0
+
+
 class _Silence:
     """Time since the last progress of a stream.
 
--- a/tamarackfield/platform/tests/test_second_copies.py
+++ b/tamarackfield/platform/tests/test_second_copies.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tamarackfield.manager.engine_client import OrderResult, OrderTerms
 from tamarackfield.platform.engine import WorkerEngine
 from tamarackfield.policy.residency import LoadOrder
@@ -54,3 +56,28 @@
     sequences = [(await engine.read_state()).sequence for _ in range(2)]
     engine.pool.close()
     assert sequences[-1] == worker.sequence == state.sequence + 1
+
+
+@pytest.mark.parametrize('path', ['/file/x', '/look/x'])
+async def test_second_copy_of_a_refusal_is_no_promise_for_the_next_request(one_worker_site, path):
+    worker = one_worker_site.workers['w1']
+    worker.sends_second_copies = True
+    for number in range(4):
+        worker.fault = WorkerFault('shed', 4)
+        await one_worker_site.call(path, 'POST', b'{}', [('Tamarackfield-Request-Id', f'refused{number}')])
+        worker.fault = WorkerFault()
+        identity = ('Tamarackfield-Request-Id', f'served{number}')
+        status, _, _ = await one_worker_site.call(path, 'POST', b'{}', [identity])
+        assert (status, one_worker_site.count_runs(f'refused{number}')) == (200, 0)
+        assert one_worker_site.count_runs(f'served{number}') == 1
+
+
+async def test_refusal_without_an_id_on_a_kept_connection_is_no_promise(two_worker_site):
+    for worker in two_worker_site.workers.values():
+        worker.unnamed_refusal_due = True
+    statuses = []
+    for number in range(4):
+        identity = ('Tamarackfield-Request-Id', f'own{number}')
+        statuses.append((await two_worker_site.call('/file/x', 'POST', b'{}', [identity]))[0])
+        assert two_worker_site.count_runs(f'own{number}') <= 1
+    assert set(statuses) <= {200, 502}
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -13,6 +13,7 @@
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.worker_answers import (
     CUTTING_FAULTS,
+    UNNAMED_REFUSAL,
     PARTIAL_EVENT,
     AnswerCopier,
     SIGNATURE,
@@ -26,6 +27,7 @@
     reset_connection,
     send_drops,
     send_endless_bytes,
+    send_odd_continuation,
     send_response,
 )
 from tamarackfield.testing.worker_records import Headers, Refusal, Run, WorkerFault
@@ -64,6 +66,10 @@
         Pause of its streams after their first event, after which they go on.
     silences : dict
         Seconds for which its runs fall silent, by the number of the event before; 0 is before the head of the answer.
+    unnamed_refusal_due : bool
+        Whether it sends a refusal that names no request ahead of the next answer.
+    odd_continuation : str
+        How it answers requests for the rest of a stream, see `send_odd_continuation`; empty for the rest.
     crashed_at : list of float
         Monotonic seconds of its crashes.
     """
@@ -75,6 +81,7 @@
     sends_second_copies = False
     names_calls = True
     silence_seconds = 0.0
+    odd_continuation = ''
 
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
@@ -104,6 +111,7 @@
         self.silences: dict[int, float] = {}
         self.request_limit = ''
         self.crash_reason = ''
+        self.unnamed_refusal_due = False
         self.crashed_at: list[float] = []
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -179,6 +187,9 @@
                     return
                 if self.sends_second_copies:
                     copier.send_second_copy()
+                if self.unnamed_refusal_due:
+                    self.unnamed_refusal_due = False
+                    copier.write(UNNAMED_REFUSAL)
                 await self._answer_request(protocol, copier, *request)
                 if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
                     return
@@ -348,7 +359,9 @@
             await send_response(protocol, writer, 500, {'error': 'failed'}, header_lines)
             run.finished = True
             return
-        if self.model:
+        if self.odd_continuation and 'last-event-id' in run.headers:
+            await send_odd_continuation(protocol, writer, run.request_id, self.odd_continuation)
+        elif self.model:
             await self._send_stream(protocol, writer, run, fault)
         else:
             await self._send_reply(protocol, writer, run, fault)
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -18,6 +19,7 @@
 _CLOSE_CHECK_SECONDS = 0.01
 #: Beginning of an event after which a stream breaks off.
 PARTIAL_EVENT = b'id: 99\ndata: ha'
+UNNAMED_REFUSAL = b'HTTP/1.1 503 Busy\r\nTamarackfield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
 
 
@@ -153,6 +155,26 @@
     await writer.drain()
 
 
+async def send_odd_continuation(protocol: h11.Connection, writer: AnswerCopier, request_id: str, kind: str) -> None:
+    """Answer a request for the rest of a stream with what is none.
+
+    Parameters
+    ----------
+    kind : str
+        ``empty`` or ``unnumbered`` for an event stream without any event, or with an event without a number; ``text``
+        for a success that is no event stream; else the status of an error.
+    """
+    if kind in {'empty', 'unnumbered'}:
+        writer.write(encode_stream_head(protocol, request_id, True, []))
+        if kind == 'unnumbered':
+            writer.write(chunk_encoder(protocol)(b'data: no such request\n\n'))
+        await end_stream(protocol, writer, '')
+        return
+    status = 200 if kind == 'text' else int(kind)
+    content = None if status == HTTPStatus.NO_CONTENT else b'no such request'
+    await send_response(protocol, writer, status, content, [*echo_request_id(request_id), SIGNATURE])
+
+
 async def read_request(protocol: h11.Connection, reader: asyncio.StreamReader) -> tuple[h11.Request, bytes] | None:
     """Return the next request and its body, None at the end of the connection."""
     head: h11.Request | None = None
