On-call sees how late a change of the store was known; a bundle is not late after a watch that was lost

store_news_seconds is a histogram by source of the age of changes when they are applied, at most; store_news_late is logged when it is more than the reads in order explain, and explain-log shows it.

--- a/tamarackfield/cli/request_timeline.py
+++ b/tamarackfield/cli/request_timeline.py
@@ -13,6 +13,7 @@
         'configuration_in_force',
         'store_lost',
         'store_regained',
+        'store_news_late',
         'items_of_peer',
         'store_era_changed',
         'beliefs_of_peer',
--- a/tamarackfield/discovery/configuration.py
+++ b/tamarackfield/discovery/configuration.py
@@ -6,8 +6,11 @@
 from tamarackfield.web import ClientError, fetch
 
 #: Long-poll time-out of a watch, after which the service answers that nothing changed.
-WATCH_WAIT_SECONDS = 2
-#: Time-out of a read at one address; a watch gets this in addition to its long-poll time-out.
+WATCH_WAIT_SECONDS = 1
+#: Time-out of a watch at one address in addition to its long-poll time-out; a watch that was lost, and the next one,
+#: take less than the time in which a bundle is to be in force.
+WATCH_MARGIN_SECONDS = 0.7
+#: Time-out of a read at one address.
 READ_TIMEOUT_SECONDS = 3.0
 _OK = 200
 _NOT_MODIFIED = 304
@@ -62,7 +65,7 @@
             If no address gives a usable answer.
         """
         path = f'/v1/values/{name}?after={revision}&wait={WATCH_WAIT_SECONDS}'
-        content, new_revision = await self._fetch_first_available(path, WATCH_WAIT_SECONDS + READ_TIMEOUT_SECONDS)
+        content, new_revision = await self._fetch_first_available(path, WATCH_WAIT_SECONDS + WATCH_MARGIN_SECONDS)
         return None if new_revision == revision else (content, new_revision)
 
     async def _fetch_first_available(self, path: str, timeout_seconds: float) -> tuple[bytes, int]:
--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -87,7 +87,7 @@
         self.budgets: dict[str, SharedRetryBudget] = {}
         directory = Directory()
         self.directory = directory
-        self.replica = Replica()
+        self.replica = Replica(on_news=self._record_news)
         self.configuration = Configuration(platform.decode, directory, self.store_age_seconds)
         self.fleet = Fleet(
             self.application, directory, self.configuration.versions, self.hello, settings.manager_port, settings.zone
@@ -240,6 +240,15 @@
         for name, read in gauges.items():
             self.metrics.add_gauge(name, read)
 
+    def _record_news(self) -> None:
+        """Record the age of the changes that are applied, and log one that reads in order do not explain."""
+        replica = self.replica
+        self.metrics.observe('store_news', replica.news_seconds, source=replica.news_source)
+        times = self.settings.find_read_times()
+        if replica.news_seconds > times.pause_seconds + times.silence_seconds:
+            bound = logger.bind(source=replica.news_source, seconds=round(replica.news_seconds, 3))
+            bound.warning('store_news_late')
+
     def _count_unanswered(self, reason: str) -> None:
         self.metrics.count('requests_without_answer', reason=reason)
 
--- a/tamarackfield/gateway/follower.py
+++ b/tamarackfield/gateway/follower.py
@@ -198,6 +198,7 @@
         self.replica.mark_complete(self.prefix, self.position)
 
     async def _await_page(self, call: HedgedCall[Page], repeated_call: HedgedCall[Page]) -> Page:
+        asked_at = self.clock.monotonic()
         page = await first_answer(call, repeated_call, self._handle_silence)
         self._observe_era(page.revision.era)
         if page.revision.era < self.replica.era:
@@ -205,6 +206,10 @@
         self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
         now = self.clock.monotonic()
         down_since, answered_at = self.store_status.failing_since, self.store_status.answered_at
+        if page.items and answered_at:
+            # What a watch waits for is told at once; what happens while none waits is told by the next call.
+            told_late_since = now if self.store_status.down else asked_at
+            self.replica.record_news('watch' if self.position else 'read', told_late_since - answered_at)
         if self.store_status.record_answer(now):
             bound = logger.bind(prefix=self.prefix, away_seconds=round(now - down_since, 3))
             bound.bind(silent_seconds=round(now - answered_at, 3)).info('store_regained')
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -130,6 +130,8 @@
         rows = zip(items.keys, items.revisions, items.payloads, strict=True)
         reported = [Item(key, unpack_revision(revision), payload) for key, revision, payload in rows]
         present = set(items.keys)
+        if unpack_revision(items.revision) > previous_revision:
+            self.replica.record_news('peer', self.replica.store_age_seconds(SYSTEM_CLOCK.monotonic()))
         async for item in in_steps(reported):
             self._apply_item(item)
         for prefix, packed in zip(items.prefixes, items.positions, strict=True):
--- a/tamarackfield/gateway/replica.py
+++ b/tamarackfield/gateway/replica.py
@@ -155,6 +155,10 @@
         return self.down or (self.recovered_at > 0 and now < self.recovered_at + STORE_RECOVERY_SECONDS)
 
 
+def _ignore_news() -> None:
+    """Do nothing."""
+
+
 @dataclass(slots=True)
 class Replica:
     """Local copy of the items by key, with the revisions of deleted ones.
@@ -173,6 +177,13 @@
         Newest known era of the store; 0 if unknown.
     incomplete_until : float
         Time until which items may be missing because the store came back from an older copy, in monotonic seconds.
+    news_seconds : float
+        Upper bound of the age, in seconds, of the changes that were applied last: the time in which no call waited for
+        them, or none that was answered.
+    news_source : str
+        What told them: ``read``, ``watch`` or ``peer``.
+    on_news : callable
+        Called after each change of the two.
     hidden : dict
         Time until which a restored item counts as deleted, by key, in monotonic seconds.
     store_statuses : list of StoreStatus
@@ -193,6 +204,9 @@
     revision: Revision = ORIGIN
     era: int = 0
     incomplete_until: float = 0.0
+    news_seconds: float = 0.0
+    news_source: str = ''
+    on_news: Callable[[], None] = _ignore_news
     hidden: dict[str, float] = field(default_factory=dict)
     store_statuses: list[StoreStatus] = field(default_factory=list)
 
@@ -244,6 +258,12 @@
             store_status.is_unreliable(now) for store_status in self.store_statuses
         )
 
+    def record_news(self, source: str, seconds: float) -> None:
+        """Record that changes are applied now which are at most so old."""
+        self.news_source = source
+        self.news_seconds = seconds
+        self.on_news()
+
     def store_age_seconds(self, now: float) -> float:
         """Return the time since the store last answered the follower that has waited longest for it."""
         return max(0.0, now - min(store_status.answered_at for store_status in self.store_statuses))
--- a/tamarackfield/platform/tests/test_silent_store.py
+++ b/tamarackfield/platform/tests/test_silent_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tamarackfield.platform.settings import METRICS_PORT
 from tamarackfield.testing.platform_site import (
     CONTACT_SECONDS,
     PLAIN_SERVICE,
@@ -12,6 +13,7 @@
     running_site,
 )
 from tamarackfield.testing.processes import wait_until
+from tamarackfield.web.client import fetch
 
 ADDED_ROUTE = make_route('/added/', 'idempotent', PLAIN_SERVICE)
 
@@ -57,6 +59,18 @@
     assert len(leaving.runs) == runs_before
 
 
+async def test_log_and_histogram_tell_how_late_a_change_was_known(one_worker_site):
+    await lose_calls(one_worker_site.store, 8)
+    one_worker_site.store.put('op/config', make_config(2, [*make_config()['routes'], ADDED_ROUTE]))
+    entry = one_worker_site.entries[0]
+    await entry.wait_for_log_text('version=2 routes')
+    late_lines = [line for line in entry.read_log().splitlines() if 'event=store_news_late' in line]
+    assert ['source=watch' in line for line in late_lines] == [True]
+    _, _, metrics = await fetch((entry.host, METRICS_PORT), 'GET', '/metrics')
+    assert b'tamarackfield_store_news_seconds_count{source="watch"}' in metrics
+    assert b'tamarackfield_store_age_seconds 0.' in metrics
+
+
 async def test_entry_without_configuration_is_ready_in_time_after_the_store_lost_its_first_calls(tmp_path):
     async with running_site(tmp_path) as site:
         await site.add_worker('w1')
