Entries without sidecars agree on the gate of a target although their seeds differ

Cause: the gate of a target without sidecars was chosen by rendezvous from each entry's seeds, taken to be the same everywhere; the first entry knows only itself, so that up to three gates admitted the whole rate each.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -92,7 +92,6 @@
         self.fleet = Fleet(
             self.application, directory, self.configuration.versions, self.hello, settings.manager_port, settings.zone
         )
-        self.fleet.limits.seeds = lambda: self.settings.seeds
         self.pool = ConnectionPool()
         attempt_runner = AttemptRunner(self.fleet, self.pool, platform.dialect, self.budget_for)
         self.dispatcher = Dispatcher(self.fleet, attempt_runner, self.budget_for)
@@ -164,6 +163,8 @@
         for follower in self.followers:
             supervise(follower.run, f'follow-{follower.prefix}')
         supervise(self.peers.run, 'peers')
+        # Sidecars know all entries; only where there are none do entries need to know of each other.
+        supervise(lambda: self.peers.tell_entries(lambda: not self.fleet.links), 'entries')
         supervise(self.maintenance.run, 'upkeep')
         supervise(self.fleet.quarantine.run, 'quarantine')
 
@@ -215,6 +216,7 @@
             lambda: list(self.settings.seeds),
             self.configuration,
         )
+        self.fleet.limits.list_entries = self.peers.entries.list_running
 
     def _add_gauges(self) -> None:
         gauges: dict[str, Callable[[], float]] = {
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -12,9 +12,11 @@
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
+from tamarackfield.gateway.known_entries import ROUND_SECONDS, EntryDirectory
 from tamarackfield.gateway.replica import Item, Replica
 from tamarackfield.gateway.request_limits import EntryGates
 from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
+from tamarackfield.wire.known_entries import AskEntries, KnownEntries
 from tamarackfield.wire.messages import Hello, Message
 from tamarackfield.wire.request_limits import AskPermit
 from tamarackfield.wire.reservations import AskBeliefs, AskItems, Beliefs, Items
@@ -62,9 +64,12 @@
         self.server = ConnectionServer(self.answer_peer)
         self.answering = asyncio.Lock()
         self.gates = EntryGates()
+        self.entries = EntryDirectory('', seeds)
+        self.rng = random.Random()  # noqa: S311 draws peers
 
     async def listen(self, host: str, port: int) -> None:
         """Start to serve peers."""
+        self.entries.own_address = f'{host}:{port}'
         await self.server.listen(host, port)
 
     async def close(self) -> None:
@@ -91,7 +96,9 @@
             stream.abort()
 
     def _send_answer(self, stream: PeerStream, query: Message) -> None:
-        if isinstance(query, AskBeliefs):
+        if isinstance(query, AskEntries):
+            stream.send(self.entries.answer(query))
+        elif isinstance(query, AskBeliefs):
             stream.send(self.build_beliefs())
         elif isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
             stream.send(self.build_items(knows_eras=query.revision > MAX_NUMBER))
@@ -104,6 +111,14 @@
             if self._is_store_down():
                 await self._ask_seeds(AskItems(self.replica.revision.pack()))
 
+    async def tell_entries(self, is_needed: Callable[[], bool]) -> None:
+        """Tell some entries regularly which ones this entry knows, while that is needed; never return."""
+        while True:
+            if is_needed():
+                told = self.entries.list_told(self.rng)
+                await asyncio.gather(*(self._query_peer(address, self.entries.ask()) for address in told))
+            await asyncio.sleep(ROUND_SECONDS * random.uniform(MIN_JITTER_SHARE, 1))
+
     def build_items(self, knows_eras: bool) -> Items:
         """Return all items for a peer; one that knows of no era gets plain revision numbers.
 
@@ -211,6 +226,8 @@
                 await self.apply_items(answer, stream.peer)
             elif isinstance(answer, Beliefs):
                 self.apply_beliefs(answer, stream.peer)
+            elif isinstance(answer, KnownEntries):
+                self.entries.record(answer)
         except StreamClosedError as exc:
             logger.bind(peer=f'{address[0]}:{address[1]}', step=exc.step, error=exc.message).debug('peer_query_failed')
         except (TamarackfieldError, TimeoutError, ValueError) as exc:
--- a/tamarackfield/gateway/request_limits.py
+++ b/tamarackfield/gateway/request_limits.py
@@ -2,7 +2,8 @@
 
 The sidecar of an engine paces the requests that it grants, so that it is the gate of its target. The gate of a target
 that has none, or whose sidecar does not respond, is chosen by rendezvous from all sidecars, so that entries agree on it
-without an exchange; where there are no sidecars, it is chosen from the entries that all entries know. Every process
+without an exchange; where there are no sidecars, it is chosen from the entries, which tell each other of those
+that run (`known_entries`). Every process
 that learns of a limit tells the others, so that one that restarts knows of it before it calls the target.
 """
 
@@ -14,7 +15,7 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, Address, TamarackfieldError
+from tamarackfield.core import BOOT_CLOCK, Address, TamarackfieldError, split_address
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.time_limits import time_limit, wait_within
 from tamarackfield.gateway.call_state import CallState
@@ -58,8 +59,8 @@
 
     Attributes
     ----------
-    seeds : callable
-        Returns the addresses of some entries.
+    list_entries : callable
+        Returns the addresses of the entries that run, as all entries know them.
     held_back : int
         Number of times that a gate did not admit a call.
     """
@@ -69,7 +70,7 @@
         self.directory = directory
         self.links = links
         self.hello = hello
-        self.seeds: Callable[[], Iterable[Address]] = tuple
+        self.list_entries: Callable[[], Iterable[str]] = tuple
         self.rng = random.Random()  # noqa: S311 spreads probes
         self.held_back = 0
 
@@ -119,9 +120,8 @@
     def _list_gates(self, target: Target) -> list[Gate]:
         """Return the gates of a target, those that all entries prefer first."""
         if not self.links:
-            addresses = {f'{host}:{port}': (host, port) for host, port in self.seeds()}
-            names = order_by_rendezvous(target.record.name, addresses)[:MAX_GATES]
-            return [partial(_ask_entry, addresses[name], self.hello) for name in names]
+            addresses = order_by_rendezvous(target.record.name, self.list_entries())[:MAX_GATES]
+            return [partial(_ask_entry, split_address(address), self.hello) for address in addresses]
         hosts = [host for host in self.links if host != target.record.address[0]]
         return [
             partial(_ask_sidecar, self.links[host])
