An entry of another writer takes no worker out by naming its address

Targets that are listed at one address now stay listed: the latest is used until a refusal as misdirected (plain services), the name in an answer, or the report of the sidecar shows that another one is there. Ruled out: ignoring the later entry, since addresses are given to new workers while the entry of the old one is still listed.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -188,6 +188,16 @@
         finally:
             call_state.record_answer_end(exchange.framing or '', exchange.describe_end())
 
+    def _is_answered_by_another(self, call_state: CallState, target: Target, head: AnswerHead) -> bool:
+        """Return whether an answer shows that another instance is at the address of a target.
+
+        A target without models refuses a call as misdirected for no other reason.
+        """
+        if head.answered_by:
+            return head.answered_by != target.record.name
+        is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST and not call_state.adapter_key()
+        return is_misdirected and bool(target.list_rivals())
+
     def _can_repeat(self, call_state: CallState) -> bool:
         """Return whether a further attempt of a call is allowed and a target that does not run it could take it."""
         if not self.budget_for(call_state.service).can_spend(BOOT_CLOCK.monotonic()):
@@ -241,9 +251,8 @@
         if head is None:
             return MaybeRan('target is silent')
         reservation.report_started()
-        if head.answered_by not in {'', target.record.name}:
-            target.address_reassigned = True
-            logger.bind(target=target.record.name, answered_by=head.answered_by).warning('address_has_another_target')
+        if self._is_answered_by_another(call_state, target, head):
+            self.fleet.directory.record_misdirected(target)
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -46,6 +46,10 @@
         Whether it was removed from the directory and receives no more requests.
     address_reassigned : bool
         Whether another target answered at its address.
+    rivals : list of Target
+        Other targets that are or were listed at the same address.
+    superseded_by : Target or None
+        Latest of them, which is used instead unless another one answers there; None for the latest one.
     max_connections : int
         Limit of connections that this entry opens to it; a target resets those beyond what it accepts.
     evicted : dict
@@ -74,6 +78,8 @@
     removal_due_at: float = 0.0
     removed: bool = False
     address_reassigned: bool = False
+    rivals: list['Target'] = field(default_factory=list)
+    superseded_by: 'Target | None' = None
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
     paused_until: float = 0.0
@@ -86,10 +92,19 @@
 
     def accepts_requests(self, now: float) -> bool:
         """Return whether new requests may be sent to it."""
-        if self.removed or self.address_reassigned or self.record.draining:
+        if self.removed or self.record.draining or not self.has_address():
             return False
         return not self.removal_due_at or now < self.removal_due_at
 
+    def has_address(self) -> bool:
+        """Return whether this target, of those that are listed at its address, is taken to be there."""
+        later = self.superseded_by
+        return not self.address_reassigned and (later is None or later.removed or later.address_reassigned)
+
+    def list_rivals(self) -> list['Target']:
+        """Return the other targets that are listed at its address."""
+        return [rival for rival in self.rivals if not rival.removed and rival.record.address == self.record.address]
+
     def explain_refusal(self, now: float) -> str:
         """Return why no request may be sent to the target now, empty if one may."""
         if not self.accepts_requests(now):
@@ -178,8 +193,6 @@
     def upsert(self, record: TargetRecord) -> Target | None:
         """Add or update a listed target; a later incarnation, or a later target at the same address, replaces it."""
         known = self.targets.get(record.name)
-        if known is None and self._is_superseded(record):
-            return None
         if self._has_left(record, known):
             logger.bind(target=record.name, started_ms=record.started_ms).info('departed_target_ignored')
             return known
@@ -211,6 +224,17 @@
             return
         self._remove_target(target, 'item was deleted')
 
+    def record_misdirected(self, target: Target) -> None:
+        """Record that another instance answered at the address of a target: use the others that are listed there.
+
+        Entries of other writers may name any address, so no entry by itself takes a target out.
+        """
+        others = target.list_rivals()
+        logger.bind(target=target.record.name, others=len(others)).warning('address_has_another_target')
+        target.address_reassigned = True
+        for other in others:
+            other.address_reassigned = False
+
     def remove_expired(self) -> None:
         """Remove the vanished targets that did not register again in time."""
         now = self.clock.monotonic()
@@ -250,19 +274,13 @@
             return record.started_ms <= self.departed.get(record.name, record.started_ms - 1)
         return known.record.started_ms < record.started_ms <= known.leaving_noticed_ms
 
-    def _is_superseded(self, record: TargetRecord) -> bool:
-        return any(
-            target.record.address == record.address and target.record.started_ms > record.started_ms
-            for target in self.targets.values()
-        )
-
     def _add_target(self, record: TargetRecord, previous: Target | None) -> Target:
         if previous is not None:
             self._remove_target(previous, 'another incarnation was listed')
-        for other in self._earlier_targets_at_address(record):
-            self._remove_target(other, 'a later target has its address')
+        rivals = [other for other in self.targets.values() if other.record.address == record.address]
         view = TargetView(record.name, record.zone, batch=max(1, record.batch))
         target = Target(record, view)
+        _order_rivals(target, rivals)
         self.targets[record.name] = target
         self._index_target(target)
         logger.bind(target=record.name, service=record.service, zone=record.zone, started_ms=record.started_ms).info(
@@ -270,14 +288,6 @@
         )
         return target
 
-    def _earlier_targets_at_address(self, record: TargetRecord) -> list[Target]:
-        """Return the targets with an earlier start that are listed at the address of a record."""
-        return [
-            target
-            for target in self.targets.values()
-            if target.record.address == record.address and target.record.started_ms < record.started_ms
-        ]
-
     def _update_record(self, target: Target, record: TargetRecord) -> None:
         if target.record.draining:
             record.draining = True
@@ -308,3 +318,16 @@
         self.departed[name] = started_ms
         for earliest in tuple(self.departed)[:-MAX_DEPARTED]:
             self.departed.pop(earliest)
+
+
+def _order_rivals(target: Target, rivals: list[Target]) -> None:
+    """Let the latest of the targets that are listed at one address supersede the others."""
+    group = (target, *rivals)
+    latest = max(group, key=_start_of)
+    for member in group:
+        member.superseded_by = None if member is latest else latest
+        member.rivals = [other for other in group if other is not member]
+
+
+def _start_of(target: Target) -> int:
+    return target.record.started_ms
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -147,6 +147,9 @@
     def sync_links(self) -> None:
         """Open links to the sidecars of new targets and close those of removed targets."""
         self._index_targets()
+        # Every host is looked at, whatever the others report.
+        if any([self._use_reported_rival(host) for host in self.links]):
+            self._index_targets()
         wanted = self.targets_by_host
         for host in self.links.keys() - wanted.keys():
             self.links.pop(host)
@@ -271,7 +274,9 @@
         return [
             target
             for target in self.directory.targets.values()
-            if target.record.service in services and services[target.record.service].engine is not None
+            if target.has_address()
+            and target.record.service in services
+            and services[target.record.service].engine is not None
         ]
 
     def _open_link(self, address: Address) -> None:
@@ -297,6 +302,9 @@
         link = self.links.get(host)
         if link is None:
             return
+        if self._use_reported_rival(host):
+            self.sync_links()
+            return
         for target in self.targets_by_host.get(host, ()):
             self._refresh_view(target, link)
 
@@ -342,6 +350,22 @@
         target.replace_residents(frozenset(self._current_adapters(holdings.residents)))
         target.view.loading = frozenset(holdings.loading)
 
+    def _use_reported_rival(self, host: str) -> bool:
+        """Use the target that a sidecar reports, if another one is listed at its address; return whether one was."""
+        link = self.links.get(host)
+        if link is None or link.report is None:
+            return False
+        started_ms = link.report.incarnation
+        misdirected = [
+            target
+            for target in self.targets_by_host.get(host, ())
+            if target.record.started_ms != started_ms
+            and any(rival.record.started_ms == started_ms for rival in target.list_rivals())
+        ]
+        for target in misdirected:
+            self.directory.record_misdirected(target)
+        return bool(misdirected)
+
     def _index_targets(self) -> None:
         self.targets_by_host = {}
         targets = self._engine_targets()
--- a/tamarackfield/platform/tests/test_disputed_addresses.py
+++ b/tamarackfield/platform/tests/test_disputed_addresses.py
@@ -22,11 +22,13 @@
         await site.add_entry()
         write_ghost(site, workers[0])
         await site.entries[0].wait_for_log_text('target=ghost')
-        statuses = [(await site.call('/look/x'))[0] for _ in range(12)]
-        assert statuses[2:] == [200 for _ in range(10)]
-        before = len(workers[0].runs)
         await asyncio.gather(*(site.call('/look/x') for _ in range(8)))
-        assert len(workers[0].runs) > before
+        statuses = [(await site.call('/look/x'))[0] for _ in range(12)]
+        assert statuses == [200 for _ in range(12)]
+        for other in workers[1:]:
+            site.store.delete(f'servers/{other.name}')
+            await site.entries[0].wait_for_log_text('event=target_gone')
+        assert (await site.call('/look/x'))[2].startswith(b'w1 ')
 
 
 async def test_engine_is_used_although_a_later_entry_names_its_address(model_site):
