--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -13,6 +13,7 @@
 from tamarackfield.testing.relay import FAULTY_MODES, Relay, no_faults
 from tamarackfield.testing.soak.crashes import crash_on_part
 from tamarackfield.testing.soak.limits import state_limit
+from tamarackfield.testing.soak.outages import silence_store
 from tamarackfield.testing.soak.plan import PlannedFault
 from tamarackfield.testing.soak.site import EVENT_SECONDS, DrainWindow, SoakSite
 from tamarackfield.testing.soak.standstills import change_limits, hold_entry, silence_worker
@@ -361,10 +362,14 @@
 }
 #: Additions after those, in a further series of their own.
 LIMIT_FAULTS: dict[str, Fault] = {'limit_stated': state_limit}
+#: Additions after those, in a further series of their own.
+OUTAGE_FAULTS: dict[str, Fault] = {'store_silent': silence_store}
+#: Faults that are drawn beside `OUTAGE_FAULTS` where only silences of the store are to be tested.
+BESIDE_OUTAGES = ('configuration_changed', 'version_announced', 'worker_left')
 #: Faults that are drawn beside `LIMIT_FAULTS` where only limits are to be tested.
 BESIDE_LIMITS = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'sidecar_stopped', 'sidecar_paused')
 #: Fault functions by name, of all series.
-ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS
+ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS | OUTAGE_FAULTS
 
 
 class Series(StrEnum):
@@ -375,6 +380,7 @@
     STANDSTILLS = 'standstills'
     EARLIER = 'earlier'
     LIMITS = 'limits'
+    OUTAGES = 'outages'
 
 
 def list_kinds(series: Series) -> list[tuple[str, ...]]:
@@ -386,5 +392,6 @@
         Series.EARLIER: [*former, standstills],
         Series.STANDSTILLS: [*(() for _ in former), standstills],
         Series.LIMITS: [*(() for _ in former), BESIDE_LIMITS, limits],
+        Series.OUTAGES: [*(() for _ in former), BESIDE_OUTAGES, (), tuple(OUTAGE_FAULTS)],
     }
     return series_kinds.get(series, kinds)
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -18,7 +18,8 @@
 from tamarackfield.testing.soak.callers import BUSY, PATH_WEIGHTS, RESTING, Call, Caller, Pace
 from tamarackfield.testing.soak.faults import ALL_FAULTS, Series, list_kinds
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
-from tamarackfield.testing.soak.promises import Observations, Probe, check_all
+from tamarackfield.testing.soak.probes import Probe
+from tamarackfield.testing.soak.promises import Observations, check_all
 from tamarackfield.testing.soak.site import SoakSite
 from tamarackfield.testing.soak.variation import FIRST_VARIATION, make_version
 
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -20,6 +20,8 @@
 from tamarackfield.testing.soak.crashes import check_late_runs, check_refusal
 from tamarackfield.testing.soak.limits import check_limits
 from tamarackfield.testing.soak.losses import check_losses
+from tamarackfield.testing.soak.outages import check_applied, is_disturbance
+from tamarackfield.testing.soak.probes import Probe
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.site import DrainWindow, SoakSite
 
@@ -67,19 +69,6 @@
 _EVENT_PATTERN = re.compile(rb'id: (\d+)\ndata: event (\d+)\n\n')
 
 
-@dataclass(slots=True)
-class Probe:
-    """Answer of an entry on a route that was added by a version of the configuration."""
-
-    request_id: str
-    entry: str
-    process_id: int
-    version: int
-    sent_at: float
-    ended_at: float
-    status: int
-
-
 @dataclass(slots=True)
 class Observations:
     """Calls and probes as recorded by callers; ``lag_seconds`` is the largest scheduling lag of the harness."""
@@ -202,9 +191,20 @@
         site.record_violation(f'{request_id!r} ran although no caller sent it')
     for text in check_probes(observations.probes):
         site.record_violation(text)
+    _check_applied(site, observations)
     _check_workers(site, observations)
 
 
+def _check_applied(site: SoakSite, observations: Observations) -> None:
+    disturbances = tuple({incident.name for incident in site.incidents if is_disturbance(incident.name)})
+
+    def is_excused(since: float, until: float) -> bool:
+        return site.overlaps_fault(disturbances, since - observations.lag_seconds, until)
+
+    for text in check_applied(observations.probes, site.changed_at, is_excused):
+        site.record_violation(text)
+
+
 def _check_recorded_call(site: SoakSite, observations: Observations, call: Call, runs: list[tuple[str, Run]]) -> None:
     events = next(iter(site.workers.values())).event_count
     for text in check_call(call, runs, events):
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -55,8 +55,12 @@
         self.stated_limits: list[Any] = []
         self.violations: list[str] = []
         self.configuration_version = 1
+        # Monotonic seconds at which the store had each version.
+        self.changed_at: dict[int, float] = {}
         self.variation = Variation()
         self.shortest_timeout_seconds = self.variation.timeout_seconds
+        # Monotonic seconds before which the store is not silenced.
+        self.store_calm_until = 0.0
         # Monotonic seconds at which no further call is sent.
         self.ends_at = 0.0
         self.adapter_versions: dict[str, int] = collections.defaultdict(int)
@@ -113,6 +117,7 @@
         self.configuration_version += 1
         self.shortest_timeout_seconds = min(self.shortest_timeout_seconds, self.variation.timeout_seconds)
         self.store.put('op/config', make_version(self.configuration_version, self.variation))
+        self.changed_at[self.configuration_version] = SYSTEM_CLOCK.monotonic()
         return self.configuration_version
 
     def record_violation(self, text: str, since: float = 0.0) -> None:
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -10,7 +10,9 @@
 from tamarackfield.testing.soak.limits import StatedLimit, check_limits
 from tamarackfield.testing.soak.main import run_soak
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
-from tamarackfield.testing.soak.promises import Probe, check_call, check_probes, check_retries
+from tamarackfield.testing.soak.outages import check_applied
+from tamarackfield.testing.soak.probes import Probe
+from tamarackfield.testing.soak.promises import check_call, check_probes, check_retries
 from tamarackfield.testing.soak.site import SoakSite
 
 EVENTS = 5
@@ -192,3 +194,15 @@
     site.workers['m1'] = worker
     check_late_runs(site, ('entry_killed',))
     assert len(site.violations) == violations
+
+
+@pytest.mark.parametrize(('sent_at', 'excused', 'violations'), [(2.1, False, 1), (1.9, False, 0), (2.1, True, 0)])
+def test_refusal_by_a_configuration_that_is_no_longer_due_is_a_violation(sent_at, excused, violations):
+    probe = Probe('c1', 'front-1', 1, 7, sent_at, sent_at, 404)
+    assert len(list(check_applied([probe], {7: 0.0}, lambda *period: excused))) == violations
+
+
+async def test_changes_are_in_force_in_time_beside_silences_of_the_store(tmp_path):
+    soak = await run_soak(tmp_path, 5, 12.0, 4, Series.OUTAGES)
+    assert soak.site.violations == []
+    assert any(incident.name == 'store_silent' for incident in soak.site.incidents)
