--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from tamarackfield.testing.platform_site import (
+    CONTACT_SECONDS,
     MAX_TARGETS_PER_CALL,
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -271,7 +272,12 @@
 def _check_drain_window(site: SoakSite, observations: Observations, drain_window: DrainWindow) -> None:
     worker: PlatformWorker = drain_window.worker
     begins_at = drain_window.begins_at + observations.lag_seconds
-    late = [at for at, _ in worker.list_arrivals() if begins_at < at < drain_window.ends_at]
+    late = [
+        at
+        for at, _ in worker.list_arrivals()
+        if begins_at < at < drain_window.ends_at
+        and not site.overlaps_fault(('store_silent',), at - CONTACT_SECONDS - observations.lag_seconds, at)
+    ]
     if late and not site.overlaps_fault(
         NOTIFICATION_DELAYING_FAULTS, drain_window.begins_at - NOTIFICATION_DELAY_SECONDS, late[0]
     ):
