--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -2,7 +2,8 @@
 
 An answer without framing ends with its connection, whether the target finished it or broke off. A stream is
 complete only if it also ends between two events, and its target did not end with it. The rest of a stream that broke
-off begins with an event after the last one that the caller has: anything else is not a part of that stream.
+off begins with an event after the last one that the caller has: anything else is not a part of that stream. If its
+target has no further event, and says so with framing, the stream was complete but for its end.
 """
 
 import math
@@ -96,9 +97,10 @@
             return MaybeRan('event is too large')
     if silence.gave_up:
         return MaybeRan('stream is silent')
-    if broke_off_at and broke_off_at == call_state.last_event:
-        return MaybeRan('answer has nothing of the rest of the stream')
     fault = await _explain_incomplete_end(call_state, incoming, splitter, responder)
+    has_nothing_new = bool(broke_off_at) and broke_off_at == call_state.last_event
+    if not fault and has_nothing_new and incoming.exchange.framing is BodyFraming.CLOSE:
+        fault = 'answer without framing has nothing of the rest of the stream'
     if fault:
         return MaybeRan(fault)
     await responder.send_body(splitter.buffered)
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -161,14 +161,15 @@
     Parameters
     ----------
     kind : str
-        ``empty`` or ``unnumbered`` for an event stream without any event, or with an event without a number; ``text``
-        for a success that is no event stream; else the status of an error.
+        ``empty`` or ``unframed`` for an event stream without any event, with or without framing; ``unnumbered`` for
+        one that has an event without a number; ``text`` for a success that is no event stream; else the status of an
+        error.
     """
-    if kind in {'empty', 'unnumbered'}:
-        writer.write(encode_stream_head(protocol, request_id, True, []))
+    if kind in {'empty', 'unframed', 'unnumbered'}:
+        writer.write(encode_stream_head(protocol, request_id, kind != 'unframed', []))
         if kind == 'unnumbered':
             writer.write(chunk_encoder(protocol)(b'data: no such request\n\n'))
-        await end_stream(protocol, writer, '')
+        await end_stream(protocol, writer, kind)
         return
     status = 200 if kind == 'text' else int(kind)
     content = None if status == HTTPStatus.NO_CONTENT else b'no such request'
