A malformed message of a peer about entries ends its connection only

Found by reading: an address that is none, or lists of different lengths, raised ValueError out of the handler of the connection. Both cases of test_odd_message_of_a_peer_ends_its_connection_only failed before.

--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -90,7 +90,7 @@
                     # Many peers ask at once; the event loop runs after each answer.
                     await asyncio.sleep(0)
             await stream.finish()
-        except (TamarackfieldError, TimeoutError) as exc:
+        except (TamarackfieldError, TimeoutError, ValueError) as exc:
             logger.bind(peer=stream.peer, error=repr(exc)).debug('peer_query_not_answered')
         finally:
             stream.abort()
--- a/tamarackfield/gateway/tests/test_known_entries.py
+++ b/tamarackfield/gateway/tests/test_known_entries.py
@@ -1,12 +1,24 @@
 """Entries whose seeds differ agree on the entries that run, and so on the gate of a target."""
 
+import asyncio
+import contextlib
 import random
+import socket
 
 import pytest
 
 from tamarackfield.core.problems import split_address
+from tamarackfield.gateway.configuration import Configuration, UnreadableItem
+from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.known_entries import MAX_AGE_SECONDS, ROUND_SECONDS, EntryDirectory
+from tamarackfield.gateway.peers import PeerExchange
+from tamarackfield.gateway.replica import Replica
 from tamarackfield.gateway.tests.samples import ManualTime
+from tamarackfield.wire.codec import encode
+from tamarackfield.wire.known_entries import AskEntries
+from tamarackfield.wire.messages import Hello
+
+HELLO = Hello('entry', 'e1', 1, 'zone-a', 1, '')
 
 
 class Deployment:
@@ -62,3 +74,14 @@
 
 def test_seeds_count_until_another_entry_has_answered():
     assert EntryDirectory('', lambda: [('127.0.0.1', 4)]).list_running() == ['127.0.0.1:4']
+
+
+@pytest.mark.parametrize('message', [AskEntries(['no address'], [0]), AskEntries(['127.0.0.1:1'], [])])
+async def test_odd_message_of_a_peer_ends_its_connection_only(message):
+    configuration = Configuration(lambda item: UnreadableItem('unused'), Directory(), float)
+    exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration)
+    ours, peer = socket.socketpair()
+    with contextlib.closing(peer):
+        peer.send(encode(HELLO) + encode(message))
+        await exchange.answer_peer(*await asyncio.open_connection(sock=ours))
+    assert exchange.entries.seen_at == {}
