Lines about requests have a fingerprint; runs that broke off have a line of their own

The fingerprint is equal for requests of one caller that ask for the same, run_broke_off says which runs ended with which target. No logic changes.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -99,6 +99,8 @@
             exchange.on_limit_change = self.fleet.limits.announce
             clean_up.callback(exchange.close)
             result = await self._send_and_receive(call_state, exchange, reservation, delivery)
+            if isinstance(result, MaybeRan) and exchange.has_connection_ended():
+                _log_broken_run(exchange, result)
             if call_state.adapter_key():
                 link = self.fleet.find_link(target)
                 call_state.broke_off_unproven = self.fleet.quarantine.record_attempt(
@@ -300,6 +302,19 @@
         bound.warning('target_left_out')
 
 
+def _log_broken_run(exchange: Exchange, result: MaybeRan) -> None:
+    """Log a run whose connection ended before its answer, with what tells whether others like it broke off."""
+    record = exchange.target.record
+    logger.bind(
+        request_id=exchange.call.request_id,
+        fingerprint=exchange.call.fingerprint,
+        target=record.name,
+        started_ms=record.started_ms,
+        ran_ms=round((BOOT_CLOCK.monotonic() - exchange.sent_at) * MS_PER_SECOND),
+        reason=result.reason,
+    ).info('run_broke_off')
+
+
 def _count_attempt_end(target: Target) -> None:
     target.view.outstanding -= 1
     target.health.record_cancellation()
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -12,6 +12,7 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.dispatch import Dispatcher
+from tamarackfield.gateway.fingerprints import make_fingerprint
 from tamarackfield.gateway.matching import choose_service
 from tamarackfield.gateway.model import Call, Route, Service
 from tamarackfield.observe.prometheus import MetricRegistry
@@ -129,6 +130,7 @@
             store_age_seconds=self._store_age(),
             adapter=call_state.adapter_key(),
             prompt_parts=','.join(call.prompt_parts),
+            fingerprint=call.fingerprint,
             target=call_state.target_name,
             attempts=call_state.send_count,
             waited_ms=round(MS_PER_SECOND * call_state.waited_seconds),
@@ -148,13 +150,13 @@
     """Return the call with its limits applied.
 
     The deadline is at most the time-out of the route after arrival, the prompt length is at most
-    `MAX_PROMPT_TOKENS`, and a call to a plain service has no model, adapter and prompt parts.
+    `MAX_PROMPT_TOKENS`, and a call to a plain service has no model, adapter and prompt parts. Its fingerprint is set.
     """
     deadline = min(call.deadline, call.received_at + route.timeout_seconds)
     bounded = replace(call, deadline=deadline, prompt_tokens=min(call.prompt_tokens, MAX_PROMPT_TOKENS))
     if service is None or service.engine is None:
-        return replace(bounded, model='', adapter='', prompt_parts=())
-    return bounded
+        bounded = replace(bounded, model='', adapter='', prompt_parts=())
+    return replace(bounded, fingerprint=make_fingerprint(bounded))
 
 
 def _no_configuration() -> RequestError:
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -195,6 +195,8 @@
         Number of the last event that the caller received; 0 at the start of a stream.
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may have as well, in their order.
+    fingerprint : str
+        Equal for requests of one caller that ask for the same; empty if it is not known.
     """
 
     request_id: str
@@ -210,6 +212,7 @@
     prompt_tokens: int = 0
     last_event: int = 0
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ''
 
 
 @dataclass(slots=True)
