--- a/tamarackfield/platform/tests/test_crashing_prompts.py
+++ b/tamarackfield/platform/tests/test_crashing_prompts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.platform.tests.crash_samples import list_crashes, restart_crashed_workers
 from tamarackfield.testing.platform_site import MODEL_SERVICE, running_site
 from tamarackfield.testing.platform_worker import WorkerFault
 from tamarackfield.web.client import ClientError
@@ -17,7 +18,6 @@
 MAX_LATE_RUNS = 3
 WORKER_COUNT = 6
 CRASHING_PART = 'bad0'
-RESTART_SECONDS = 0.8
 
 
 class CrashingSite:
@@ -39,23 +39,6 @@
         for _ in range(entries):
             await self.site.wait_for_sidecars(await self.site.add_entry())
 
-    async def restart_crashed_workers(self):
-        """Start each worker that has crashed under a new name."""
-        while True:
-            for worker in list(self.site.workers.values()):
-                if worker.is_crashed():
-                    asyncio.get_running_loop().create_task(self.restart(worker))
-                    worker.server = None
-            await asyncio.sleep(0.02)
-
-    async def restart(self, worker):
-        """Start one worker under a new name."""
-        await asyncio.sleep(RESTART_SECONDS)
-        self.site.store.delete(f'servers/{worker.name}')
-        worker.name = f'{worker.name}x'
-        await worker.restart()
-        self.site.write_worker_entry(worker)
-
     async def send(self, kind, path='/draft/x', parts=()):
         """Send a request whose prompt shares parts with others."""
         shared = ['a0', self.rng.choice(('b0', 'b1', 'b2')), *parts]
@@ -76,7 +59,7 @@
 
     async def send_traffic(self, seconds, crashing_interval=0.2, paths=('/draft/x',), kinds=('sound', 'crashing')):
         """Send crashing requests at an interval, and five times as many sound ones, or only sound ones."""
-        restarting = asyncio.create_task(self.restart_crashed_workers())
+        restarting = asyncio.create_task(restart_crashed_workers(self.site))
         ends_at = SYSTEM_CLOCK.monotonic() + seconds
         running = set()
         for number in itertools.count():
@@ -88,10 +71,6 @@
         await asyncio.gather(*running)
         restarting.cancel()
 
-    def list_crashes(self):
-        """Return the times of all crashes in their order."""
-        return sorted(at for worker in self.site.workers.values() for at in worker.crashed_at)
-
     def list_crashing_runs(self):
         """Return the times at which requests with the part reached workers, in their order."""
         runs = [run for worker in self.site.workers.values() for run in worker.runs]
@@ -99,7 +78,7 @@
 
     def count_late_runs(self):
         """Return how many requests with the part reached workers after every machine could know of the fifth crash."""
-        crashes = self.list_crashes()
+        crashes = list_crashes(self.site)
         if len(crashes) < 5:
             return 0
         return sum(at > crashes[4] + CONTACT_SECONDS for at in self.list_crashing_runs())
@@ -120,9 +99,9 @@
         crashing = CrashingSite(site, seed=2)
         await crashing.build(crashes_after_head=crashes_after_head)
         await crashing.send_traffic(4, paths=(path,))
-        assert len(crashing.list_crashes()) <= 5
+        assert len(list_crashes(site)) <= 5
         assert len(crashing.list_crashing_runs()) <= 5 + MAX_LATE_RUNS
-        last_crash = crashing.list_crashes()[-1]
+        last_crash = list_crashes(site)[-1]
         assert {status for at, status in crashing.statuses['crashing'] if at > last_crash + 2} == {400}
         assert 400 not in {status for _, status in crashing.statuses['sound']}
 
@@ -135,7 +114,7 @@
         await crashing.send_traffic(2, kinds=('sound',), paths=(path,))
         before = [status for _, status in crashing.statuses['sound']]
         await crashing.send_traffic(2 * CONTACT_SECONDS + 3, paths=(path,))
-        known_at = crashing.list_crashes()[:5][-1] + 2 * CONTACT_SECONDS
+        known_at = list_crashes(site)[:5][-1] + 2 * CONTACT_SECONDS
         after = [status for at, status in crashing.statuses['sound'] if at > known_at]
         assert min(len(before), len(after)) >= 20
         assert after.count(200) / len(after) >= before.count(200) / len(before) / 2
@@ -183,7 +162,7 @@
             await process.kill()
         await asyncio.sleep(0.5)
         await crashing.send_traffic(6)
-        assert 2 <= len(crashing.list_crashes()) < 5
+        assert 2 <= len(list_crashes(site)) < 5
         assert 'culprits=bad0' in site.entries[0].read_log()
 
 
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -56,6 +56,8 @@
         ``Retry-After`` of the answers to requests that it turns away with the fault ``pause``.
     crashing_parts : frozenset of str
         Parts of prompts on which it crashes when it begins to write an answer.
+    crashing_targets : frozenset of str
+        Paths with their queries of requests on which it crashes when it begins to run them.
     crashes_after_head : bool
         Whether the head of such an answer is sent before the crash.
     sends_second_copies : bool
@@ -77,6 +79,7 @@
     announces_leaving = False
     retry_after = '1'
     crashing_parts: frozenset[str] = frozenset()
+    crashing_targets: frozenset[str] = frozenset()
     crashes_after_head = True
     sends_second_copies = False
     names_calls = True
@@ -337,7 +340,7 @@
             await writer.wait_closed()
         await asyncio.sleep(self.event_interval_seconds)
         await writer.keep_silent(self.silences.get(0, 0))
-        if not self.crashing_parts.isdisjoint(run.list_shared_parts()):
+        if run.target in self.crashing_targets or not self.crashing_parts.isdisjoint(run.list_shared_parts()):
             if self.crashes_after_head:
                 writer.write(encode_stream_head(protocol, run.request_id, True, []))
                 await writer.drain()
