A request that crashes the targets that run it goes to no further ones, whatever kind of service it is for

Cause: the quarantine judged parts that prompts share. A request without such parts had nothing by which it could be judged, and plain services had no evidence at all: only a sidecar could report the end of its engine.

Now the whole request is one more part of it: its fingerprint (method, host, path, query, model, body, credentials). Entries find out themselves whether a target without a sidecar has ended, at once when a run breaks off, and wait for that before they send the call once more. Of two requests that share their crashes (a sound one that was repeated beside the crashing one), none is in quarantine before the third crash. Suspected requests to plain services go to the same target from all entries. Where no sidecar responds, entries tell each other, and an entry that starts asks before it is ready.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -121,7 +121,8 @@
         """Return whether this entry accepts new connections."""
         listed = self.platform.store_prefix in self.replica.complete
         configured = self.configuration.catalog is not None and listed
-        return configured and not self.draining and not self.maintenance.is_shedding()
+        informed = configured and self.peers.crashes.is_ready()
+        return informed and not self.draining and not self.maintenance.is_shedding()
 
     def store_age_seconds(self) -> float:
         """Return the time since the store last answered this entry."""
@@ -163,8 +164,9 @@
         for follower in self.followers:
             supervise(follower.run, f'follow-{follower.prefix}')
         supervise(self.peers.run, 'peers')
-        # Sidecars know all entries; only where there are none do entries need to know of each other.
-        supervise(lambda: self.peers.tell_entries(lambda: not self.fleet.links), 'entries')
+        # Sidecars know all entries; only where none responds do entries need to know of each other.
+        supervise(lambda: self.peers.tell_entries(lambda: not self.fleet.quarantine.has_sidecar()), 'entries')
+        supervise(self.peers.crashes.run, 'crashes')
         supervise(self.maintenance.run, 'upkeep')
         supervise(self.fleet.quarantine.run, 'quarantine')
 
@@ -215,6 +217,7 @@
             self.hello,
             lambda: list(self.settings.seeds),
             self.configuration,
+            self.fleet.quarantine,
         )
         self.fleet.limits.list_entries = self.peers.entries.list_running
 
@@ -232,7 +235,9 @@
             'sidecars_up': lambda: sum(link.is_up() for link in self.fleet.links.values()),
             'shedding_callers': lambda: int(self.maintenance.is_shedding()),
             'tasks_restarted': lambda: self.application.restarted_tasks,
-            'prompts_in_quarantine': lambda: len(self.fleet.quarantine.evidence.culprits),
+            'prompts_in_quarantine': lambda: self.fleet.quarantine.evidence.count_culprits(requests=False),
+            'requests_in_quarantine': lambda: self.fleet.quarantine.evidence.count_culprits(requests=True),
+            'requests_refused_by_quarantine': lambda: self.fleet.quarantine.refused,
             'engine_crashes_known': lambda: len(self.fleet.quarantine.evidence.crashes),
             'store_revision': lambda: self.replica.revision.number,
             'store_era': lambda: self.replica.era,
--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -101,11 +101,7 @@
             result = await self._send_and_receive(call_state, exchange, reservation, delivery)
             if isinstance(result, MaybeRan) and exchange.has_connection_ended():
                 _log_broken_run(exchange, result)
-            if call_state.adapter_key():
-                link = self.fleet.find_link(target)
-                call_state.broke_off_unproven = self.fleet.quarantine.record_attempt(
-                    exchange, result, exchange.suspected_parts, link
-                )
+            self.fleet.quarantine.record_attempt(call_state, exchange, result, self.fleet.find_link(target))
             return result
 
     async def _reserve(self, call_state: CallState, target: Target, reservation: Reservation) -> NotRun | None:
@@ -225,7 +221,7 @@
     def _record_sent(self, call_state: CallState, exchange: Exchange, delivery: Delivery) -> None:
         if call_state.send_count:
             self.budget_for(call_state.service).spend(BOOT_CLOCK.monotonic())
-        exchange.suspected_parts = self.fleet.quarantine.find_suspected(call_state.call.prompt_parts)
+        exchange.suspected_parts = self.fleet.quarantine.find_suspected(call_state.call)
         call_state.record_sent(exchange.target)
         if delivery.predecessor is not None:
             delivery.predecessor.record_sent(resumes=call_state.has_events())
@@ -246,8 +242,7 @@
 
         async def has_target_ended() -> bool:
             """Return whether the target ended together with its answer."""
-            link = self.fleet.find_link(target)
-            return await self.fleet.quarantine.has_target_ended(exchange, exchange.suspected_parts, link)
+            return await self.fleet.quarantine.has_target_ended(exchange, self.fleet.find_link(target))
 
         head = await _read_head(exchange, _silence_timeout(call_state, target), seek_successor, delivery)
         if head is None:
@@ -307,7 +302,7 @@
     record = exchange.target.record
     logger.bind(
         request_id=exchange.call.request_id,
-        fingerprint=exchange.call.fingerprint,
+        fingerprint=exchange.call.identify(),
         target=record.name,
         started_ms=record.started_ms,
         ran_ms=round((BOOT_CLOCK.monotonic() - exchange.sent_at) * MS_PER_SECOND),
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -1,5 +1,6 @@
 """Progress of one call: attempts, known outcome and position in its answer."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from tamarackfield.core.outcome import Outcome
@@ -70,7 +71,10 @@
     used_connections : list of TargetConnection
         Connections on which the call was sent.
     broke_off_unproven : bool
-        Whether the last run broke off before it had shown that its prompt does not crash its target.
+        Whether the last run broke off before it had shown that the request does not crash its target.
+    end_check : Future or None
+        Done once it was found out whether the target of the last run, which broke off, has ended; None if its sidecar
+        finds that out.
     is_probe : bool
         Whether it is sent although engines crash on its prompt, to find out whether they still do.
     """
@@ -102,6 +106,7 @@
     partial_event_bytes: int = 0
     used_connections: list[TargetConnection] = field(default_factory=list)
     broke_off_unproven: bool = False
+    end_check: asyncio.Future[None] | None = None
     is_probe: bool = False
 
     @property
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -12,7 +12,6 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.configuration import Configuration
 from tamarackfield.gateway.dispatch import Dispatcher
-from tamarackfield.gateway.fingerprints import make_fingerprint
 from tamarackfield.gateway.matching import choose_service
 from tamarackfield.gateway.model import Call, Route, Service
 from tamarackfield.observe.prometheus import MetricRegistry
@@ -150,13 +149,13 @@
     """Return the call with its limits applied.
 
     The deadline is at most the time-out of the route after arrival, the prompt length is at most
-    `MAX_PROMPT_TOKENS`, and a call to a plain service has no model, adapter and prompt parts. Its fingerprint is set.
+    `MAX_PROMPT_TOKENS`, and a call to a plain service has no model, adapter and prompt parts.
     """
     deadline = min(call.deadline, call.received_at + route.timeout_seconds)
     bounded = replace(call, deadline=deadline, prompt_tokens=min(call.prompt_tokens, MAX_PROMPT_TOKENS))
     if service is None or service.engine is None:
-        bounded = replace(bounded, model='', adapter='', prompt_parts=())
-    return replace(bounded, fingerprint=make_fingerprint(bounded))
+        return replace(bounded, model='', adapter='', prompt_parts=())
+    return bounded
 
 
 def _no_configuration() -> RequestError:
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -220,15 +220,14 @@
     async def _require_release(self, call_state: CallState) -> None:
         """Raise the error that ends a call if it is in quarantine, or if its repeat may crash a further target."""
         quarantine = self.fleet.quarantine
-        parts = call_state.call.prompt_parts
-        may_repeat_crash = call_state.broke_off_unproven and call_state.route.may_run_again and parts
-        if may_repeat_crash and await quarantine.wait_for_suspicion(parts):
+        may_repeat_crash = call_state.broke_off_unproven and call_state.route.may_run_again
+        if may_repeat_crash and await quarantine.wait_for_suspicion(call_state):
             raise self._make_error(call_state, 'target ended when it began to answer the prompt')
         if call_state.head_sent or call_state.outcome() is not Outcome.NOT_RUN:
             refusal = quarantine.explain_refusal(call_state)
             if refusal:
                 raise self._make_error(call_state, refusal)
-        elif parts:
+        else:
             await quarantine.wait_for_report(call_state)
             quarantine.require_release(call_state)
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -109,7 +109,7 @@
     framing : BodyFraming or None
         Framing of the answer, None before its head.
     suspected_parts : frozenset of str
-        Parts of the prompt that were suspected of a crash when the call was sent.
+        Parts of the request that were suspected of a crash when it was sent.
     first_part_at, last_part_at : float
         Monotonic seconds at which the first and the latest part of the body arrived; 0 before the first.
     end_reported : bool
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -11,9 +11,9 @@
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.facts import make_facts
 from tamarackfield.gateway.links import ManagerLink
-from tamarackfield.gateway.quarantine import PromptQuarantine
+from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.request_limits import RequestLimits
-from tamarackfield.gateway.model import Catalog, Versions
+from tamarackfield.gateway.model import Call, Catalog, Versions
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
@@ -49,23 +49,21 @@
         Deadline of the call, in monotonic seconds.
     prompt_tokens : int
         Length of the prompt in tokens; 0 if it is not known.
-    prompt_parts : sequence of str
-        Parts of the prompt that other requests may have as well.
+    call : Call or None
+        Call that is placed, None if nothing of it may be suspected of a crash.
     """
 
     service: str
     adapter: str
     deadline: float
     prompt_tokens: int = 0
-    prompt_parts: Sequence[str] = ()
+    call: Call | None = None
 
 
 def make_placement(call_state: CallState) -> PlacementRequest:
     """Return the request for the choice of a target for a call."""
     call = call_state.call
-    return PlacementRequest(
-        call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens, call.prompt_parts
-    )
+    return PlacementRequest(call_state.service, call_state.adapter_key(), call.deadline, call.prompt_tokens, call)
 
 
 class Candidates:
@@ -132,7 +130,7 @@
         self.catalog: Catalog | None = None
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.quarantine = PromptQuarantine(application, self.links.values)
+        self.quarantine = RequestQuarantine(application, self.links.values)
         self.limits = RequestLimits(directory, self.links, hello)
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
@@ -205,15 +203,13 @@
         if not healthy:
             return None
         views = [target.view for target in healthy]
-        if placement.adapter:
-            candidates = Candidates(views, self.ring_of(placement.service))
-            isolated_part = self.quarantine.find_isolated_part(placement.prompt_parts)
+        isolated_part = self.quarantine.find_isolated_part(placement.call) if placement.call else ''
+        if isolated_part:
+            view = next(iter(Candidates(views, self.ring_of(placement.service)).ring_order(isolated_part)))
+        elif placement.adapter:
             request = RoutingRequest(placement.adapter, self.zone, now, placement.deadline, placement.prompt_tokens)
-            view = (
-                next(iter(candidates.ring_order(isolated_part)))
-                if isolated_part
-                else choose_by_cost(request, candidates, self.rng, _COST_WEIGHTS)
-            )
+            candidates = Candidates(views, self.ring_of(placement.service))
+            view = choose_by_cost(request, candidates, self.rng, _COST_WEIGHTS)
         else:
             view = choose_service_target(views, self.zone, self.rng)
         return next(target for target in healthy if target.view is view)
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -1,11 +1,15 @@
 """Data model of the gateway: routes, services, targets and calls."""
 
+import itertools
 from dataclasses import dataclass, field
 
 from tamarackfield.core import Address
+from tamarackfield.policy.fingerprints import make_fingerprint
 
 #: Longest pause between two events of a stream, in seconds, if the configuration states none.
 DEFAULT_PAUSE_SECONDS = 0.3
+#: Headers by which callers identify themselves, in lower case.
+_CREDENTIAL_HEADERS = frozenset((b'authorization', b'cookie', b'x-api-key'))
 
 HeaderLines = list[tuple[bytes, bytes]]
 
@@ -196,7 +200,7 @@
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may have as well, in their order.
     fingerprint : str
-        Equal for requests of one caller that ask for the same; empty if it is not known.
+        What `identify` returned; empty before.
     """
 
     request_id: str
@@ -214,6 +218,29 @@
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
 
+    def identify(self) -> str:
+        """Return the fingerprint of the request, equal for requests of one caller that ask for the same.
+
+        Header lines other than those that identify the caller differ between attempts and are not compared.
+
+        Examples
+        --------
+        >>> from tamarackfield.gateway.tests.samples import make_call
+        >>> make_call('r1').identify() == make_call('r2').identify()
+        True
+        >>> make_call(body=b'1').identify() == make_call(body=b'2').identify()
+        False
+        """
+        if not self.fingerprint:
+            names = (self.method, self.host.lower(), self.target, self.model, self.adapter)
+            credentials = sorted(
+                (name.lower(), text) for name, text in self.headers if name.lower() in _CREDENTIAL_HEADERS
+            )
+            self.fingerprint = make_fingerprint(
+                (*(name.encode() for name in names), *itertools.chain.from_iterable(credentials), self.body)
+            )
+        return self.fingerprint
+
 
 @dataclass(slots=True)
 class AnswerHead:
--- a/tamarackfield/gateway/peers.py
+++ b/tamarackfield/gateway/peers.py
@@ -11,11 +11,14 @@
 from tamarackfield.core.steps import in_steps
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.gateway.configuration import Configuration
+from tamarackfield.gateway.crash_exchange import CrashExchange
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE, Follower
 from tamarackfield.gateway.known_entries import ROUND_SECONDS, EntryDirectory
+from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.replica import Item, Replica
 from tamarackfield.gateway.request_limits import EntryGates
 from tamarackfield.gateway.revisions import MAX_NUMBER, Revision, unpack_revision
+from tamarackfield.wire.crash_reports import AskCrashes
 from tamarackfield.wire.known_entries import AskEntries, KnownEntries
 from tamarackfield.wire.messages import Hello, Message
 from tamarackfield.wire.request_limits import AskPermit
@@ -45,6 +48,8 @@
         Returns the addresses of some peers.
     configuration : Configuration
         Configuration, versions and targets as this process knows them.
+    quarantine : RequestQuarantine
+        Crashes of targets that this process knows.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         hello: Callable[[], Hello],
         seeds: Callable[[], list[Address]],
         configuration: Configuration,
+        quarantine: RequestQuarantine,
     ) -> None:
         """Store the collaborators."""
         self.configuration = configuration
@@ -65,6 +71,7 @@
         self.answering = asyncio.Lock()
         self.gates = EntryGates()
         self.entries = EntryDirectory('', seeds)
+        self.crashes = CrashExchange(quarantine, self.entries, hello)
         self.rng = random.Random()  # noqa: S311 draws peers
 
     async def listen(self, host: str, port: int) -> None:
@@ -82,7 +89,7 @@
         try:
             async with time_limit(ANSWER_TIMEOUT_SECONDS):
                 await stream.exchange_hellos(self.hello())
-                query = await stream.receive()
+                query = await self.crashes.receive(stream)
                 if isinstance(query, AskPermit):
                     stream.send(await self.gates.wait_for_answer(query))
                 async with self.answering:
@@ -98,6 +105,8 @@
     def _send_answer(self, stream: PeerStream, query: Message) -> None:
         if isinstance(query, AskEntries):
             stream.send(self.entries.answer(query))
+        elif isinstance(query, AskCrashes):
+            self.crashes.answer(stream, query)
         elif isinstance(query, AskBeliefs):
             stream.send(self.build_beliefs())
         elif isinstance(query, AskItems) and unpack_revision(query.revision) < self.replica.revision:
@@ -105,7 +114,7 @@
 
     async def run(self) -> None:
         """Ask peers for what the store may not know, then for items while it is down; never return."""
-        await self._ask_seeds(AskBeliefs())
+        await asyncio.gather(self._ask_seeds(AskBeliefs()), self.crashes.ask(self.seeds()))
         while True:
             await asyncio.sleep(QUERY_INTERVAL_SECONDS * random.uniform(MIN_JITTER_SHARE, 1))
             if self._is_store_down():
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -1,21 +1,24 @@
-"""Quarantine of requests whose prompts crash engines: what this entry knows, and its exchange with the sidecars.
+"""Quarantine of requests on which targets crash: what this entry knows, and its exchange with other processes.
 
-A sidecar reports the end of its engine to all entries, and passes on what they report. Each entry tells every
+A sidecar reports the end of its engine to all entries, and passes on what they report. An entry finds out itself
+whether a target without a sidecar has ended. Each entry tells every
 sidecar what it knows, so that a process that starts hears of it from any that lives, before a request is granted.
+Where no sidecar responds, entries tell each other (`tamarackfield.gateway.peers`).
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Application, RequestError
+from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, Application, RequestError
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.core.time_limits import listen_for
+from tamarackfield.core.time_limits import listen_for, wait_within
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.gateway.model import Call
 from tamarackfield.policy.probe_gate import ProbeGate
 from tamarackfield.policy.quarantine import (
     PROOF_SECONDS,
@@ -37,13 +40,16 @@
 #: Seconds for which the end of an answer without framing waits for word of the end of its target; a busy sidecar may
 #: be late, and the caller has all events by then.
 END_CHECK_SECONDS = 0.5
-#: Attempts to connect to a target whose sidecar does not respond, and seconds between two of them, to find out
+#: Attempts to connect to a target without a sidecar that responds, and seconds between two of them, to find out
 #: whether it has ended.
 END_CHECKS = 3
 END_CHECK_INTERVAL_SECONDS = 0.1
+#: Size limit, in bytes, of the bodies of requests whose runs are remembered while no target has crashed: hashing one
+#: takes 20 microseconds.
+MAX_REMEMBERED_BYTES = 16_384
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """Crashes that this entry knows of, and the requests that it does not send because of them.
 
     Parameters
@@ -52,6 +58,13 @@
         Owns the tasks that find out whether a target has ended.
     list_links : callable
         Returns the links to all sidecars.
+
+    Attributes
+    ----------
+    refused : int
+        Number of requests that were not sent.
+    tell_entries : callable
+        Tells other entries of the crashes if no sidecar can.
     """
 
     def __init__(self, application: Application, list_links: Callable[[], Iterable[ManagerLink]]) -> None:
@@ -61,6 +74,8 @@
         self.evidence = Quarantine()
         self.gate = ProbeGate(BOOT_CLOCK.monotonic())
         self.changed = asyncio.Event()
+        self.refused = 0
+        self.tell_entries: Callable[[], Awaitable[None]] = _tell_nobody
 
     def attach(self, link: ManagerLink) -> None:
         """Exchange crashes with the sidecar of a new link."""
@@ -69,12 +84,17 @@
 
     def find_culprit(self, call_state: CallState) -> Culprit | None:
         """Return the culprit because of which a call is not sent, None if it may be sent."""
-        return None if call_state.is_probe else self.evidence.find_culprit(call_state.call.prompt_parts)
+        if call_state.is_probe or not self.evidence.culprits:
+            return None
+        return self.evidence.find_culprit(self.list_parts(call_state.call))
 
     def explain_refusal(self, call_state: CallState) -> str:
         """Return why a call may not be sent, empty if it may."""
         culprit = self.find_culprit(call_state)
-        return '' if culprit is None else f'engines crash on prompt part {culprit.label()}'
+        if culprit is None:
+            return ''
+        reason = 'targets crash on' if culprit.is_request() else 'engines crash on prompt part'
+        return f'{reason} {culprit.label()}'
 
     def require_release(self, call_state: CallState) -> None:
         """Let a call pass that is not in quarantine, or that is sent as a probe.
@@ -86,95 +106,112 @@
             settled; until then, it says when that will be.
         """
         now = BOOT_CLOCK.monotonic()
-        self.evidence.record_request(call_state.call.prompt_parts)
+        if call_state.call.prompt_parts:
+            self.evidence.record_request(call_state.call.prompt_parts)
         culprit = self.find_culprit(call_state)
         if culprit is None:
             self.gate.record_sent()
             return
-        if self.gate.admit_probe(now):
+        # A request that crashes targets is not one of many that may be refused wrongly.
+        if not culprit.is_request() and self.gate.admit_probe(now):
             call_state.is_probe = True
             logger.bind(request_id=call_state.call.request_id, culprit=culprit.label()).warning('quarantine_probe')
             return
+        self.refused += 1
         settled = culprit.is_settled(now)
         raise RequestError(
             self.explain_refusal(call_state),
             step='quarantine',
             status=HTTPStatus.BAD_REQUEST if settled else HTTPStatus.SERVICE_UNAVAILABLE,
-            code='prompt_in_quarantine',
+            code='request_in_quarantine' if culprit.is_request() else 'prompt_in_quarantine',
             retry_after=0 if settled else SETTLED_SECONDS,
         )
 
-    def find_suspected(self, parts: Iterable[str]) -> frozenset[str]:
-        """Return those parts that are suspected of a crash."""
-        return self.evidence.suspects.intersection(parts)
+    def list_parts(self, call: Call) -> tuple[str, ...]:
+        """Return what may be suspected of a crash: the shared parts of a prompt, and the request as a whole."""
+        return (*call.prompt_parts, call.identify())
+
+    def find_suspected(self, call: Call) -> frozenset[str]:
+        """Return those parts of a call that are suspected of a crash."""
+        return self.evidence.suspects.intersection(self.list_parts(call)) if self.evidence.suspects else frozenset()
 
     def record_crash(self, report: Crash) -> None:
         """Record what a sidecar or this entry knows of a crash."""
         if self.evidence.record_crash(report, BOOT_CLOCK.monotonic()):
             self._announce_change(f'{report.target}/{report.started_ms}')
 
-    def find_isolated_part(self, parts: Iterable[str]) -> str:
-        """Return the part that decides to which target a call with some parts is sent, empty if none does."""
-        return self.evidence.find_isolated_part(parts)
+    def find_isolated_part(self, call: Call) -> str:
+        """Return the part that decides to which target a call is sent, empty if none does.
+
+        A request without shared parts of a prompt is isolated as a whole.
+        """
+        if not self.evidence.suspects:
+            return ''
+        return self.evidence.find_isolated_part(call.prompt_parts or (call.identify(),))
 
     async def wait_for_report(self, call_state: CallState) -> None:
         """Wait until the end of a target would be known that did not run a call with a suspected part."""
-        if call_state.not_run_targets and self.find_isolated_part(call_state.call.prompt_parts):
+        if call_state.not_run_targets and self.find_isolated_part(call_state.call):
             await listen_for(SUSPICION_SECONDS)
 
-    async def wait_for_suspicion(self, parts: Iterable[str]) -> bool:
-        """Wait until the end of a target would be known; return whether parts are suspected of it."""
-        await listen_for(SUSPICION_SECONDS)
-        return bool(self.find_suspected(parts))
+    async def wait_for_suspicion(self, call_state: CallState) -> bool:
+        """Wait until the end of the target of the last run would be known.
+
+        Returns
+        -------
+        bool
+            Whether a part of the prompt is suspected of it. The request as a whole always is, and may be sent once
+            more as long as it is not in quarantine.
+        """
+        if call_state.end_check is None:
+            await listen_for(SUSPICION_SECONDS)
+        else:
+            await wait_within(call_state.end_check, SUSPICION_SECONDS)
+        return not self.evidence.suspects.isdisjoint(call_state.call.prompt_parts)
 
     def record_attempt(
-        self, exchange: Exchange, result: AttemptResult, suspected: frozenset[str], link: ManagerLink | None
-    ) -> bool:
-        """Record what the end of an attempt says of the parts of its prompt.
+        self, call_state: CallState, exchange: Exchange, result: AttemptResult, link: ManagerLink | None
+    ) -> None:
+        """Record what the end of an attempt says of the parts of its request.
 
         Parameters
         ----------
+        call_state : CallState
+            State of the call, which learns whether the run broke off before it had shown that the request does not
+            crash the target.
         exchange : Exchange
             Exchange of the attempt.
         result : AttemptResult
             Result of the attempt.
-        suspected : frozenset of str
-            Parts that were suspected of a crash when it was sent.
         link : ManagerLink or None
             Link to the sidecar of its target.
-
-        Returns
-        -------
-        bool
-            Whether the run broke off before it had shown that its prompt does not crash the target.
         """
         call = exchange.call
         # A crash looks like the end of an answer that ends with its connection.
-        is_clear_end = _is_success(result) and exchange.framing is not BodyFraming.CLOSE
+        is_clear_end = _shows_survival(call, result) and exchange.framing is not BodyFraming.CLOSE
         is_proven = is_clear_end or exchange.wrote_seconds() >= PROOF_SECONDS
         if is_proven:
-            now = BOOT_CLOCK.monotonic()
-            self.gate.record_proof(now)
-            if self.evidence.record_proof(call.prompt_parts, now):
-                self._announce_change(f'request {call.request_id}')
-        may_have_broken_off = isinstance(result, MaybeRan) or (_is_success(result) and not is_proven)
+            self._record_proof(call)
+        may_have_broken_off = isinstance(result, MaybeRan) or (_shows_survival(call, result) and not is_proven)
+        call_state.broke_off_unproven = False
+        call_state.end_check = None
         if not may_have_broken_off or not exchange.has_connection_ended():
-            return False
-        run = _report_end(exchange, suspected, link)
+            return
+        call_state.broke_off_unproven = isinstance(result, MaybeRan) and not is_proven
+        run = self._report_end(exchange, link)
         if link is None or link.is_silent():
             record = exchange.target.record
-            self.application.spawn(self._check_end(run, record.address), f'end-of-{record.name}')
-        return isinstance(result, MaybeRan) and not is_proven
+            call_state.end_check = asyncio.get_running_loop().create_future()
+            check = self._check_end(run, record.address, call_state.end_check)
+            self.application.spawn(check, f'end-of-{record.name}')
 
-    async def has_target_ended(self, exchange: Exchange, suspected: frozenset[str], link: ManagerLink | None) -> bool:
+    async def has_target_ended(self, exchange: Exchange, link: ManagerLink | None) -> bool:
         """Find out whether a target ended together with an answer that only its connection ended.
 
         Parameters
         ----------
         exchange : Exchange
             Exchange whose connection the target closed.
-        suspected : frozenset of str
-            Parts that were suspected of a crash when the call was sent.
         link : ManagerLink or None
             Link to the sidecar of the target.
 
@@ -184,7 +221,7 @@
             True if the sidecar reports the end within `END_CHECK_SECONDS` or, if it does not respond, if the target
             refuses connections.
         """
-        run = _report_end(exchange, suspected, link)
+        run = self._report_end(exchange, link)
         record = exchange.target.record
         if link is None or link.is_silent():
             return await self._record_if_ended(run, record.address)
@@ -192,7 +229,7 @@
         return (record.name, record.started_ms) in self.evidence.crashes
 
     async def run(self) -> None:
-        """Tell the sidecars what has changed; never return."""
+        """Tell the sidecars, or other entries if no sidecar responds, what has changed; never return."""
         while True:
             await self.changed.wait()
             await asyncio.sleep(COLLECT_SECONDS)
@@ -200,15 +237,49 @@
             for crash in list(self.evidence.crashes.values()):
                 for link in self.list_links():
                     link.report_crash(crash)
+            if not self.has_sidecar():
+                await self.tell_entries()
+
+    def has_sidecar(self) -> bool:
+        """Return whether a sidecar responds, which tells the entries of crashes."""
+        return any(not link.is_silent() for link in self.list_links())
+
+    def _record_proof(self, call: Call) -> None:
+        now = BOOT_CLOCK.monotonic()
+        if call.prompt_parts:
+            self.gate.record_proof(now)
+        is_remembered = self.evidence.suspects or len(call.body) <= MAX_REMEMBERED_BYTES
+        parts = self.list_parts(call) if is_remembered else call.prompt_parts
+        if self.evidence.record_proof(parts, now):
+            self._announce_change(f'request {call.request_id}')
+
+    def _report_end(self, exchange: Exchange, link: ManagerLink | None) -> BrokenRun:
+        """Report a run whose connection has ended to the sidecar of its target, once."""
+        record = exchange.target.record
+        run = BrokenRun(
+            record.name,
+            record.started_ms,
+            exchange.call.request_id,
+            exchange.framing is not None,
+            round(exchange.wrote_seconds() * MS_PER_SECOND),
+            list(self.list_parts(exchange.call)),
+            sorted(exchange.suspected_parts),
+        )
+        if link is not None and not exchange.end_reported:
+            exchange.end_reported = link.send_best_effort(run)
+        return run
 
-    async def _check_end(self, run: BrokenRun, address: tuple[str, int]) -> None:
-        """Find out whether a target has ended, and record the crash if it has; its sidecar does not respond."""
+    async def _check_end(self, run: BrokenRun, address: Address, first_check: asyncio.Future[None]) -> None:
+        """Find out whether a target without a sidecar that responds has ended, and record the crash if it has."""
         for _ in range(END_CHECKS):
-            if await self._record_if_ended(run, address):
+            has_ended = await self._record_if_ended(run, address)
+            if not first_check.done():
+                first_check.set_result(None)
+            if has_ended:
                 return
             await asyncio.sleep(END_CHECK_INTERVAL_SECONDS)
 
-    async def _record_if_ended(self, run: BrokenRun, address: tuple[str, int]) -> bool:
+    async def _record_if_ended(self, run: BrokenRun, address: Address) -> bool:
         """Record a crash if no process listens at the address of a target; return whether that is so."""
         has_ended = await _is_refused(address)
         if has_ended:
@@ -226,30 +297,21 @@
         self.changed.set()
 
 
-def _report_end(exchange: Exchange, suspected: frozenset[str], link: ManagerLink | None) -> BrokenRun:
-    """Report a run whose connection has ended to the sidecar of its target, once."""
-    record = exchange.target.record
-    run = BrokenRun(
-        record.name,
-        record.started_ms,
-        exchange.call.request_id,
-        exchange.framing is not None,
-        round(exchange.wrote_seconds() * MS_PER_SECOND),
-        list(exchange.call.prompt_parts),
-        sorted(suspected),
-    )
-    if link is not None and not exchange.end_reported:
-        exchange.end_reported = link.send_best_effort(run)
-    return run
+def _shows_survival(call: Call, result: AttemptResult) -> bool:
+    """Return whether a target that gave an answer has run the request and lives; engines also refuse with errors."""
+    if isinstance(result, Streamed):
+        return True
+    if not isinstance(result, Answered):
+        return False
+    limit = HTTPStatus.MULTIPLE_CHOICES if call.model else HTTPStatus.INTERNAL_SERVER_ERROR
+    return result.head.status < limit
 
 
-def _is_success(result: AttemptResult) -> bool:
-    return isinstance(result, Streamed) or (
-        isinstance(result, Answered) and result.head.status < HTTPStatus.MULTIPLE_CHOICES
-    )
+async def _tell_nobody() -> None:
+    """Do nothing."""
 
 
-async def _is_refused(address: tuple[str, int]) -> bool:
+async def _is_refused(address: Address) -> bool:
     """Return whether no process listens at an address."""
     try:
         connection = await open_connection(address)
--- a/tamarackfield/gateway/tests/samples.py
+++ b/tamarackfield/gateway/tests/samples.py
@@ -1,8 +1,9 @@
 """Sample catalogs, targets and calls for tests and examples."""
 
-from tamarackfield.core import Clock
+from tamarackfield.core import Application, Clock
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.model import BaseModel, Call, Catalog, Engine, Limits, Route, Service, TargetRecord
+from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.policy import TargetView
 
 ENGINE = Engine(8, 4, 1000.0, 4.0, (BaseModel('base', 900.0, 10.0),))
@@ -75,3 +76,8 @@
     """Return a target with its record and view."""
     record = make_target_record(name, service, **changes)
     return Target(record, TargetView(record.name, record.zone, batch=record.batch))
+
+
+def make_quarantine():
+    """Return a quarantine without crashes and sidecars."""
+    return RequestQuarantine(Application('entry'), list)
--- a/tamarackfield/gateway/tests/test_era_machine.py
+++ b/tamarackfield/gateway/tests/test_era_machine.py
@@ -17,7 +17,7 @@
 from tamarackfield.gateway.peers import PeerExchange
 from tamarackfield.gateway.replica import STORE_RECOVERY_SECONDS, HistoryLostError, Item, Page, Replica, StoreError
 from tamarackfield.gateway.revisions import Revision
-from tamarackfield.gateway.tests.samples import ManualTime
+from tamarackfield.gateway.tests.samples import ManualTime, make_quarantine
 
 CONFIG_KEY = 'op/config'
 WORKERS = st.sampled_from(('a', 'b', 'c'))
@@ -126,7 +126,7 @@
         self.configuration = Configuration(decode, self.directory, float)
         self.replica = Replica()
         self.follower = QuickFollower('', store, self.replica, self.configuration.apply_item, clock=time.clock())
-        self.peers = PeerExchange(self.replica, [self.follower], None, list, self.configuration)
+        self.peers = PeerExchange(self.replica, [self.follower], None, list, self.configuration, make_quarantine())
         self.highest_version = 0
 
     def version(self):
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -6,7 +6,7 @@
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.fleet import Fleet, PlacementRequest
 from tamarackfield.gateway.model import Versions
-from tamarackfield.gateway.tests.samples import make_catalog, make_route, make_target_record
+from tamarackfield.gateway.tests.samples import make_call, make_catalog, make_route, make_target_record
 from tamarackfield.policy.quarantine import Crash
 from tamarackfield.wire.messages import Holdings
 from tamarackfield.wire.reservations import EngineReport
@@ -170,10 +170,10 @@
         for number in range(20):
             entry.quarantine.evidence.record_request(('a', f'b{number}'))
         entry.quarantine.evidence.record_crash(Crash('t9', 1, 0, unwritten=frozenset(('a', 'b1'))), 0.0)
-        request = PlacementRequest('models', 'base', 1e9, prompt_parts=('a', 'b1'))
+        request = PlacementRequest('models', 'base', 1e9, call=make_call(prompt_parts=('a', 'b1')))
         chosen.update(entry.choose_target(request, allow_all).record.name for _ in range(20))
     assert len(chosen) == 1
-    request = PlacementRequest('models', 'base', 1e9, prompt_parts=('a', 'b2'))
+    request = PlacementRequest('models', 'base', 1e9, call=make_call(prompt_parts=('a', 'b2')))
     assert len({entries[0].choose_target(request, allow_all).record.name for _ in range(40)}) > 1
 
 
--- a/tamarackfield/gateway/tests/test_known_entries.py
+++ b/tamarackfield/gateway/tests/test_known_entries.py
@@ -13,7 +13,7 @@
 from tamarackfield.gateway.known_entries import MAX_AGE_SECONDS, ROUND_SECONDS, EntryDirectory
 from tamarackfield.gateway.peers import PeerExchange
 from tamarackfield.gateway.replica import Replica
-from tamarackfield.gateway.tests.samples import ManualTime
+from tamarackfield.gateway.tests.samples import ManualTime, make_quarantine
 from tamarackfield.wire.codec import encode
 from tamarackfield.wire.known_entries import AskEntries
 from tamarackfield.wire.messages import Hello
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize('message', [AskEntries(['no address'], [0]), AskEntries(['127.0.0.1:1'], [])])
 async def test_odd_message_of_a_peer_ends_its_connection_only(message):
     configuration = Configuration(lambda item: UnreadableItem('unused'), Directory(), float)
-    exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration)
+    exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration, make_quarantine())
     ours, peer = socket.socketpair()
     with contextlib.closing(peer):
         peer.send(encode(HELLO) + encode(message))
--- a/tamarackfield/gateway/tests/test_long_work.py
+++ b/tamarackfield/gateway/tests/test_long_work.py
@@ -12,6 +12,7 @@
 from tamarackfield.gateway.peers import PeerExchange
 from tamarackfield.gateway.replica import Item, Page, Replica
 from tamarackfield.gateway.revisions import Revision
+from tamarackfield.gateway.tests.samples import make_quarantine
 from tamarackfield.wire.codec import encode
 from tamarackfield.wire.messages import Hello
 from tamarackfield.wire.reservations import AskBeliefs
@@ -77,7 +78,7 @@
 async def test_event_loop_runs_between_the_answers_to_peers(monkeypatch):
     counter = PassCounter()
     configuration = Configuration(lambda item: UnreadableItem('unused'), Directory(), float)
-    exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration)
+    exchange = PeerExchange(Replica(), [], lambda: HELLO, list, configuration, make_quarantine())
     answered_at = []
     build = exchange.build_beliefs
 
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -10,7 +10,7 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.exchange import Answered, MaybeRan, Streamed
 from tamarackfield.gateway.model import AnswerHead
-from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, PromptQuarantine
+from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, RequestQuarantine
 from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_state
 from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
 from tamarackfield.web.connection import BodyFraming
@@ -39,10 +39,11 @@
 
 def end_attempt(result, wrote_seconds=0.0, connection_ended=False, framing=BodyFraming.CHUNKED):
     """Return what a quarantine with one suspected part makes of the end of an attempt with it."""
-    quarantine = PromptQuarantine(Application('e'), list)
+    quarantine = RequestQuarantine(Application('e'), list)
     quarantine.record_crash(Crash('t9', 1, 0, unwritten=SUSPECT))
     exchange = SimpleNamespace(
-        call=make_call(prompt_parts=('p',)),
+        call=make_call(model='base', prompt_parts=('p',)),
+        suspected_parts=frozenset(),
         target=make_target_state(),
         framing=framing,
         wrote_seconds=lambda: wrote_seconds,
@@ -50,8 +51,9 @@
         has_connection_ended=lambda: connection_ended,
     )
     link = RecordingLink()
-    broke_off_unproven = quarantine.record_attempt(exchange, result, frozenset(), link)
-    return quarantine.evidence.suspects, broke_off_unproven, len(link.runs)
+    call_state = CallState(exchange.call, make_route(), 'models', 1)
+    quarantine.record_attempt(call_state, exchange, result, link)
+    return quarantine.evidence.suspects, call_state.broke_off_unproven, len(link.runs)
 
 
 @pytest.mark.parametrize('result', [Streamed(), make_answer(200)])
@@ -88,7 +90,7 @@
 
 
 async def test_call_with_a_suspected_part_that_a_lost_target_did_not_run_waits_for_the_report():
-    quarantine = PromptQuarantine(Application('e'), list)
+    quarantine = RequestQuarantine(Application('e'), list)
     for _ in range(20):
         quarantine.evidence.record_request('a')
     quarantine.record_crash(Crash('t8', 1, 0, unwritten=SUSPECT))
@@ -102,7 +104,7 @@
 
 async def test_report_that_arrived_while_the_process_stood_still_is_read_before_the_call_goes_on():
     loop = asyncio.get_running_loop()
-    quarantine = PromptQuarantine(Application('e'), list)
+    quarantine = RequestQuarantine(Application('e'), list)
     for _ in range(20):
         quarantine.evidence.record_request('a')
     quarantine.record_crash(Crash('t8', 1, 0, unwritten=SUSPECT))
--- a/tamarackfield/gateway/tests/test_redirects.py
+++ b/tamarackfield/gateway/tests/test_redirects.py
@@ -4,7 +4,7 @@
 from tamarackfield.gateway.call_state import MAX_REDIRECTS, CallState
 from tamarackfield.gateway.dispatch import Dispatcher
 from tamarackfield.gateway.exchange import NotRun, Streamed
-from tamarackfield.gateway.quarantine import PromptQuarantine
+from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_state
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 
@@ -14,7 +14,7 @@
 
     def __init__(self, names):
         self.targets = [make_target_state(name, 'models') for name in names]
-        self.quarantine = PromptQuarantine(Application('e'), list)
+        self.quarantine = RequestQuarantine(Application('e'), list)
 
     def choose_target(self, placement, allowed):
         """Return the first allowed target."""
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -1,8 +1,12 @@
-"""Quarantine of prompt parts on which engines crash.
+"""Quarantine of requests on which targets crash: by a part of their prompt, or as a whole.
 
-Load pattern: requests with one part in their prompts crash each engine that begins to answer them. They come at
-any entry, and share their other parts with sound requests, which run at the same engines when these end. Without
-a quarantine each such request costs an engine, and the streams of all others on it.
+Load patterns: requests with one part in their prompts crash each engine that begins to answer them. They come at
+any entry, and share their other parts with sound requests, which run at the same engines when these end. Or one
+request crashes each target of any kind, and comes again at any entry; sound requests that break off with it are
+sent once more, and may break off with it again. Without
+a quarantine each such request costs a target, and the runs of all others on it.
+
+The whole request is one more part of it, its fingerprint, which no other request has.
 
 A crash makes suspects of the parts of those runs that had written nothing or only for a moment. A part is cleared
 of a crash by a run with it that wrote for longer, at any entry. A part that stays suspect in several crashes, one
@@ -19,6 +23,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from tamarackfield.policy.fingerprints import is_fingerprint, make_fingerprint
 from tamarackfield.policy.isolation import RequestCounts
 
 #: Time in seconds for which a run writes until it has shown that its prompt does not crash the engine. The engines
@@ -30,6 +35,8 @@
 CULPRIT_SCORE = 6
 #: Number of crashes that two parts must share, so that one may have caused what counts against the other.
 MIN_SHARED_CRASHES = 2
+#: Number of crashes from which a request is a culprit although another one shares all of them.
+MAX_CONTESTED_CRASHES = 3
 #: Seconds before a crash within which a run with a part clears the part of it.
 RECENT_PROOF_SECONDS = 5.0
 #: Seconds for which a crash that no culprit explains is remembered.
@@ -111,6 +118,11 @@
             return UNWRITTEN_SCORE
         return BRIEF_SCORE if part in self.brief else 0
 
+    def sort_parts(self) -> tuple[object, ...]:
+        """Return all fields, with the parts in order."""
+        sets = (self.unwritten, self.brief, self.suspected, self.cleared)
+        return (*self.key(), self.ended_ms, *(sorted(parts) for parts in sets))
+
     def merge(self, other: 'Crash') -> 'Crash':
         """Return what two reports of the crash say together."""
         return Crash(
@@ -146,6 +158,10 @@
         """Return whether what might clear it would have been heard of."""
         return now >= self.found_at + SETTLED_SECONDS
 
+    def is_request(self) -> bool:
+        """Return whether it is a whole request."""
+        return any(is_fingerprint(part) for part in self.parts)
+
     def label(self) -> str:
         """Return the parts as text."""
         return '+'.join(sorted(self.parts))
@@ -232,7 +248,7 @@
         self.scores: Counter[str] = Counter()
         # Monotonic seconds at which each crash was learnt.
         self.learnt_at: dict[CrashKey, float] = {}
-        # Monotonic seconds of the latest run that proved each part, the latest last.
+        # Monotonic seconds of the latest run that proved each part lately, the latest last.
         self.proven_at: OrderedDict[str, float] = OrderedDict()
         self.requests = RequestCounts()
 
@@ -269,8 +285,7 @@
         for part in proven:
             self.proven_at[part] = now
             self.proven_at.move_to_end(part)
-        while len(self.proven_at) > MAX_PROVEN_PARTS:
-            self.proven_at.popitem(last=False)
+        self._forget_old_proofs(now)
         if self.suspects.isdisjoint(proven):
             return False
         for key, crash in self.crashes.items():
@@ -285,6 +300,15 @@
         present = frozenset(parts)
         return next((culprit for culprit in self.culprits if culprit.parts <= present), None)
 
+    def count_culprits(self, requests: bool) -> int:
+        """Return the number of culprits that are whole requests, or of those that are not."""
+        return sum(culprit.is_request() is requests for culprit in self.culprits)
+
+    def make_digest(self) -> str:
+        """Return a digest of all crashes, equal for processes that know the same."""
+        fields = sorted(repr(crash.sort_parts()).encode() for crash in self.crashes.values())
+        return make_fingerprint(fields)
+
     def find_isolated_part(self, parts: Iterable[str]) -> str:
         """Return the part that decides to which engine a request with some parts is sent, empty if none does."""
         return self.requests.find_isolated_part(parts, self.scores) if self.scores else ''
@@ -293,6 +317,14 @@
         earliest = now - RECENT_PROOF_SECONDS
         return frozenset(part for part in parts if self.proven_at.get(part, -math.inf) > earliest)
 
+    def _forget_old_proofs(self, now: float) -> None:
+        """Forget proofs that clear no part of a further crash, and the earliest ones beyond the limit."""
+        while self.proven_at:
+            part, proven_at = next(iter(self.proven_at.items()))
+            if len(self.proven_at) <= MAX_PROVEN_PARTS and now - proven_at < RECENT_PROOF_SECONDS:
+                return
+            self.proven_at.pop(part)
+
     def _forget_old_crashes(self, now: float) -> None:
         """Forget crashes that no culprit explains after a time, and the earliest ones beyond the limit."""
         explained = {key for culprit in self.culprits for key in culprit.crashes}
@@ -320,21 +352,34 @@
 def _find_culprit(crashes: dict[CrashKey, Crash], request_counts: Counter[str]) -> Culprit | None:
     scores = _sum_scores(crashes.values())
     repeated = _union(crash.suspected & crash.suspects() for crash in crashes.values())
-    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE]
+    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE and not _is_contested(crashes, part)]
     if not eligible:
         return None
     best = max(eligible, key=lambda part: (scores[part], -request_counts[part], part))
     keys = tuple(key for key, crash in crashes.items() if best in crash.suspects())
-    rivals = [
+    rivals = {
         part
         for part in scores
         if _count_crashes_with(crashes, best, part) >= MIN_SHARED_CRASHES
         and _score_without(crashes, best, part) < CULPRIT_SCORE
-        and not (scores[part] < scores[best] and request_counts[part] >= request_counts[best])
-    ]
+        and not (scores[part] < scores[best] and (is_fingerprint(part) or request_counts[part] >= request_counts[best]))
+    }
+    # No request is two others as well.
+    requests = [part for part in rivals if is_fingerprint(part)]
+    if len(requests) > 1 or is_fingerprint(best):
+        rivals.difference_update(requests)
     return Culprit(frozenset((best, *rivals)), keys)
 
 
+def _is_contested(crashes: dict[CrashKey, Crash], part: str) -> bool:
+    """Return whether a part is a whole request, and another one may have caused its crashes as well."""
+    if not is_fingerprint(part):
+        return False
+    suspects = [crash.suspects() for crash in crashes.values() if part in crash.suspects()]
+    in_all = frozenset.intersection(*suspects)
+    return len(suspects) < MAX_CONTESTED_CRASHES and any(is_fingerprint(other) for other in in_all - {part})
+
+
 def _sum_scores(crashes: Iterable[Crash]) -> Counter[str]:
     scores: Counter[str] = Counter()
     for crash in crashes:
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -317,7 +317,7 @@
             await self._execute(protocol, writer, run, fault)
             run.sound = run.finished and not fault
         except OSError:
-            run.sound = not fault and self.server is server and server.is_serving()
+            run.sound = not fault and server is not None and self.server is server and server.is_serving()
             raise
         finally:
             self.running.discard(run.request_id)
--- a/tamarackfield/wire/crash_reports.py
+++ b/tamarackfield/wire/crash_reports.py
@@ -14,8 +14,8 @@
 
     ``target`` and ``started_ms`` identify the incarnation that ran it, ``label`` is the caller's request id.
     ``has_begun`` is whether the head of the answer arrived, ``wrote_ms`` the time from the first part of its body
-    to the last. ``parts`` are the ids of the parts of its prompt that other requests may have as well, ``suspected``
-    those that had been suspected of a crash when it was sent.
+    to the last. ``parts`` are the ids of the parts of its prompt that other requests may have as well, and the
+    fingerprint of the request, ``suspected`` those that had been suspected of a crash when it was sent.
     """
 
     kind = 70
@@ -32,7 +32,7 @@
 class CrashReport(Message):
     """The end of an engine amid runs, as far as the sender knows it (`tamarackfield.policy.quarantine.Crash`).
 
-    The lists have the ids of parts of prompts.
+    The lists have the ids of parts of prompts, and fingerprints of requests.
     """
 
     kind = 71
@@ -45,6 +45,25 @@
     cleared: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class AskCrashes(Message):
+    """Question of an entry to another one for the crashes that it knows, sent after those that it knows itself.
+
+    ``digest`` is that of all crashes that the sender knows. The answer is a `CrashReport` for each crash, none if both
+    know the same, and `CrashesTold`.
+    """
+
+    kind = 79
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesTold(Message):
+    """End of an answer to `AskCrashes`."""
+
+    kind = 80
+
+
 def encode_crash(crash: Crash) -> CrashReport:
     """Return the message that reports a crash."""
     lists = [sorted(parts) for parts in (crash.unwritten, crash.brief, crash.suspected, crash.cleared)]
@@ -64,6 +83,8 @@
 
 
 #: Message types of this module by kind.
-CRASH_REPORT_TYPES = {message_type.kind: message_type for message_type in (BrokenRun, CrashReport)}
+CRASH_REPORT_TYPES = {
+    message_type.kind: message_type for message_type in (BrokenRun, CrashReport, AskCrashes, CrashesTold)
+}
 
 register_message_types(CRASH_REPORT_TYPES)
