Crash evidence: parts of a crash are indexed once, reports of entries meet at one sidecar, late clearances wait

That a request of a single crash turned out sound is told with the next change: each message of an entry goes to all sidecars and from these to all entries. Reports of one plain target go first to the sidecar that all entries choose for it.

--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -28,6 +28,7 @@
     Quarantine,
     make_crash,
 )
+from tamarackfield.policy.ring import order_by_rendezvous
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import BodyFraming
 from tamarackfield.web.pool import open_connection
@@ -45,7 +46,7 @@
 END_CHECKS = 3
 END_CHECK_INTERVAL_SECONDS = 0.1
 #: Size limit, in bytes, of the bodies of requests whose runs are remembered while no target has crashed: hashing one
-#: takes 20 microseconds.
+#: takes some 30 microseconds.
 MAX_REMEMBERED_BYTES = 16_384
 
 
@@ -283,9 +284,17 @@
         """Record a crash if no process listens at the address of a target; return whether that is so."""
         has_ended = await _is_refused(address)
         if has_ended:
-            self.record_crash(make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)]))
+            crash = make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)])
+            self.record_crash(crash)
+            self._tell_first_sidecar(crash)
         return has_ended
 
+    def _tell_first_sidecar(self, crash: Crash) -> None:
+        """Tell the sidecar that all entries choose for a target, so that their reports meet there first."""
+        links = {link.address[0]: link for link in self.list_links() if not link.is_silent()}
+        for host in order_by_rendezvous(crash.target, links)[:1]:
+            links[host].report_crash(self.evidence.crashes[crash.key()])
+
     def _announce_change(self, source: str) -> None:
         evidence = self.evidence
         logger.bind(
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -280,18 +280,27 @@
         return True
 
     def record_proof(self, parts: Iterable[str], now: float) -> bool:
-        """Record that a run with some parts wrote for `PROOF_SECONDS`; return whether that clears one of them."""
+        """Record that a run with some parts has shown that they crash no target.
+
+        Returns
+        -------
+        bool
+            Whether others have to know at once. That a request of one crash is sound matters with the next one.
+        """
         proven = frozenset(parts)
         for part in proven:
             self.proven_at[part] = now
             self.proven_at.move_to_end(part)
         self._forget_old_proofs(now)
-        if self.suspects.isdisjoint(proven):
+        cleared = self.suspects & proven
+        if not cleared:
             return False
+        is_news = any(not is_fingerprint(part) or self.scores[part] > UNWRITTEN_SCORE for part in cleared)
         for key, crash in self.crashes.items():
-            self.crashes[key] = replace(crash, cleared=crash.cleared | (crash.suspects() & proven))
+            if not cleared.isdisjoint(crash.suspects()):
+                self.crashes[key] = replace(crash, cleared=crash.cleared | (crash.suspects() & proven))
         self._update(now)
-        return True
+        return is_news
 
     def find_culprit(self, parts: Iterable[str]) -> Culprit | None:
         """Return the culprit because of which a request with some parts is in quarantine, None if it is not."""
@@ -350,34 +359,43 @@
 
 
 def _find_culprit(crashes: dict[CrashKey, Crash], request_counts: Counter[str]) -> Culprit | None:
+    by_part = _index_crashes(crashes)
     scores = _sum_scores(crashes.values())
     repeated = _union(crash.suspected & crash.suspects() for crash in crashes.values())
-    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE and not _is_contested(crashes, part)]
+    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE and not _is_contested(by_part, part)]
     if not eligible:
         return None
     best = max(eligible, key=lambda part: (scores[part], -request_counts[part], part))
-    keys = tuple(key for key, crash in crashes.items() if best in crash.suspects())
+    keys = by_part[best]
     rivals = {
         part
-        for part in scores
-        if _count_crashes_with(crashes, best, part) >= MIN_SHARED_CRASHES
-        and _score_without(crashes, best, part) < CULPRIT_SCORE
+        for part in _union(crashes[key].suspects() for key in keys) - {best}
+        if len(by_part[part] & keys) >= MIN_SHARED_CRASHES
+        and sum(crashes[key].score(best) for key in keys - by_part[part]) < CULPRIT_SCORE
         and not (scores[part] < scores[best] and (is_fingerprint(part) or request_counts[part] >= request_counts[best]))
     }
     # No request is two others as well.
     requests = [part for part in rivals if is_fingerprint(part)]
     if len(requests) > 1 or is_fingerprint(best):
         rivals.difference_update(requests)
-    return Culprit(frozenset((best, *rivals)), keys)
+    return Culprit(frozenset((best, *rivals)), tuple(key for key in crashes if key in keys))
 
 
-def _is_contested(crashes: dict[CrashKey, Crash], part: str) -> bool:
+def _is_contested(by_part: dict[str, set[CrashKey]], part: str) -> bool:
     """Return whether a part is a whole request, and another one may have caused its crashes as well."""
-    if not is_fingerprint(part):
+    keys = by_part[part]
+    if not is_fingerprint(part) or len(keys) >= MAX_CONTESTED_CRASHES:
         return False
-    suspects = [crash.suspects() for crash in crashes.values() if part in crash.suspects()]
-    in_all = frozenset.intersection(*suspects)
-    return len(suspects) < MAX_CONTESTED_CRASHES and any(is_fingerprint(other) for other in in_all - {part})
+    return any(is_fingerprint(other) and keys <= by_part[other] for other in by_part.keys() - {part})
+
+
+def _index_crashes(crashes: dict[CrashKey, Crash]) -> dict[str, set[CrashKey]]:
+    """Return the keys of the crashes of which each part is a suspect."""
+    by_part: dict[str, set[CrashKey]] = {}
+    for key, crash in crashes.items():
+        for part in crash.suspects():
+            by_part.setdefault(part, set()).add(key)
+    return by_part
 
 
 def _sum_scores(crashes: Iterable[Crash]) -> Counter[str]:
@@ -387,15 +405,5 @@
     return scores
 
 
-def _count_crashes_with(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
-    """Return the number of crashes of which two parts are suspects."""
-    return sum({part, other} <= crash.suspects() for crash in crashes.values())
-
-
-def _score_without(crashes: dict[CrashKey, Crash], part: str, other: str) -> int:
-    """Return the score of a part in the crashes of which another one is not a suspect."""
-    return sum(crash.score(part) for crash in crashes.values() if other not in crash.suspects())
-
-
 def _union(sets: Iterable[Parts]) -> Parts:
     return frozenset().union(*sets)
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -23,7 +23,7 @@
 
 #: Crashes up to the one from which on requests with the part may reach only three more workers.
 MAX_CRASHES_BEFORE_QUARANTINE = 5
-PARTS = st.frozensets(st.sampled_from('abcp'), max_size=3)
+PARTS = st.frozensets(st.sampled_from(('a', 'b', 'p', 'request,1', 'request,2')), max_size=3)
 CRASHES = st.lists(
     st.builds(Crash, st.sampled_from(('t1', 't2', 't3')), st.integers(1, 2), st.just(7), PARTS, PARTS, PARTS, PARTS),
     max_size=8,
