One probe of a quarantine is enough for all entries

What callers would see: entries that refuse nearly all requests probe each on its own, and each probe of a part that still crashes engines costs one: 8 each in 300 s, 40, 216 and 544 by 5, 27 and 68 entries, where three in all are allowed.

Cause: the gate of each entry knew nothing of the probes of others. A request that crashes targets as a whole is never probed. An entry that starts may probe once more.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -219,6 +219,7 @@
             self.configuration,
             self.fleet.quarantine,
         )
+        self.fleet.quarantine.count_entries = lambda: max(self.fleet.entries, len(self.peers.entries.list_running()))
         self.fleet.limits.list_entries = self.peers.entries.list_running
 
     def _add_gauges(self) -> None:
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 
@@ -64,6 +65,8 @@
     ----------
     refused : int
         Number of requests that were not sent.
+    count_entries : callable
+        Returns the number of entries.
     tell_entries : callable
         Tells other entries of the crashes if no sidecar can.
     """
@@ -73,9 +76,10 @@
         self.application = application
         self.list_links = list_links
         self.evidence = Quarantine()
-        self.gate = ProbeGate(BOOT_CLOCK.monotonic())
+        self.gate = ProbeGate(BOOT_CLOCK.monotonic(), random.Random())  # noqa: S311 spreads probes
         self.changed = asyncio.Event()
         self.refused = 0
+        self.count_entries: Callable[[], int] = int
         self.tell_entries: Callable[[], Awaitable[None]] = _tell_nobody
 
     def attach(self, link: ManagerLink) -> None:
@@ -83,6 +87,13 @@
         link.on_crash = self.record_crash
         link.list_crashes = lambda: list(self.evidence.crashes.values())
 
+    def _admit_probe(self, culprit: Culprit, now: float) -> bool:
+        """Return whether a request in quarantine is sent all the same, to find out whether targets still crash."""
+        # Requests that crash targets as a whole are not the many that may be refused wrongly.
+        if culprit.is_request() or self.evidence.is_confirmed(culprit):
+            return False
+        return self.gate.admit_probe(now, self.count_entries())
+
     def find_culprit(self, call_state: CallState) -> Culprit | None:
         """Return the culprit because of which a call is not sent, None if it may be sent."""
         if call_state.is_probe or not self.evidence.culprits:
@@ -113,8 +124,7 @@
         if culprit is None:
             self.gate.record_sent()
             return
-        # A request that crashes targets is not one of many that may be refused wrongly.
-        if not culprit.is_request() and self.gate.admit_probe(now):
+        if self._admit_probe(culprit, now):
             call_state.is_probe = True
             logger.bind(request_id=call_state.call.request_id, culprit=culprit.label()).warning('quarantine_probe')
             return
--- a/tamarackfield/policy/probe_gate.py
+++ b/tamarackfield/policy/probe_gate.py
@@ -1,4 +1,11 @@
-"""Probes of a quarantine: single requests that are sent although engines crash on their prompts."""
+"""Probes of a quarantine: single requests that are sent although engines crash on their prompts.
+
+Load pattern: nearly all requests are in quarantine, at all entries alike. One probe is enough for all of them: the
+crash that it causes is known everywhere before further entries send theirs, and ends all probes
+(`Quarantine.is_confirmed`).
+"""
+
+import random
 
 #: Share of the requests of an entry that a quarantine may refuse, and time in seconds for which it may have seen no
 #: sound run, before single requests are sent as probes: if engines crash on nearly all prompts, the cause need not be
@@ -7,6 +14,8 @@
 MAX_SECONDS_WITHOUT_PROOF = 5.0
 #: Weight of the newest request in the share that is refused.
 REFUSED_SHARE_SMOOTHING = 0.005
+#: Mean time in seconds between the first probes of two entries, several times that in which a crash is known to all.
+FIRST_PROBE_SECONDS = 1.0
 #: Seconds between two probes of one entry: shortest, and longest after further crashes.
 MIN_PROBE_INTERVAL_SECONDS, MAX_PROBE_INTERVAL_SECONDS = 2.0, 600.0
 
@@ -18,16 +27,19 @@
     ----------
     now : float
         Monotonic seconds.
+    rng : random.Random
+        Random source of the times of first probes.
 
     Examples
     --------
-    >>> gate = ProbeGate(0.0)
+    >>> gate = ProbeGate(0.0, random.Random(1))
     >>> [second for second in range(160) if gate.admit_probe(float(second))]
-    [138, 141, 146, 155]
+    [138, 140, 144, 152]
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, rng: random.Random) -> None:
         """Create a gate that has refused nothing."""
+        self.rng = rng
         self.refused_share = 0.0
         self.proven_at = now
         self.next_probe_at = 0.0
@@ -36,17 +48,29 @@
     def record_proof(self, now: float) -> None:
         """Record that a run showed that engines work."""
         self.proven_at = now
+        self.next_probe_at = 0.0
         self.interval_seconds = MIN_PROBE_INTERVAL_SECONDS
 
     def record_sent(self) -> None:
         """Record a request that is not in quarantine."""
         self.refused_share -= REFUSED_SHARE_SMOOTHING * self.refused_share
 
-    def admit_probe(self, now: float) -> bool:
-        """Record a request in quarantine; return whether it is sent as a probe."""
+    def admit_probe(self, now: float, entries: int = 0) -> bool:
+        """Record a request in quarantine; return whether it is sent as a probe.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        entries : int
+            Number of entries that may send probes; their first ones are spread over time.
+        """
         self.refused_share += REFUSED_SHARE_SMOOTHING * (1 - self.refused_share)
-        due_at = max(self.next_probe_at, self.proven_at + MAX_SECONDS_WITHOUT_PROOF)
-        if self.refused_share <= MAX_REFUSED_SHARE or now <= due_at:
+        if self.refused_share <= MAX_REFUSED_SHARE or now <= self.proven_at + MAX_SECONDS_WITHOUT_PROOF:
+            return False
+        if not self.next_probe_at:
+            self.next_probe_at = now + self.rng.uniform(0, entries * FIRST_PROBE_SECONDS)
+        if now < self.next_probe_at:
             return False
         self.next_probe_at = now + self.interval_seconds
         self.interval_seconds = min(2 * self.interval_seconds, MAX_PROBE_INTERVAL_SECONDS)
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -309,6 +309,11 @@
         present = frozenset(parts)
         return next((culprit for culprit in self.culprits if culprit.parts <= present), None)
 
+    def is_confirmed(self, culprit: Culprit) -> bool:
+        """Return whether a target has crashed on a culprit since its requests were kept back, as under a probe."""
+        settled_at = culprit.found_at + SETTLED_SECONDS
+        return any(self.learnt_at.get(key, 0.0) > settled_at for key in culprit.crashes)
+
     def count_culprits(self, requests: bool) -> int:
         """Return the number of culprits that are whole requests, or of those that are not."""
         return sum(culprit.is_request() is requests for culprit in self.culprits)
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -23,6 +23,9 @@
 
 #: Crashes up to the one from which on requests with the part may reach only three more workers.
 MAX_CRASHES_BEFORE_QUARANTINE = 5
+MAX_LATE_RUNS = 3
+#: Time after which every entry knows of a crash, in seconds.
+REPORT_SECONDS = 0.2
 PARTS = st.frozensets(st.sampled_from(('a', 'b', 'p', 'request,1', 'request,2')), max_size=3)
 CRASHES = st.lists(
     st.builds(Crash, st.sampled_from(('t1', 't2', 't3')), st.integers(1, 2), st.just(7), PARTS, PARTS, PARTS, PARTS),
@@ -106,12 +109,31 @@
 
 
 def test_probes_stop_where_sound_requests_run():
-    gate = ProbeGate(0.0)
+    gate = ProbeGate(0.0, random.Random(1))
     for second in range(600):
         gate.record_proof(float(second))
         assert not gate.admit_probe(float(second))
 
 
+@pytest.mark.parametrize('entries', [5, 27, 68])
+@pytest.mark.parametrize('seed', range(4))
+def test_probes_of_all_entries_together_crash_few_engines(seed, entries):
+    rng = random.Random(seed)
+    quarantine = Quarantine()
+    for number in range(2):
+        quarantine.record_crash(make_report(number, 'p', suspected='p'), 0.0)
+    gates = [ProbeGate(0.0, rng) for _ in range(entries)]
+    probed_at = []
+    for step in range(3000):
+        now = step / 10
+        for at in probed_at:
+            if now > at + REPORT_SECONDS:
+                quarantine.record_crash(make_report(f'p{at}', 'p', suspected='p'), now)
+        if not quarantine.is_confirmed(quarantine.find_culprit('p')):
+            probed_at += [now for gate in gates if gate.admit_probe(now, entries)]
+    assert 1 <= len(probed_at) <= MAX_LATE_RUNS
+
+
 class DrawnHistory:
     """Requests, engines and crashes of one drawn history; every entry hears of a crash after the same delay.
 
