A request that was condemned as a whole is probed once after a minute; soak: workers that crash on one request

Nothing released a request that had been condemned wrongly: a service whose callers all send the same request would have been refused until all processes restart.

The soak gets the fault in a series of its own, with the rule as it is written: more than three arrivals later than three seconds after the third crash.

--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -20,7 +20,7 @@
 from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.model import Call
-from tamarackfield.policy.probe_gate import ProbeGate
+from tamarackfield.policy.probe_gate import ProbeGate, RequestProbes
 from tamarackfield.policy.quarantine import (
     PROOF_SECONDS,
     SETTLED_SECONDS,
@@ -76,7 +76,9 @@
         self.application = application
         self.list_links = list_links
         self.evidence = Quarantine()
-        self.gate = ProbeGate(BOOT_CLOCK.monotonic(), random.Random())  # noqa: S311 spreads probes
+        rng = random.Random()  # noqa: S311 spreads probes
+        self.gate = ProbeGate(BOOT_CLOCK.monotonic(), rng)
+        self.request_probes = RequestProbes(rng)
         self.changed = asyncio.Event()
         self.refused = 0
         self.count_entries: Callable[[], int] = int
@@ -89,9 +91,10 @@
 
     def _admit_probe(self, culprit: Culprit, now: float) -> bool:
         """Return whether a request in quarantine is sent all the same, to find out whether targets still crash."""
-        # Requests that crash targets as a whole are not the many that may be refused wrongly.
-        if culprit.is_request() or self.evidence.is_confirmed(culprit):
+        if self.evidence.is_confirmed(culprit):
             return False
+        if culprit.is_request():
+            return self.request_probes.admit(culprit.parts, culprit.found_at, now, self.count_entries())
         return self.gate.admit_probe(now, self.count_entries())
 
     def find_culprit(self, call_state: CallState) -> Culprit | None:
@@ -209,6 +212,8 @@
         if not may_have_broken_off or not exchange.has_connection_ended():
             return
         call_state.broke_off_unproven = isinstance(result, MaybeRan) and not is_proven
+        # One probe is one run.
+        call_state.is_probe = False
         run = self._report_end(exchange, link)
         if link is None or link.is_silent():
             record = exchange.target.record
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -310,7 +310,12 @@
         return next((culprit for culprit in self.culprits if culprit.parts <= present), None)
 
     def is_confirmed(self, culprit: Culprit) -> bool:
-        """Return whether a target has crashed on a culprit since its requests were kept back, as under a probe."""
+        """Return whether a target has crashed on a culprit since its requests were kept back, as under a probe.
+
+        Processes that have started since know that of a whole request by the number of its crashes.
+        """
+        if culprit.is_request() and len(culprit.crashes) > MAX_CONTESTED_CRASHES:
+            return True
         settled_at = culprit.found_at + SETTLED_SECONDS
         return any(self.learnt_at.get(key, 0.0) > settled_at for key in culprit.crashes)
 
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarackfield.policy.probe_gate import ProbeGate
+from tamarackfield.policy.probe_gate import REQUEST_PROBE_SECONDS, ProbeGate, RequestProbes
 from tamarackfield.policy.quarantine import (
     PROOF_SECONDS,
     RECENT_PROOF_SECONDS,
@@ -134,6 +134,35 @@
     assert 1 <= len(probed_at) <= MAX_LATE_RUNS
 
 
+@pytest.mark.parametrize('entries', [5, 27, 68])
+@pytest.mark.parametrize('seed', range(4))
+def test_probes_of_a_whole_request_by_all_entries_together_crash_few_targets(seed, entries):
+    rng = random.Random(seed)
+    quarantine = Quarantine()
+    request = 'request,1'
+    for number in range(2):
+        quarantine.record_crash(make_report(number, (request,), suspected=(request,)), 0.0)
+    all_probes = [RequestProbes(rng) for _ in range(entries)]
+    probed_at = []
+    for step in range(3000):
+        now = step / 10
+        for at in probed_at:
+            if now > at + REPORT_SECONDS:
+                quarantine.record_crash(make_report(f'p{at}', (request,), suspected=(request,)), now)
+        if not quarantine.is_confirmed(quarantine.find_culprit((request,))):
+            probed_at += [now for probes in all_probes if probes.admit(request, 0.0, now, entries)]
+    assert 1 <= len(probed_at) <= MAX_LATE_RUNS
+
+
+def test_sound_request_that_was_condemned_is_released_by_its_probe():
+    quarantine = Quarantine()
+    for number in range(2):
+        quarantine.record_crash(make_report(number, ('request,1',), suspected=('request,1',)), 0.0)
+    assert quarantine.find_culprit(('request,1',)) is not None
+    assert quarantine.record_proof(('request,1',), REQUEST_PROBE_SECONDS)
+    assert quarantine.find_culprit(('request,1',)) is None
+
+
 class DrawnHistory:
     """Requests, engines and crashes of one drawn history; every entry hears of a crash after the same delay.
 
--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -38,6 +38,9 @@
 CRASHING_PART = 'crashing'
 CRASHING_CALLS = 15
 _OTHER_PARTS = 3
+#: Query of requests on which workers crash while the fault of that name lasts, and share of the calls that have it.
+CRASHING_QUERY = '?crashing'
+CRASHING_REQUESTS = 13
 
 
 def list_shared_parts(request_id: str) -> list[str]:
@@ -53,6 +56,11 @@
     return ['all', *crashing, f'some{number % _OTHER_PARTS}']
 
 
+def is_crashing_request(request_id: str) -> bool:
+    """Return whether a call is one of those that are equal but for their ids, and on which workers may crash."""
+    return not int(request_id.rpartition('-')[2]) % CRASHING_REQUESTS
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """Bounds, in seconds, of the pauses and deadlines of a caller, and its share of calls on new connections."""
@@ -231,11 +239,13 @@
             ('Tamarackfield-Deadline-Ms', str(round(remaining_seconds * MS_PER_SECOND))),
         ]
         if call.path in STREAM_PATHS:
-            adapter = min(int(self.rng.expovariate(0.5)), ADAPTER_COUNT - 1)
+            drawn = min(int(self.rng.expovariate(0.5)), ADAPTER_COUNT - 1)
+            adapter = 0 if is_crashing_request(call.request_id) else drawn
             headers.append(('Tamarackfield-Model', f'base/a{adapter}'))
             parts = [*list_shared_parts(call.request_id), call.request_id]
             headers.append(('Tamarackfield-Prompt-Prefix', ','.join(f'{part}:10' for part in parts)))
-        return h11.Request(method='POST', target=call.path, headers=headers)
+        query = CRASHING_QUERY if is_crashing_request(call.request_id) else ''
+        return h11.Request(method='POST', target=f'{call.path}{query}', headers=headers)
 
     def _release(self, connection: CallerConnection, call: Call) -> None:
         if not call.complete:
--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -11,7 +11,7 @@
 from tamarackfield.testing.platform_site import DRAIN_SECONDS, MODEL_SERVICE, PLAIN_SERVICE, PlatformProcess
 from tamarackfield.testing.platform_worker import PlatformWorker, WorkerFault
 from tamarackfield.testing.relay import FAULTY_MODES, Relay, no_faults
-from tamarackfield.testing.soak.crashes import crash_on_part
+from tamarackfield.testing.soak.crashes import crash_on_part, crash_on_request
 from tamarackfield.testing.soak.limits import state_limit
 from tamarackfield.testing.soak.outages import silence_store
 from tamarackfield.testing.soak.plan import PlannedFault
@@ -364,12 +364,16 @@
 LIMIT_FAULTS: dict[str, Fault] = {'limit_stated': state_limit}
 #: Additions after those, in a further series of their own.
 OUTAGE_FAULTS: dict[str, Fault] = {'store_silent': silence_store}
+#: Additions after those, in a further series of their own.
+CRASH_FAULTS: dict[str, Fault] = {'workers_crash_on_request': crash_on_request}
+#: Faults that are drawn beside `CRASH_FAULTS` where only crashes are to be tested.
+BESIDE_CRASHES = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'store_silent', 'worker_left', 'worker_restarted')
 #: Faults that are drawn beside `OUTAGE_FAULTS` where only silences of the store are to be tested.
 BESIDE_OUTAGES = ('configuration_changed', 'version_announced', 'worker_left')
 #: Faults that are drawn beside `LIMIT_FAULTS` where only limits are to be tested.
 BESIDE_LIMITS = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'sidecar_stopped', 'sidecar_paused')
 #: Fault functions by name, of all series.
-ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS | OUTAGE_FAULTS
+ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS | OUTAGE_FAULTS | CRASH_FAULTS
 
 
 class Series(StrEnum):
@@ -381,6 +385,7 @@
     EARLIER = 'earlier'
     LIMITS = 'limits'
     OUTAGES = 'outages'
+    CRASHES = 'crashes'
 
 
 def list_kinds(series: Series) -> list[tuple[str, ...]]:
@@ -393,5 +398,7 @@
         Series.STANDSTILLS: [*(() for _ in former), standstills],
         Series.LIMITS: [*(() for _ in former), BESIDE_LIMITS, limits],
         Series.OUTAGES: [*(() for _ in former), BESIDE_OUTAGES, (), tuple(OUTAGE_FAULTS)],
+        Series.CRASHES: [*(() for _ in former), BESIDE_CRASHES, (), (), tuple(CRASH_FAULTS)],
+        Series.ALL: [*kinds, (), tuple(CRASH_FAULTS)],
     }
-    return series_kinds.get(series, kinds)
+    return series_kinds[series]
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -18,7 +18,7 @@
 )
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import AT_MOST_ONCE_PATHS, STREAM_PATHS, Call
-from tamarackfield.testing.soak.crashes import check_late_runs, check_refusal
+from tamarackfield.testing.soak.crashes import check_late_requests, check_late_runs, check_refusal
 from tamarackfield.testing.soak.limits import check_limits
 from tamarackfield.testing.soak.losses import check_losses
 from tamarackfield.testing.soak.outages import check_applied, is_disturbance
@@ -235,6 +235,7 @@
     _check_notices(site, observations)
     _check_limits(site, observations)
     check_late_runs(site, CRASH_NOTICE_DELAYING_FAULTS)
+    check_late_requests(site, CRASH_NOTICE_DELAYING_FAULTS)
     for drain_window in site.drain_windows:
         _check_drain_window(site, observations, drain_window)
     for service in (PLAIN_SERVICE, MODEL_SERVICE):
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -168,6 +168,7 @@
             worker.fault = WorkerFault()
             worker.cut_after_event = 0
             worker.crashing_parts = frozenset()
+            worker.crashing_targets = frozenset()
             worker.sends_second_copies = False
             worker.event_interval_seconds = EVENT_SECONDS
             worker.silence_seconds = 0.0
--- a/tamarackfield/testing/tests/test_soak_losses.py
+++ b/tamarackfield/testing/tests/test_soak_losses.py
@@ -8,7 +8,7 @@
 from tamarackfield.testing.incidents import Incident
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import Call, Caller, Close
-from tamarackfield.testing.soak.faults import ALL_FAULTS, LIMIT_FAULTS, Series, list_kinds
+from tamarackfield.testing.soak.faults import ALL_FAULTS, CRASH_FAULTS, LIMIT_FAULTS, Series, list_kinds
 from tamarackfield.testing.soak.losses import is_lost
 from tamarackfield.testing.soak.plan import draw_plan
 from tamarackfield.testing.soak.site import SoakSite
@@ -106,8 +106,9 @@
     every = draw_plan(SEED, SECONDS, *list_kinds(Series.ALL))
     assert sorted(former + standstills, key=lambda step: step.start_seconds) == earlier
     assert {step.kind for step in standstills} == set(list_kinds(Series.EARLIER)[-1])
-    assert [step for step in every if step.kind not in LIMIT_FAULTS] == earlier
-    assert any(step.kind in LIMIT_FAULTS for step in every)
+    added = LIMIT_FAULTS | CRASH_FAULTS
+    assert [step for step in every if step.kind not in added] == earlier
+    assert all(any(step.kind in faults for step in every) for faults in (LIMIT_FAULTS, CRASH_FAULTS))
     assert {step.kind for step in every} <= set(ALL_FAULTS)
 
 
