The end of a target is also learnt from the instance list; the soak finds requests that crash workers behind relays

Their address was that of a relay, which accepts connections although the worker has ended, so no end was ever found. Now a run that broke off counts as a crash as well if its target is listed as a new incarnation, vanishes without having said that it leaves, or another instance answers at its address, within 10 s. What finds out ends has a module of its own.

The soak excuses only entries that were disturbed, and draws a new request for each fault: one that had run soundly until then is rightly not suspected at once.

--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -5,6 +5,7 @@
 only if its service has no other target.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -187,6 +188,8 @@
         self.targets: dict[str, Target] = {}
         # The same targets by service and name, in the same order.
         self.targets_by_service: dict[str, dict[str, Target]] = {}
+        # Called with the record of a target that ended without having said that it leaves.
+        self.on_end: Callable[[TargetRecord], None] = _ignore_end
         # Latest start of an incarnation that left, by name, the latest removal last.
         self.departed: dict[str, int] = {}
 
@@ -232,6 +235,7 @@
         others = target.list_rivals()
         logger.bind(target=target.record.name, others=len(others)).warning('address_has_another_target')
         target.address_reassigned = True
+        self.on_end(target.record)
         for other in others:
             other.address_reassigned = False
 
@@ -308,6 +312,8 @@
         target.removed = True
         if target.record.draining:
             self._remember_departure(target.record.name, max(target.record.started_ms, target.leaving_noticed_ms))
+        else:
+            self.on_end(target.record)
         if self.targets.get(target.record.name) is target:
             self.targets.pop(target.record.name)
             self.targets_by_service[target.record.service].pop(target.record.name)
@@ -320,6 +326,10 @@
             self.departed.pop(earliest)
 
 
+def _ignore_end(record: TargetRecord) -> None:
+    """Do nothing."""
+
+
 def _order_rivals(target: Target, rivals: list[Target]) -> None:
     """Let the latest of the targets that are listed at one address supersede the others."""
     group = (target, *rivals)
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -131,6 +131,7 @@
         self.links: dict[str, ManagerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.quarantine = RequestQuarantine(application, self.links.values)
+        directory.on_end = self.quarantine.ends.record_end
         self.limits = RequestLimits(directory, self.links, hello)
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -13,10 +13,11 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, Application, RequestError
+from tamarackfield.core import BOOT_CLOCK, Application, RequestError
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.time_limits import listen_for, wait_within
 from tamarackfield.gateway.call_state import CallState
+from tamarackfield.gateway.end_watch import EndWatch
 from tamarackfield.gateway.exchange import Answered, AttemptResult, Exchange, MaybeRan, Streamed
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.model import Call
@@ -27,13 +28,10 @@
     Crash,
     Culprit,
     Quarantine,
-    make_crash,
 )
 from tamarackfield.policy.ring import order_by_rendezvous
-from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import BodyFraming
-from tamarackfield.web.pool import open_connection
-from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
+from tamarackfield.wire.crash_reports import BrokenRun
 
 #: Seconds for which changes are collected before the sidecars are told: most of them have heard from others by then.
 COLLECT_SECONDS = 0.05
@@ -42,10 +40,6 @@
 #: Seconds for which the end of an answer without framing waits for word of the end of its target; a busy sidecar may
 #: be late, and the caller has all events by then.
 END_CHECK_SECONDS = 0.5
-#: Attempts to connect to a target without a sidecar that responds, and seconds between two of them, to find out
-#: whether it has ended.
-END_CHECKS = 3
-END_CHECK_INTERVAL_SECONDS = 0.1
 #: Size limit, in bytes, of the bodies of requests whose runs are remembered while no target has crashed: hashing one
 #: takes some 30 microseconds.
 MAX_REMEMBERED_BYTES = 16_384
@@ -73,13 +67,13 @@
 
     def __init__(self, application: Application, list_links: Callable[[], Iterable[ManagerLink]]) -> None:
         """Create a quarantine without crashes."""
-        self.application = application
         self.list_links = list_links
         self.evidence = Quarantine()
         rng = random.Random()  # noqa: S311 spreads probes
         self.gate = ProbeGate(BOOT_CLOCK.monotonic(), rng)
         self.request_probes = RequestProbes(rng)
         self.changed = asyncio.Event()
+        self.ends = EndWatch(application, self._record_seen_crash)
         self.refused = 0
         self.count_entries: Callable[[], int] = int
         self.tell_entries: Callable[[], Awaitable[None]] = _tell_nobody
@@ -216,10 +210,7 @@
         call_state.is_probe = False
         run = self._report_end(exchange, link)
         if link is None or link.is_silent():
-            record = exchange.target.record
-            call_state.end_check = asyncio.get_running_loop().create_future()
-            check = self._check_end(run, record.address, call_state.end_check)
-            self.application.spawn(check, f'end-of-{record.name}')
+            call_state.end_check = self.ends.check(run, exchange.target.record.address)
 
     async def has_target_ended(self, exchange: Exchange, link: ManagerLink | None) -> bool:
         """Find out whether a target ended together with an answer that only its connection ended.
@@ -240,7 +231,7 @@
         run = self._report_end(exchange, link)
         record = exchange.target.record
         if link is None or link.is_silent():
-            return await self._record_if_ended(run, record.address)
+            return await self.ends.record_if_ended(run, record.address)
         await listen_for(END_CHECK_SECONDS)
         return (record.name, record.started_ms) in self.evidence.crashes
 
@@ -285,27 +276,9 @@
             exchange.end_reported = link.send_best_effort(run)
         return run
 
-    async def _check_end(self, run: BrokenRun, address: Address, first_check: asyncio.Future[None]) -> None:
-        """Find out whether a target without a sidecar that responds has ended, and record the crash if it has."""
-        for _ in range(END_CHECKS):
-            has_ended = await self._record_if_ended(run, address)
-            if not first_check.done():
-                first_check.set_result(None)
-            if has_ended:
-                return
-            await asyncio.sleep(END_CHECK_INTERVAL_SECONDS)
-
-    async def _record_if_ended(self, run: BrokenRun, address: Address) -> bool:
-        """Record a crash if no process listens at the address of a target; return whether that is so."""
-        has_ended = await _is_refused(address)
-        if has_ended:
-            crash = make_crash(run.target, run.started_ms, SYSTEM_CLOCK.unix_ms(), [make_suspect_run(run)])
-            self.record_crash(crash)
-            self._tell_first_sidecar(crash)
-        return has_ended
-
-    def _tell_first_sidecar(self, crash: Crash) -> None:
-        """Tell the sidecar that all entries choose for a target, so that their reports meet there first."""
+    def _record_seen_crash(self, crash: Crash) -> None:
+        """Record a crash that this entry found, and tell the sidecar at which the reports of all entries meet."""
+        self.record_crash(crash)
         links = {link.address[0]: link for link in self.list_links() if not link.is_silent()}
         for host in order_by_rendezvous(crash.target, links)[:1]:
             links[host].report_crash(self.evidence.crashes[crash.key()])
@@ -333,13 +306,3 @@
 
 async def _tell_nobody() -> None:
     """Do nothing."""
-
-
-async def _is_refused(address: Address) -> bool:
-    """Return whether no process listens at an address."""
-    try:
-        connection = await open_connection(address)
-    except ClientError as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    connection.fail('not used')
-    return False
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -6,14 +6,16 @@
 
 import pytest
 
-from tamarackfield.core import Application
+from tamarackfield.core import BOOT_CLOCK, Application
 from tamarackfield.gateway.call_state import CallState
+from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.exchange import Answered, MaybeRan, Streamed
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, RequestQuarantine
-from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_state
+from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_record, make_target_state
 from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
 from tamarackfield.web.connection import BodyFraming
+from tamarackfield.wire.crash_reports import BrokenRun
 
 SUSPECT = frozenset('p')
 
@@ -118,3 +120,17 @@
     loop.call_soon(loop.call_soon, quarantine.record_crash, report)
     await waiting
     assert quarantine.find_culprit(call_state) is not None
+
+
+@pytest.mark.parametrize(('change', 'is_crash'), [('restarted', True), ('vanished', True), ('left', False)])
+async def test_end_that_only_the_instance_list_tells_is_a_crash_unless_it_was_announced(change, is_crash):
+    directory = Directory()
+    directory.upsert(make_target_record('t1', draining=change == 'left'))
+    quarantine = RequestQuarantine(Application('e'), list)
+    directory.on_end = quarantine.ends.record_end
+    quarantine.ends.broken_runs.append((BOOT_CLOCK.monotonic(), BrokenRun('t1', 1, 'r1', False, 0, ['request,1'], [])))
+    if change == 'restarted':
+        directory.upsert(make_target_record('t1', started_ms=2))
+    else:
+        directory.remove('t1', store_unreliable=False)
+    assert ('request,1' in quarantine.evidence.suspects) is is_crash
--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -38,8 +38,7 @@
 CRASHING_PART = 'crashing'
 CRASHING_CALLS = 15
 _OTHER_PARTS = 3
-#: Query of requests on which workers crash while the fault of that name lasts, and share of the calls that have it.
-CRASHING_QUERY = '?crashing'
+#: Share of the calls that are one request on which workers crash, while the fault of that name lasts.
 CRASHING_REQUESTS = 13
 
 
@@ -56,11 +55,6 @@
     return ['all', *crashing, f'some{number % _OTHER_PARTS}']
 
 
-def is_crashing_request(request_id: str) -> bool:
-    """Return whether a call is one of those that are equal but for their ids, and on which workers may crash."""
-    return not int(request_id.rpartition('-')[2]) % CRASHING_REQUESTS
-
-
 @dataclass(frozen=True, slots=True)
 class Pace:
     """Bounds, in seconds, of the pauses and deadlines of a caller, and its share of calls on new connections."""
@@ -112,6 +106,8 @@
         ``Retry-After`` header of the answer; empty if it is absent.
     close : Close
         How the entry closed the connection before the end of the answer, if it did.
+    query : str
+        Query of a request on which workers may crash, which is one request in all calls with it; empty for others.
     """
 
     request_id: str
@@ -128,6 +124,7 @@
     body: bytes = b''
     retry_after: str = ''
     close: Close = Close.NONE
+    query: str = ''
 
     def is_answered_successfully(self) -> bool:
         """Return whether the caller received a complete answer with status 200."""
@@ -240,12 +237,11 @@
         ]
         if call.path in STREAM_PATHS:
             drawn = min(int(self.rng.expovariate(0.5)), ADAPTER_COUNT - 1)
-            adapter = 0 if is_crashing_request(call.request_id) else drawn
+            adapter = 0 if call.query else drawn
             headers.append(('Tamarackfield-Model', f'base/a{adapter}'))
             parts = [*list_shared_parts(call.request_id), call.request_id]
             headers.append(('Tamarackfield-Prompt-Prefix', ','.join(f'{part}:10' for part in parts)))
-        query = CRASHING_QUERY if is_crashing_request(call.request_id) else ''
-        return h11.Request(method='POST', target=f'{call.path}{query}', headers=headers)
+        return h11.Request(method='POST', target=f'{call.path}{call.query}', headers=headers)
 
     def _release(self, connection: CallerConnection, call: Call) -> None:
         if not call.complete:
--- a/tamarackfield/testing/soak/crashes.py
+++ b/tamarackfield/testing/soak/crashes.py
@@ -1,7 +1,7 @@
 """Workers that crash on a part of a prompt or on one request, and the checks of the quarantine of these requests."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 
 from tamarackfield.core import SYSTEM_CLOCK
@@ -10,11 +10,9 @@
 from tamarackfield.testing.platform_worker import PlatformWorker
 from tamarackfield.testing.soak.callers import (
     CRASHING_PART,
-    CRASHING_QUERY,
     PATH_WEIGHTS,
     STREAM_PATHS,
     Call,
-    is_crashing_request,
     list_shared_parts,
 )
 from tamarackfield.testing.soak.plan import PlannedFault
@@ -27,6 +25,9 @@
 #: Crashes by one request after which further ones of `MAX_LATE_RUNS` may still reach workers.
 MAX_CRASHES_BY_REQUEST = 3
 _RESTART_SECONDS = 0.5
+
+#: Whether a fault of an entry, or of its links, overlapped a period.
+IsExcused = Callable[[str, float, float], bool]
 _CHECK_SECONDS = 0.05
 
 
@@ -54,11 +55,15 @@
     workers = site.get_service_workers(MODEL_SERVICE if path in STREAM_PATHS else PLAIN_SERVICE)
     if any(worker.crashing_targets for worker in workers):
         return
-    incident.where = f'{path}{CRASHING_QUERY}'
+    # New, so that it has never run soundly.
+    query = f'?crashing{len(site.incidents)}'
+    incident.where = f'{path}{query}'
     for worker in workers:
         worker.crashing_targets = frozenset((incident.where,))
         worker.crashes_after_head = step.variant_share < 1 / 2
+    site.crashing_queries[path] = query
     await _restart_until_end(site, workers)
+    site.crashing_queries.pop(path)
     for worker in workers:
         worker.crashing_targets = frozenset()
     await asyncio.gather(*(_restart_if_crashed(site, worker) for worker in workers))
@@ -82,19 +87,19 @@
 
 def check_refusal(call: Call) -> Iterable[str]:
     """Yield a violation if a call on which no worker crashes was put in quarantine."""
-    may_crash = CRASHING_PART in list_shared_parts(call.request_id) or is_crashing_request(call.request_id)
+    may_crash = CRASHING_PART in list_shared_parts(call.request_id) or call.query
     if call.status == HTTPStatus.BAD_REQUEST and not may_crash:
         yield f'{call.request_id} was refused, and crashes no worker'
 
 
-def check_late_requests(site: SoakSite, disturbing_faults: tuple[str, ...]) -> None:
-    """Record a violation if one request reached workers long after its third crash, undisturbed."""
+def check_late_requests(site: SoakSite, calls: Mapping[str, Call], is_excused: IsExcused) -> None:
+    """Record a violation if entries that were not disturbed sent one request to workers long after its third crash."""
     for fault in site.incidents:
         if fault.name == 'workers_crash_on_request' and fault.where:
-            _check_late_request(site, fault, disturbing_faults)
+            _check_late_request(site, fault, calls, is_excused)
 
 
-def _check_late_request(site: SoakSite, fault: Incident, disturbing_faults: tuple[str, ...]) -> None:
+def _check_late_request(site: SoakSite, fault: Incident, calls: Mapping[str, Call], is_excused: IsExcused) -> None:
     runs = [
         run
         for worker in site.workers.values()
@@ -109,7 +114,7 @@
         run.began_at
         for run in runs
         if run.began_at > known_at
-        and not site.overlaps_fault(disturbing_faults, run.began_at - CONTACT_SECONDS, run.began_at)
+        and not is_excused(calls[run.request_id].entry, run.began_at - CONTACT_SECONDS, run.began_at)
     ]
     if len(late) > MAX_LATE_RUNS:
         site.record_violation(f'{len(late)} requests for {fault.where} reached workers that crash on it', min(late))
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -15,7 +15,7 @@
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.platform_site import PlatformProcess
 from tamarackfield.testing.processes import ProcessFailedError, wait_until
-from tamarackfield.testing.soak.callers import BUSY, PATH_WEIGHTS, RESTING, Call, Caller, Pace
+from tamarackfield.testing.soak.callers import BUSY, CRASHING_REQUESTS, PATH_WEIGHTS, RESTING, Call, Caller, Pace
 from tamarackfield.testing.soak.faults import ALL_FAULTS, Series, list_kinds
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
 from tamarackfield.testing.soak.probes import Probe
@@ -145,7 +145,11 @@
 
 def _create_call(soak: SoakRun, entry: PlatformProcess, path: str, seconds: float) -> Call:
     now = SYSTEM_CLOCK.monotonic()
-    return Call(f'call-{next(soak.site.request_ids)}', path, entry.name, entry.process.pid, now, now + seconds)
+    number = next(soak.site.request_ids)
+    call = Call(f'call-{number}', path, entry.name, entry.process.pid, now, now + seconds)
+    if not number % CRASHING_REQUESTS:
+        call.query = soak.site.crashing_queries.get(path, '')
+    return call
 
 
 async def _measure_lag(observations: Observations) -> None:
--- a/tamarackfield/testing/soak/promises.py
+++ b/tamarackfield/testing/soak/promises.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 
 from tamarackfield.testing.platform_site import (
@@ -235,7 +236,7 @@
     _check_notices(site, observations)
     _check_limits(site, observations)
     check_late_runs(site, CRASH_NOTICE_DELAYING_FAULTS)
-    check_late_requests(site, CRASH_NOTICE_DELAYING_FAULTS)
+    check_late_requests(site, observations.calls, partial(_is_entry_disturbed, site))
     for drain_window in site.drain_windows:
         _check_drain_window(site, observations, drain_window)
     for service in (PLAIN_SERVICE, MODEL_SERVICE):
@@ -259,14 +260,15 @@
                 site.record_violation(text, asked_at)
 
 
-def _check_limits(site: SoakSite, observations: Observations) -> None:
-    def is_excused(entry: str, since: float, until: float) -> bool:
-        """Return whether an entry was disturbed, or a link, which may be one of its links."""
-        disturbed = site.overlaps_fault(ENTRY_DISTURBING_FAULTS, since, until, entry)
-        return disturbed or site.overlaps_fault(LINK_DISTURBING_FAULTS, since, until)
+def _is_entry_disturbed(site: SoakSite, entry: str, since: float, until: float) -> bool:
+    """Return whether an entry was disturbed, or a link, which may be one of its links."""
+    disturbed = site.overlaps_fault(ENTRY_DISTURBING_FAULTS, since, until, entry)
+    return disturbed or site.overlaps_fault(LINK_DISTURBING_FAULTS, since, until)
+
 
+def _check_limits(site: SoakSite, observations: Observations) -> None:
     for stated in site.stated_limits:
-        for text, at in check_limits(observations.calls, stated, is_excused):
+        for text, at in check_limits(observations.calls, stated, partial(_is_entry_disturbed, site)):
             site.record_violation(text, at)
 
 
--- a/tamarackfield/testing/soak/site.py
+++ b/tamarackfield/testing/soak/site.py
@@ -53,6 +53,8 @@
         self.incidents: list[Incident] = []
         self.drain_windows: list[DrainWindow] = []
         self.stated_limits: list[Any] = []
+        # Queries of requests on which workers crash now, by path.
+        self.crashing_queries: dict[str, str] = {}
         self.violations: list[str] = []
         self.configuration_version = 1
         # Monotonic seconds at which the store had each version.
