An answer without framing that ends behind its head, or with its worker, is no success

What callers got (a report of another operator): 200 with an empty or a short body, framed as whole. But a worker that stopped right behind its head, without a length, gave 200 with an empty body (plain calls over HTTP/1.0 and 1.1), and one that crashed amid an unframed body gave 200 with what had come.

An unframed success without any body is now an answer that broke off, and one with a body is whole unless its target ended with it, as for streams before. A body cut in order by a worker that lives on cannot be told from a whole one.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -31,6 +31,7 @@
 from tamarackfield.policy.service_routing import update_service_time
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web.client import ClientError
+from tamarackfield.web.connection import BodyFraming
 from tamarackfield.web.pool import ConnectionPool
 from tamarackfield.wire.request_limits import LIMIT_CODE
 from tamarackfield.wire.reservations import REDIRECT_CODE, Declined
@@ -256,7 +257,10 @@
             incoming = Incoming(exchange, head, reservation, seek_successor, has_target_ended)
             return await relay_stream(call_state, incoming, delivery)
         body = await _read_unless_replaced(exchange.read_body(), delivery)
-        return MaybeRan('target is silent') if body is None else classify_answer(head, body)
+        if body is None:
+            return MaybeRan('target is silent')
+        fault = await _explain_unframed_end(exchange, head, body, has_target_ended)
+        return MaybeRan(fault) if fault else classify_answer(head, body)
 
 
 async def _read_head(
@@ -290,6 +294,18 @@
         await cancel_and_wait((task,))
 
 
+async def _explain_unframed_end(
+    exchange: Exchange, head: AnswerHead, body: bytes, has_target_ended: Callable[[], Awaitable[bool]]
+) -> str:
+    """Return why a success that only the end of its connection ended is not complete, empty if it is."""
+    has_body = head.status != HTTPStatus.NO_CONTENT and exchange.call.method != 'HEAD'
+    if exchange.framing is not BodyFraming.CLOSE or head.status >= HTTPStatus.MULTIPLE_CHOICES or not has_body:
+        return ''
+    if not body:
+        return 'connection was closed before the body'
+    return 'target ended when it closed the connection' if await has_target_ended() else ''
+
+
 def record_target_result(target: Target, succeeded: bool) -> None:
     """Record the result of an attempt in the health of its target."""
     if target.health.record_result(succeeded, BOOT_CLOCK.monotonic()):
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -13,6 +13,7 @@
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.worker_answers import (
     CUTTING_FAULTS,
+    GARBAGE,
     UNNAMED_REFUSAL,
     PARTIAL_EVENT,
     AnswerCopier,
@@ -52,6 +53,8 @@
         Whether every answer says that the worker leaves.
     request_limit : str
         Requests a second that every answer names as the limit of the worker; empty for none.
+    raw_answer : bytes
+        What it sends with the fault ``raw`` before it closes the connection in order; ID stands for the request id.
     retry_after : str
         ``Retry-After`` of the answers to requests that it turns away with the fault ``pause``.
     crashing_parts : frozenset of str
@@ -80,6 +83,7 @@
     retry_after = '1'
     crashing_parts: frozenset[str] = frozenset()
     crashing_targets: frozenset[str] = frozenset()
+    raw_answer = b''
     crashes_after_head = True
     sends_second_copies = False
     names_calls = True
@@ -346,12 +350,7 @@
                 await writer.drain()
             await self.crash()
             return
-        if fault == 'reset_after_run':
-            reset_connection(writer)
-            return
-        if fault == 'garbage':
-            writer.write(b'\x00\x01 this is no answer\r\n\r\n')
-            writer.close()
+        if await self._ends_without_answer(writer, run, fault):
             return
         if fault.startswith('endless'):
             content_type = 'text/event-stream' if self.model else 'text/plain'
@@ -369,6 +368,20 @@
         else:
             await self._send_reply(protocol, writer, run, fault)
 
+    async def _ends_without_answer(self, writer: AnswerCopier, run: Run, fault: str) -> bool:
+        """Carry out a fault in whose place there is no answer; return whether it is one."""
+        if fault == 'reset_after_run':
+            reset_connection(writer)
+            return True
+        if fault not in {'garbage', 'raw', 'raw_crash'}:
+            return False
+        raw_answer = GARBAGE if fault == 'garbage' else self.raw_answer
+        writer.write(raw_answer.replace(b'ID', run.request_id.encode()))
+        writer.close()
+        if fault == 'raw_crash':
+            await self.crash()
+        return True
+
     async def _send_reply(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         body = f'{self.name} ran {run.request_id}'.encode()
         run.finished = True
--- a/tamarackfield/testing/worker_answers.py
+++ b/tamarackfield/testing/worker_answers.py
@@ -19,6 +19,8 @@
 _CLOSE_CHECK_SECONDS = 0.01
 #: Beginning of an event after which a stream breaks off.
 PARTIAL_EVENT = b'id: 99\ndata: ha'
+#: Bytes that are no answer.
+GARBAGE = b'\x00\x01 this is no answer\r\n\r\n'
 UNNAMED_REFUSAL = b'HTTP/1.1 503 Busy\r\nTamarackfield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 SIGNATURE = ('Tamarackfield-Server-Signature', 'signed')
 
--- a/tamarackfield/testing/worker_records.py
+++ b/tamarackfield/testing/worker_records.py
@@ -52,7 +52,7 @@
     kind : str
         Fault: empty, or ``errors``, ``shed``, ``pause``, ``hang``, ``reset_after_run``, ``extra``, ``unframed``,
         ``unframed_reset``, ``unframed_cut``, ``unframed_crash``, ``garbage``, ``cut``, ``unsigned``, ``encoded``,
-        ``endless_head``, ``endless_body``, ``drip``.
+        ``endless_head``, ``endless_body``, ``drip``, ``raw``, ``raw_crash``.
         An unframed answer ends with its connection; ``cut`` and ``unframed_cut`` close it in order
         before the answer is complete. With ``unframed_crash`` the worker crashes before the last event.
     remaining_requests : int
