A stream that cannot end before its entry stops is refused at once, so that its caller goes to another entry

A report of another operator: requests that came in a planned stop were cut at the end of the grace. Here nothing later than 2.6 s after SIGTERM is taken, but streams of 9 s that came before were taken and cut after 7.5 s. Entries now know how long the streams of a route take, for each token that callers expect, and answer 503 (not run, Retry-After 0.1 s: retries reach other entries) to one that would end after the grace. Without any stream of its route yet, a request is taken as before.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -174,6 +174,7 @@
         """Fail the readiness check, wait until the load balancer has noticed, then drain connections."""
         stop_at = SYSTEM_CLOCK.monotonic() + self.settings.grace_seconds - GRACE_MARGIN_SECONDS
         self.draining = True
+        self.interface.stops_at = BOOT_CLOCK.monotonic() + self.settings.grace_seconds - GRACE_MARGIN_SECONDS
         self.server.disable_keep_alive()
         logger.bind(busy=len(self.server.busy)).info('draining')
         await asyncio.sleep(BALANCER_DETECTION_SECONDS)
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -1,7 +1,8 @@
 """Handling of callers' requests, with one log line for each."""
 
+import math
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from tamarackfield.gateway.matching import choose_service
 from tamarackfield.gateway.model import Call, Route, Service
 from tamarackfield.observe.prometheus import MetricRegistry
+from tamarackfield.policy.run_times import RunTimes
 from tamarackfield.web import CallerDisconnectedError, HttpRequest, Responder
 
 #: Retry-After, in seconds, while no configuration is in force yet: the time in which an entry reads it.
@@ -22,6 +24,8 @@
 #: Upper bound, in tokens, of the prompt length used for routing. Callers may state any length; an engine of
 #: the size that is served processes a prompt of this length in half a second.
 MAX_PROMPT_TOKENS = 16_384
+#: Retry-After, in seconds, of a refusal because this entry stops: the load balancer sends retries to other entries.
+STOP_RETRY_SECONDS = 0.1
 
 
 class CallReader(Protocol):
@@ -47,6 +51,10 @@
         Metrics.
     rng : random.Random
         Random source for the weighted choice of a service.
+    stops_at : float
+        Monotonic seconds at which requests still in progress are cut, as this entry stops.
+    run_times : RunTimes
+        How long streams take.
     """
 
     configuration: Configuration
@@ -54,6 +62,8 @@
     read_call: CallReader
     metrics: MetricRegistry
     rng: random.Random
+    stops_at: float = math.inf
+    run_times: RunTimes = field(default_factory=RunTimes)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request.
@@ -69,6 +79,7 @@
             logger.bind(request_id=call.request_id).info('no_configuration')
             raise _no_configuration()
         route = self.find_route(call, request.path)
+        self._require_time(call, route)
         service = choose_service(route, self.rng)
         call = bound_call(call, route, catalog.services.get(service))
         call_state = CallState(call, route, service, catalog.version, last_event=call.last_event)
@@ -107,6 +118,29 @@
             raise RequestError('no route leads there', step='route', code='not_found', status=HTTPStatus.NOT_FOUND)
         return route
 
+    def _require_time(self, call: Call, route: Route) -> None:
+        """Refuse a stream that cannot end before this entry stops.
+
+        Raises
+        ------
+        RequestError
+            If the stream is expected to last longer than that; it did not run.
+        """
+        now = BOOT_CLOCK.monotonic()
+        expected = self.run_times.expect(route.name, call.answer_tokens) if route.streaming else 0
+        if now + expected <= self.stops_at:
+            return
+        logger.bind(request_id=call.request_id, route=route.name, expected_seconds=round(expected, 1)).info(
+            'stops_before_end'
+        )
+        raise RequestError(
+            'this entry stops before the answer would end',
+            step='route',
+            code='stopping',
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            retry_after=STOP_RETRY_SECONDS,
+        )
+
     def _store_age(self) -> float:
         return round(self.configuration.store_age_seconds(), 3)
 
@@ -115,6 +149,8 @@
         route = call_state.route
         now = BOOT_CLOCK.monotonic()
         kind = 'stream' if route.streaming else 'plain'
+        if route.streaming and ending == 'answered':
+            self.run_times.record(route.name, call.answer_tokens, now - call.received_at)
         self.metrics.count('requests', kind=kind, ending=ending.partition(' ')[0])
         self.metrics.observe('request', now - call.received_at, kind=kind)
         first_event = call_state.first_event_at - call.received_at if call_state.first_event_at else 0.0
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -195,6 +195,8 @@
         Names of the model and the adapter; empty for a call to a plain service.
     prompt_tokens : int
         Length of the prompt in tokens, as stated by the caller; 0 if not stated.
+    answer_tokens : int
+        Length of the answer in tokens, as estimated by the caller; 0 if not stated.
     last_event : int
         Number of the last event that the caller received; 0 at the start of a stream.
     prompt_parts : tuple of str
@@ -214,6 +216,7 @@
     model: str = ''
     adapter: str = ''
     prompt_tokens: int = 0
+    answer_tokens: int = 0
     last_event: int = 0
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -24,6 +24,8 @@
 _DEADLINE_HEADER = 'tamarackfield-deadline-ms'
 _MODEL_HEADER = 'tamarackfield-model'
 _TOKEN_USAGE_HEADER = 'tamarackfield-token-usage'
+#: Header with the caller's estimate of the number of answer tokens.
+_LENGTH_HINT_HEADER = 'tamarackfield-length-hint'
 _LAST_EVENT_HEADER = 'last-event-id'
 #: Header with the parts of the prompt in order, as pairs ID:TOKENS separated by commas.
 _PROMPT_PARTS_HEADER = 'tamarackfield-prompt-prefix'
@@ -103,6 +105,7 @@
         model=model,
         adapter=adapter,
         prompt_tokens=parse_number(prompt) or 0,
+        answer_tokens=parse_number(headers.get(_LENGTH_HINT_HEADER, '')) or 0,
         last_event=parse_number(headers.get(_LAST_EVENT_HEADER, '')) or 0,
         prompt_parts=_parse_shared_parts(headers.get(_PROMPT_PARTS_HEADER, '')),
     )
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -350,7 +350,7 @@
                 await writer.drain()
             await self.crash()
             return
-        if await self._ends_without_answer(writer, run, fault):
+        if await _ends_without_answer(self, writer, run, fault):
             return
         if fault.startswith('endless'):
             content_type = 'text/event-stream' if self.model else 'text/plain'
@@ -368,20 +368,6 @@
         else:
             await self._send_reply(protocol, writer, run, fault)
 
-    async def _ends_without_answer(self, writer: AnswerCopier, run: Run, fault: str) -> bool:
-        """Carry out a fault in whose place there is no answer; return whether it is one."""
-        if fault == 'reset_after_run':
-            reset_connection(writer)
-            return True
-        if fault not in {'garbage', 'raw', 'raw_crash'}:
-            return False
-        raw_answer = GARBAGE if fault == 'garbage' else self.raw_answer
-        writer.write(raw_answer.replace(b'ID', run.request_id.encode()))
-        writer.close()
-        if fault == 'raw_crash':
-            await self.crash()
-        return True
-
     async def _send_reply(self, protocol: h11.Connection, writer: AnswerCopier, run: Run, fault: str) -> None:
         body = f'{self.name} ran {run.request_id}'.encode()
         run.finished = True
@@ -430,3 +416,18 @@
             return
         run.finished = True
         await end_stream(protocol, writer, fault)
+
+
+async def _ends_without_answer(worker: PlatformWorker, writer: AnswerCopier, run: Run, fault: str) -> bool:
+    """Carry out a fault in whose place there is no answer; return whether it is one."""
+    if fault == 'reset_after_run':
+        reset_connection(writer)
+        return True
+    if fault not in {'garbage', 'raw', 'raw_crash'}:
+        return False
+    raw_answer = GARBAGE if fault == 'garbage' else worker.raw_answer
+    writer.write(raw_answer.replace(b'ID', run.request_id.encode()))
+    writer.close()
+    if fault == 'raw_crash':
+        await worker.crash()
+    return True
