Plain requests do not hide that nearly all prompts are refused

Found by reading after the fix: since all requests pass the quarantine, plain ones lowered the share of refused prompts by which a probe is due, so that none would come beside plain traffic.

--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -115,11 +115,14 @@
             settled; until then, it says when that will be.
         """
         now = BOOT_CLOCK.monotonic()
-        if call_state.call.prompt_parts:
-            self.evidence.record_request(call_state.call.prompt_parts)
+        prompt_parts = call_state.call.prompt_parts
+        if prompt_parts:
+            self.evidence.record_request(prompt_parts)
         culprit = self.find_culprit(call_state)
         if culprit is None:
-            self.gate.record_sent()
+            # Other requests say nothing of how many prompts are refused.
+            if prompt_parts:
+                self.gate.record_sent()
             return
         if self._admit_probe(culprit, now):
             call_state.is_probe = True
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, RequestQuarantine
 from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_record, make_target_state
+from tamarackfield.policy.probe_gate import MAX_REFUSED_SHARE
 from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
 from tamarackfield.web.connection import BodyFraming
 from tamarackfield.wire.crash_reports import BrokenRun
@@ -134,3 +135,11 @@
     else:
         directory.remove('t1', store_unreliable=False)
     assert ('request,1' in quarantine.evidence.suspects) is is_crash
+
+
+async def test_plain_requests_do_not_hide_that_nearly_all_prompts_are_refused():
+    quarantine = RequestQuarantine(Application('e'), list)
+    quarantine.gate.refused_share = 0.9
+    for _ in range(1000):
+        quarantine.require_release(CallState(make_call(), make_route(), 'plain', 1))
+    assert quarantine.gate.refused_share > MAX_REFUSED_SHARE
