Test of requests at a stop: a busy machine sends some of them later than is promised

Trace, steps of 4, 6 and 10 ms between the 40 requests: unanswered are 14, 10 and 21 of them, all sent 0.254 s after the stop or later; requests are taken for 0.25 s. With 1 ms between them the same happens once the machine is so busy that 40 steps take longer. The test now asks for an answer to each request that was sent within that time, and no longer to later ones, which nothing promises.

--- a/tamarackfield/web/tests/test_shutdown.py
+++ b/tamarackfield/web/tests/test_shutdown.py
@@ -53,14 +53,21 @@
 
 
 async def test_requests_that_are_on_their_way_when_the_server_stops_are_answered():
+    loop = asyncio.get_running_loop()
+    sent_after = []
+
     async def send_requests(server, writers):
         shutdown = asyncio.create_task(server.shutdown())
+        stopped_at = loop.time()
         for writer in writers:
             await asyncio.sleep(0.001)
             writer.write(REQUEST)
+            sent_after.append(loop.time() - stopped_at)
         await shutdown
 
-    assert set(await stop_under_load(send_requests)) == {b'HTTP/1.1 200 '}
+    lines = await stop_under_load(send_requests)
+    promised = [line for line, seconds in zip(lines, sent_after, strict=True) if seconds <= LAST_REQUEST_SECONDS]
+    assert set(promised) == {b'HTTP/1.1 200 '}
 
 
 async def test_idle_connections_do_not_delay_a_stop_for_long():
