Crashes that culprits explain and others have a share of the evidence each

Found by reading: with 256 explained crashes, two or three for each bad request, further ones were dropped as they came, so that no other request could be found any more (the test fails with the 129th one), and recording them could raise.

--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -59,7 +59,7 @@
     Parameters
     ----------
     parts : frozenset of str
-        Parts of its prompt that other requests may have as well.
+        Parts of its prompt that other requests may have as well, and the fingerprint of the request.
     has_begun : bool
         Whether the head of its answer arrived.
     wrote_seconds : float
@@ -345,16 +345,17 @@
             self.proven_at.pop(part)
 
     def _forget_old_crashes(self, now: float) -> None:
-        """Forget crashes that no culprit explains after a time, and the earliest ones beyond the limit."""
-        explained = {key for culprit in self.culprits for key in culprit.crashes}
-        outdated = [
+        """Forget crashes that no culprit explains after a time, and the earliest ones beyond the limits."""
+        explained = {key for culprit in self.culprits for key in culprit.crashes} & self.crashes.keys()
+        unexplained = self.crashes.keys() - explained
+        outdated = {key for key in unexplained if now - self.learnt_at[key] > EVIDENCE_SECONDS}
+        # Each kind has its half, so that neither known culprits nor a flood of new suspects displaces the other.
+        excess = [
             key
-            for key, learnt_at in self.learnt_at.items()
-            if key not in explained and now - learnt_at > EVIDENCE_SECONDS
+            for keys in (explained, unexplained - outdated)
+            for key in sorted(keys, key=self.learnt_at.__getitem__)[: -MAX_CRASHES // 2]
         ]
-        excess = len(self.crashes) - len(outdated) - MAX_CRASHES
-        by_use = sorted(self.crashes.keys() - outdated, key=lambda key: (key in explained, self.learnt_at[key]))
-        for key in (*outdated, *by_use[: max(0, excess)]):
+        for key in (*outdated, *excess):
             self.crashes.pop(key)
             self.learnt_at.pop(key)
 
