--- a/tamarackfield/gateway/end_watch.py
+++ b/tamarackfield/gateway/end_watch.py
@@ -6,7 +6,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, Application
 from tamarackfield.gateway.model import TargetRecord
-from tamarackfield.policy.quarantine import Crash, make_crash
+from tamarackfield.policy.crashes import Crash, make_crash
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.pool import open_connection
 from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -14,7 +14,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.time_limits import listening_seconds, time_limit, wait_within
 from tamarackfield.gateway.follower import MIN_JITTER_SHARE
-from tamarackfield.policy.quarantine import Crash, CrashKey
+from tamarackfield.policy.crashes import Crash, CrashKey
 from tamarackfield.policy.prefill import NOTICEABLE_PAUSE_FRACTION
 from tamarackfield.wire.crash_reports import CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -23,13 +23,9 @@
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.model import Call
 from tamarackfield.policy.probe_gate import ProbeGate, RequestProbes
-from tamarackfield.policy.quarantine import (
-    PROOF_SECONDS,
-    SETTLED_SECONDS,
-    Crash,
-    Culprit,
-    Quarantine,
-)
+from tamarackfield.policy.crashes import PROOF_SECONDS, Crash
+from tamarackfield.policy.culprits import SETTLED_SECONDS, Culprit
+from tamarackfield.policy.quarantine import Quarantine
 from tamarackfield.policy.ring import order_by_rendezvous
 from tamarackfield.web.connection import BodyFraming
 from tamarackfield.wire.crash_reports import BrokenRun
--- a/tamarackfield/gateway/tests/test_crash_exchange.py
+++ b/tamarackfield/gateway/tests/test_crash_exchange.py
@@ -12,7 +12,7 @@
 from tamarackfield.gateway.peers import PeerExchange
 from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.replica import Replica
-from tamarackfield.policy.quarantine import Crash
+from tamarackfield.policy.crashes import Crash
 from tamarackfield.testing.ports import reserve_port
 from tamarackfield.testing.processes import wait_until
 from tamarackfield.wire.messages import Hello
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -7,7 +7,7 @@
 from tamarackfield.gateway.fleet import Fleet, PlacementRequest
 from tamarackfield.gateway.model import Versions
 from tamarackfield.gateway.tests.samples import make_call, make_catalog, make_route, make_target_record
-from tamarackfield.policy.quarantine import Crash
+from tamarackfield.policy.crashes import Crash
 from tamarackfield.wire.messages import Holdings
 from tamarackfield.wire.reservations import EngineReport
 
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -14,7 +14,7 @@
 from tamarackfield.gateway.quarantine import SUSPICION_SECONDS, RequestQuarantine
 from tamarackfield.gateway.tests.samples import make_call, make_route, make_target_record, make_target_state
 from tamarackfield.policy.probe_gate import MAX_REFUSED_SHARE
-from tamarackfield.policy.quarantine import PROOF_SECONDS, Crash
+from tamarackfield.policy.crashes import PROOF_SECONDS, Crash
 from tamarackfield.web.connection import BodyFraming
 from tamarackfield.wire.crash_reports import BrokenRun
 
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -20,7 +20,7 @@
 )
 from tamarackfield.manager.tickets import ModelOrder, Plan
 from tamarackfield.policy.pauses import extend_pause
-from tamarackfield.policy.quarantine import Crash, make_crash
+from tamarackfield.policy.crashes import Crash, make_crash
 from tamarackfield.policy.residency import LoadOrder, Order, UnloadOrder
 from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
 from tamarackfield.wire.reservations import Facts
--- a/tamarackfield/manager/server.py
+++ b/tamarackfield/manager/server.py
@@ -12,7 +12,8 @@
 from tamarackfield.manager.engine import EngineController
 from tamarackfield.manager.request_limits import TargetLimits
 from tamarackfield.manager.tickets import Decline, Ticket
-from tamarackfield.policy.quarantine import Crash, Quarantine
+from tamarackfield.policy.crashes import Crash
+from tamarackfield.policy.quarantine import Quarantine
 from tamarackfield.wire.codec import make_shared_encoder
 from tamarackfield.wire.crash_reports import BrokenRun, CrashReport, decode_crash, encode_crash
 from tamarackfield.wire.messages import Draining, Hello, Holdings, Message
--- a/tamarackfield/platform/tests/test_crashing_requests.py
+++ b/tamarackfield/platform/tests/test_crashing_requests.py
@@ -7,7 +7,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.platform.tests.crash_samples import list_crashes, restart_crashed_workers
-from tamarackfield.policy.quarantine import SETTLED_SECONDS
+from tamarackfield.policy.culprits import SETTLED_SECONDS
 from tamarackfield.testing.platform_site import CONTACT_SECONDS, MODEL_SERVICE, PLAIN_SERVICE, make_config, running_site
 from tamarackfield.web.client import ClientError
 
--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -20,211 +20,25 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import replace
 
+from tamarackfield.policy.crashes import UNWRITTEN_SCORE, Crash, CrashKey, Parts
+from tamarackfield.policy.culprits import MAX_CONTESTED_CRASHES, SETTLED_SECONDS, Culprit, find_culprits, sum_scores
 from tamarackfield.policy.fingerprints import is_fingerprint, make_fingerprint
 from tamarackfield.policy.isolation import RequestCounts
 
-#: Time in seconds for which a run writes until it has shown that its prompt does not crash the engine. The engines
-#: of the platform end within 0.15 s of the first token.
-PROOF_SECONDS = 0.25
-#: Score of a part in a crash: for a run that had written nothing, and for one that had written for a moment.
-UNWRITTEN_SCORE, BRIEF_SCORE = 3, 2
-#: Score over all crashes from which a part is a culprit: two runs that had written nothing, or three others.
-CULPRIT_SCORE = 6
-#: Number of crashes that two parts must share, so that one may have caused what counts against the other.
-MIN_SHARED_CRASHES = 2
-#: Number of crashes from which a request is a culprit although another one shares all of them.
-MAX_CONTESTED_CRASHES = 3
 #: Seconds before a crash within which a run with a part clears the part of it.
 RECENT_PROOF_SECONDS = 5.0
 #: Seconds for which a crash that no culprit explains is remembered.
 EVIDENCE_SECONDS = 3600.0
-#: Age in seconds from which a culprit is final: clearances of its parts have arrived from all entries by then.
-SETTLED_SECONDS = 1.0
 #: Limits of the crashes and of the proven parts that are remembered.
 MAX_CRASHES = 256
 MAX_PROVEN_PARTS = 4096
 
-CrashKey = tuple[str, int]
-Parts = frozenset[str]
 _NO_PARTS: Parts = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class SuspectRun:
-    """Run that broke off when its engine ended.
-
-    Parameters
-    ----------
-    parts : frozenset of str
-        Parts of its prompt that other requests may have as well, and the fingerprint of the request.
-    has_begun : bool
-        Whether the head of its answer arrived.
-    wrote_seconds : float
-        Time from the first part of the answer's body to the last.
-    suspected : frozenset of str
-        Those of its parts that were suspected when it was sent.
-    """
-
-    parts: Parts
-    has_begun: bool = True
-    wrote_seconds: float = 0.0
-    suspected: Parts = _NO_PARTS
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """End of one incarnation of an engine amid runs.
-
-    Parameters
-    ----------
-    target : str
-        Name of the target.
-    started_ms : int
-        Start of the incarnation, in Unix milliseconds.
-    ended_ms : int
-        Its end, in Unix milliseconds of the process that noticed it; for operators only.
-    unwritten, brief : frozenset of str
-        Parts of runs that had written nothing, and of those that had written for less than `PROOF_SECONDS`.
-    suspected : frozenset of str
-        Those parts that were suspected already when their run was sent.
-    cleared : frozenset of str
-        Parts that did not cause it.
-    """
-
-    target: str
-    started_ms: int
-    ended_ms: int = 0
-    unwritten: Parts = _NO_PARTS
-    brief: Parts = _NO_PARTS
-    suspected: Parts = _NO_PARTS
-    cleared: Parts = _NO_PARTS
-
-    def key(self) -> CrashKey:
-        """Return what identifies the crash."""
-        return self.target, self.started_ms
-
-    def suspects(self) -> Parts:
-        """Return the parts that may have caused it."""
-        return (self.unwritten | self.brief) - self.cleared
-
-    def score(self, part: str) -> int:
-        """Return what the crash counts against a part."""
-        if part in self.cleared:
-            return 0
-        if part in self.unwritten:
-            return UNWRITTEN_SCORE
-        return BRIEF_SCORE if part in self.brief else 0
-
-    def sort_parts(self) -> tuple[object, ...]:
-        """Return all fields, with the parts in order."""
-        sets = (self.unwritten, self.brief, self.suspected, self.cleared)
-        return (*self.key(), self.ended_ms, *(sorted(parts) for parts in sets))
-
-    def merge(self, other: 'Crash') -> 'Crash':
-        """Return what two reports of the crash say together."""
-        return Crash(
-            self.target,
-            self.started_ms,
-            min(self.ended_ms, other.ended_ms) or max(self.ended_ms, other.ended_ms),
-            self.unwritten | other.unwritten,
-            self.brief | other.brief,
-            self.suspected | other.suspected,
-            self.cleared | other.cleared,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Culprit:
-    """Parts on which engines crash; several while it is open which of them is the cause.
-
-    Parameters
-    ----------
-    parts : frozenset of str
-        A request is in quarantine if it has all of them.
-    crashes : tuple of pairs
-        Keys of the crashes that they explain.
-    found_at : float
-        Monotonic seconds at which this process found it.
-    """
-
-    parts: Parts
-    crashes: tuple[CrashKey, ...]
-    found_at: float = 0.0
-
-    def is_settled(self, now: float) -> bool:
-        """Return whether what might clear it would have been heard of."""
-        return now >= self.found_at + SETTLED_SECONDS
-
-    def is_request(self) -> bool:
-        """Return whether it is a whole request."""
-        return any(is_fingerprint(part) for part in self.parts)
-
-    def label(self) -> str:
-        """Return the parts as text."""
-        return '+'.join(sorted(self.parts))
-
-
-def make_crash(target: str, started_ms: int, ended_ms: int, runs: Sequence[SuspectRun]) -> Crash:
-    """Return the report of a crash from the runs that broke off.
-
-    While some run had begun its answer and written nothing, those that had not begun count less: engines begin
-    one answer after another.
-
-    Examples
-    --------
-    >>> runs = [SuspectRun(frozenset('ap')), SuspectRun(frozenset('ab'), wrote_seconds=0.1)]
-    >>> crash = make_crash('t', 1, 0, [*runs, SuspectRun(frozenset('c'), wrote_seconds=2.0)])
-    >>> sorted(crash.unwritten), sorted(crash.brief), sorted(crash.cleared)
-    (['a', 'p'], ['a', 'b'], ['c'])
-    """
-    begun = [run for run in runs if run.has_begun and not run.wrote_seconds]
-    proven = [run for run in runs if run.wrote_seconds >= PROOF_SECONDS]
-    unwritten = begun or [run for run in runs if not run.has_begun]
-    suspects = [run for run in runs if run not in proven]
-    brief = [run for run in suspects if run not in unwritten]
-    return Crash(
-        target,
-        started_ms,
-        ended_ms,
-        unwritten=_union(run.parts for run in unwritten),
-        brief=_union(run.parts for run in brief),
-        suspected=_union(run.suspected for run in suspects),
-        cleared=_union(run.parts for run in proven),
-    )
-
-
-def find_culprits(crashes: Iterable[Crash], request_counts: Counter[str]) -> list[Culprit]:
-    """Return the parts that explain crashes, the one with the highest score first.
-
-    Parameters
-    ----------
-    crashes : iterable of Crash
-        All crashes that are known.
-    request_counts : Counter
-        Number of requests with each part lately. A part that more requests have than another with which it shares
-        crashes needs evidence of its own.
-
-    Examples
-    --------
-    >>> first = Crash('t1', 1, unwritten=frozenset('ap'), cleared=frozenset('a'))
-    >>> second = Crash('t2', 1, unwritten=frozenset('bp'), suspected=frozenset('p'))
-    >>> [sorted(culprit.parts) for culprit in find_culprits([first, second], Counter('ap'))]
-    [['p']]
-    """
-    unexplained = {crash.key(): crash for crash in crashes}
-    culprits = []
-    while True:
-        culprit = _find_culprit(unexplained, request_counts)
-        if culprit is None:
-            return culprits
-        culprits.append(culprit)
-        for key in culprit.crashes:
-            unexplained.pop(key)
-
-
 class Quarantine:
     """Known crashes, what clears parts of them, and the culprits.
 
@@ -361,60 +175,9 @@
 
     def _update(self, now: float) -> None:
         found_at = {culprit.parts: culprit.found_at for culprit in self.culprits}
-        self.scores = _sum_scores(self.crashes.values())
+        self.scores = sum_scores(self.crashes.values())
         self.suspects = frozenset(self.scores)
         self.culprits = [
             replace(culprit, found_at=found_at.get(culprit.parts, now))
             for culprit in find_culprits(self.crashes.values(), self.requests.by_part)
         ]
-
-
-def _find_culprit(crashes: dict[CrashKey, Crash], request_counts: Counter[str]) -> Culprit | None:
-    by_part = _index_crashes(crashes)
-    scores = _sum_scores(crashes.values())
-    repeated = _union(crash.suspected & crash.suspects() for crash in crashes.values())
-    eligible = [part for part in repeated if scores[part] >= CULPRIT_SCORE and not _is_contested(by_part, part)]
-    if not eligible:
-        return None
-    best = max(eligible, key=lambda part: (scores[part], -request_counts[part], part))
-    keys = by_part[best]
-    rivals = {
-        part
-        for part in _union(crashes[key].suspects() for key in keys) - {best}
-        if len(by_part[part] & keys) >= MIN_SHARED_CRASHES
-        and sum(crashes[key].score(best) for key in keys - by_part[part]) < CULPRIT_SCORE
-        and not (scores[part] < scores[best] and (is_fingerprint(part) or request_counts[part] >= request_counts[best]))
-    }
-    # No request is two others as well.
-    requests = [part for part in rivals if is_fingerprint(part)]
-    if len(requests) > 1 or is_fingerprint(best):
-        rivals.difference_update(requests)
-    return Culprit(frozenset((best, *rivals)), tuple(key for key in crashes if key in keys))
-
-
-def _is_contested(by_part: dict[str, set[CrashKey]], part: str) -> bool:
-    """Return whether a part is a whole request, and another one may have caused its crashes as well."""
-    keys = by_part[part]
-    if not is_fingerprint(part) or len(keys) >= MAX_CONTESTED_CRASHES:
-        return False
-    return any(is_fingerprint(other) and keys <= by_part[other] for other in by_part.keys() - {part})
-
-
-def _index_crashes(crashes: dict[CrashKey, Crash]) -> dict[str, set[CrashKey]]:
-    """Return the keys of the crashes of which each part is a suspect."""
-    by_part: dict[str, set[CrashKey]] = {}
-    for key, crash in crashes.items():
-        for part in crash.suspects():
-            by_part.setdefault(part, set()).add(key)
-    return by_part
-
-
-def _sum_scores(crashes: Iterable[Crash]) -> Counter[str]:
-    scores: Counter[str] = Counter()
-    for crash in crashes:
-        scores.update({part: crash.score(part) for part in crash.suspects()})
-    return scores
-
-
-def _union(sets: Iterable[Parts]) -> Parts:
-    return frozenset().union(*sets)
--- a/tamarackfield/policy/tests/test_quarantine.py
+++ b/tamarackfield/policy/tests/test_quarantine.py
@@ -10,15 +10,9 @@
 from hypothesis import strategies as st
 
 from tamarackfield.policy.probe_gate import REQUEST_PROBE_SECONDS, ProbeGate, RequestProbes
-from tamarackfield.policy.quarantine import (
-    PROOF_SECONDS,
-    RECENT_PROOF_SECONDS,
-    Crash,
-    Quarantine,
-    SuspectRun,
-    find_culprits,
-    make_crash,
-)
+from tamarackfield.policy.crashes import PROOF_SECONDS, Crash, SuspectRun, make_crash
+from tamarackfield.policy.culprits import find_culprits
+from tamarackfield.policy.quarantine import RECENT_PROOF_SECONDS, Quarantine
 from tamarackfield.policy.ring import Ring
 
 #: Crashes up to the one from which on requests with the part may reach only three more workers.
--- a/tamarackfield/policy/tests/test_request_quarantine.py
+++ b/tamarackfield/policy/tests/test_request_quarantine.py
@@ -9,7 +9,9 @@
 import pytest
 
 from tamarackfield.policy.fingerprints import PREFIX
-from tamarackfield.policy.quarantine import MAX_CRASHES, Crash, Quarantine, SuspectRun, find_culprits, make_crash
+from tamarackfield.policy.crashes import Crash, SuspectRun, make_crash
+from tamarackfield.policy.culprits import find_culprits
+from tamarackfield.policy.quarantine import MAX_CRASHES, Quarantine
 from tamarackfield.policy.ring import Ring
 
 #: Crashes by one request from which it is known, and number of its requests that may reach targets after that.
--- a/tamarackfield/wire/crash_reports.py
+++ b/tamarackfield/wire/crash_reports.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.policy.quarantine import Crash, SuspectRun
+from tamarackfield.policy.crashes import Crash, SuspectRun
 from tamarackfield.wire.codec import register_message_types
 from tamarackfield.wire.messages import Message
 
