--- a/review/load.py
+++ b/review/load.py
@@ -1,15 +1,21 @@
-"""Steady load of interview summaries and finding drafts on one model worker, a little above what it can run."""
+"""Requests for answers of the model worker, with the patience that PROTOCOL.md gives their clients."""
 
 import asyncio
-import random
 import time
 from typing import Any
 
-from standins import MODEL, Answer, Client, Deployment, Program
+from standins import (
+    DRAFT_OBJECTIVE_MS,
+    GAP_MS,
+    MODEL,
+    SUMMARY_OBJECTIVE_MS,
+    Answer,
+    Client,
+    Deployment,
+    Program,
+    stream_patience,
+)
 
-#: Adapters that are asked for; as many as a worker holds, asked for as the sheet says (Zipf, 1.2).
-ADAPTERS = tuple(f'a{number}' for number in range(1, 27))
-WEIGHTS = tuple(number**-1.2 for number in range(1, 27))
 
 
 async def send_one(
@@ -28,8 +34,10 @@
     site.record.add(f'client sends {request_id} {route} {adapter} to {node}')
     client = Client(site.front(entry))
     sent_at = time.monotonic()
+    patience = stream_patience(SUMMARY_OBJECTIVE_MS if route == 'summary' else DRAFT_OBJECTIVE_MS, GAP_MS)
     try:
-        answer = await asyncio.wait_for(client.send('POST', f'/{route}/2f', headers, 1700 * b'x'), deadline_ms / 1000 + 1)
+        sending = client.send('POST', f'/{route}/2f', headers, 1700 * b'x', patience)
+        answer = await asyncio.wait_for(sending, deadline_ms / 1000)
     except (OSError, TimeoutError) as exc:
         answer = Answer()
         answer.error = f'no connection or no answer: {exc!r}'
@@ -39,18 +47,3 @@
     return {'id': request_id, 'entry': node, 'adapter': adapter, 'sent_at': sent_at, 'answer': answer, 'route': route}
 
 
-async def send_load(site: Deployment, choose_entry: Any, per_second: float, seconds: float) -> list[dict[str, Any]]:
-    """Send requests at a constant rate; return all of them once they have ended."""
-    rng = random.Random(7)
-    tasks = []
-    started = time.monotonic()
-    number = 0
-    while time.monotonic() - started < seconds:
-        adapter = rng.choices(ADAPTERS, WEIGHTS)[0]
-        pieces = max(1, min(159, int(rng.expovariate(1 / 49))))
-        route, deadline_ms = ('summary', 20_000) if number % 2 else ('draft', 12_000)
-        entry = choose_entry(number)
-        tasks.append(asyncio.create_task(send_one(site, entry, route, adapter, deadline_ms, pieces)))
-        number += 1
-        await asyncio.sleep(max(0.0, started + number / per_second - time.monotonic()))
-    return list(await asyncio.gather(*tasks))
