--- a/review/standins.py
+++ b/review/standins.py
@@ -117,6 +117,9 @@
         self.newest: dict[str, int] = {}
         self.adapter_slots = 26
         self.load_seconds = 0.25
+        # A model that the worker had before, from its disk.
+        self.disk_load_seconds = 0.76
+        self.busy = False
         self.sequence = 0
         self.fence = 0
         self.running: dict[str, str] = {}
@@ -133,7 +136,7 @@
             'service': self.service, 'address': f'{self.host}:{self.port}', 'zone': 'regina-a', 'version': 'v1',
             'slots': self.slots, 'state': self.state, 'cold_ms': 0, 'seq': self.sequence, 'born': self.born,
         }  # fmt: skip
-        return document | ({'models': self.list_models()} if self.models else {})
+        return document | ({'models': self.list_models()} if self.service == MODEL_SERVICE else {})
 
     def list_models(self) -> list[dict[str, Any]]:
         adapters = [f'{name}@{version}' for name, version in self.adapters.items()]
@@ -195,7 +198,7 @@
 
     def report(self) -> dict[str, Any]:
         return {
-            'stage': 'colocated', 'models': self.list_models(), 'busy': False, 'seq': self.sequence, 'queued': 0,
+            'stage': 'colocated', 'models': self.list_models(), 'busy': self.busy, 'seq': self.sequence, 'queued': 0,
             'running': len(self.running), 'kv_used': 0, 'kv_total': 157_544, 'handles': 0, 'state': self.state,
             'incoming': [f'{MODEL}/{name}@{version}' for name, version in self.incoming.items()], 'born': self.born,
         }  # fmt: skip
@@ -203,7 +206,7 @@
     def order(self, headers: dict[str, str], order: dict[str, Any]) -> int:
         if headers.get('tamarackfield-expect-instance', self.name) != self.name:
             return 421
-        if 'holder' not in order or 'fencing_token' not in order or 'adapter' not in order:
+        if 'holder' not in order or 'fencing_token' not in order:
             return 400
         if order['fencing_token'] < self.fence:
             return 412
@@ -211,6 +214,8 @@
             return 409
         self.fence = order['fencing_token']
         self.record.add(f'{self.name} order {json.dumps(order)}')
+        if 'adapter' not in order:
+            return self.load_model(order)
         name = order['adapter']
         if order['operation'] == 'unload':
             if name in self.running.values():
@@ -226,10 +231,34 @@
         asyncio.get_running_loop().call_later(self.load_seconds, self.finish_load, name)
         return 202
 
+    def load_model(self, order: dict[str, Any]) -> int:
+        if order['operation'] != 'load' or order['model'] in self.models or self.busy:
+            return {'load': 409 if self.busy else 200}.get(order['operation'], 400)
+        self.sequence += 1
+        self.busy = True
+        asyncio.get_running_loop().call_later(self.disk_load_seconds, self.finish_model, self.born, order['model'])
+        return 202
+
+    def finish_model(self, born: int, model: str) -> None:
+        if born == self.born:
+            self.models = [model]
+            self.busy = False
+
+    def forget(self) -> None:
+        """Become a new incarnation with a new id, which holds nothing."""
+        self.name = f'i-{random.randrange(16**8):08x}'
+        self.born = int(time.time() * 1000)
+        self.sequence = self.fence = 0
+        self.busy = False
+        for holdings in (self.models, self.adapters, self.incoming, self.running):
+            holdings.clear()
+
     def finish_load(self, name: str) -> None:
         if name in self.running.values():
             asyncio.get_running_loop().call_later(0.02, self.finish_load, name)
             return
+        if name not in self.incoming:
+            return
         self.adapters[name] = self.incoming.pop(name)
         self.record.add(f'{self.name} holds {name}@{self.adapters[name]}')
 
@@ -238,7 +267,7 @@
             return 421
         if 'tamarackfield-request-id' not in headers:
             return 400
-        if self.models:
+        if self.service == MODEL_SERVICE:
             model, _, adapter = headers.get('tamarackfield-model', '').partition('/')
             if model not in self.models or (adapter and adapter not in self.adapters):
                 return 421
@@ -266,7 +295,7 @@
         self.running[request_id] = adapter
         self.record.add(f'{self.name} runs {request_id} {adapter}@{run["version"]}')
         try:
-            if self.models:
+            if self.service == MODEL_SERVICE:
                 await self.stream(protocol, reader, writer, headers)
             else:
                 await self.work(protocol, reader, writer, head, headers, run)
@@ -438,13 +467,26 @@
 
     async def beat(self, worker: Worker) -> None:
         """Write the entry of a worker when more than its seq changes, as its heartbeats do."""
-        written = worker.entry()
+        written = worker.entry() | {'seq': 0}
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             entry = worker.entry()
-            if entry != written:
+            if worker.server is not None and worker.server.is_serving() and entry | {'seq': 0} != written:
                 self.store.put(f'servers/{worker.name}', entry)
-                written = entry
+                written = entry | {'seq': 0}
+
+    async def keep_up(self, worker: Worker, crash: asyncio.Event, down_seconds: float) -> None:
+        """Start a worker again whenever it has crashed; its entry goes after three heartbeat intervals of silence."""
+        while True:
+            crash.clear()
+            await worker.start()
+            self.store.put(f'servers/{worker.name}', worker.entry())
+            await crash.wait()
+            self.record.add(f'{worker.name} crashes with {len(worker.running)} runs')
+            await worker.stop()
+            asyncio.get_running_loop().call_later(3 * HEARTBEAT_SECONDS, self.store.delete, f'servers/{worker.name}')
+            await asyncio.sleep(down_seconds)
+            worker.forget()
 
     async def add_sidecar(self, worker: Worker) -> Program:
         settings = self.settings(f'side-regina-a-{len(self.sidecars) + 1}', 'side', worker.host)
