--- a/review/3/case.py
+++ b/review/3/case.py
@@ -47,7 +47,9 @@
             age = run['began'] - acknowledged.get(run['adapter'], run['began'])
             if run['version'] < 2 and age > VERSION_SECONDS:
                 late += 1
-                record.add(f'OLD VERSION {run["id"]}: {run["adapter"]}@{run["version"]} began {age:.3f} s after version 2')
+                record.add(
+                    f'OLD VERSION {run["id"]}: {run["adapter"]}@{run["version"]} began {age:.3f} s after version 2'
+                )
         answered = sum(request['answer'].complete and request['answer'].status == 200 for request in sent)
         record.add(f'{len(sent)} requests, {answered} answered, {late} began too late on the older version')
         return late > 0
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,6 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from standins import (
-    HEARTBEAT_SECONDS,
     PLAIN_SERVICE,
     Answer,
     Client,
@@ -19,7 +18,7 @@
     run_case,
 )
 
-WORKERS = 4
+WORKERS, SLOTS = 4, 6
 QUIET_SECONDS, CRASH_SECONDS, AFTER_SECONDS = 3.0, 12.0, 16.0
 #: Seconds for which a worker runs its first request before it crashes, and after which it starts again.
 DIES_AFTER_SECONDS, DOWN_SECONDS = 0.02, 1.0
@@ -32,7 +31,10 @@
     """Worker that crashes soon after it begins its first run, whichever that is, while ``crashing`` is set."""
 
     crashing = False
-    crash: asyncio.Event
+
+    def __init__(self, record: Record, name: str) -> None:
+        super().__init__(record, name, PLAIN_SERVICE, SLOTS)
+        self.crash = asyncio.Event()
 
     async def work(self, protocol, reader, writer, head, headers, run) -> None:
         if self.crashing:
@@ -41,22 +43,6 @@
         await super().work(protocol, reader, writer, head, headers, run)
 
 
-async def keep_up(site: Deployment, worker: CrashingWorker) -> None:
-    """Start a worker again, as a new incarnation with a new id, whenever it has crashed."""
-    while True:
-        worker.crash = asyncio.Event()
-        await worker.start()
-        site.store.put(f'servers/{worker.name}', worker.entry())
-        await worker.crash.wait()
-        site.record.add(f'{worker.name} crashes with {len(worker.running)} runs')
-        await worker.stop()
-        # Its entry is removed after three heartbeat intervals of silence.
-        asyncio.get_running_loop().call_later(3 * HEARTBEAT_SECONDS, site.store.delete, f'servers/{worker.name}')
-        await asyncio.sleep(DOWN_SECONDS)
-        worker.name = f'i-{site.seed.randrange(16**8):08x}'
-        worker.born = int(time.time() * 1000)
-
-
 async def send_one(site: Deployment, number: int) -> tuple[str, int]:
     """Send one request; every third is the one that many callers send, the others are each their own."""
     request_id = site.request_id()
@@ -76,8 +62,8 @@
 
 async def case(record: Record, trouble: bool) -> bool:
     async with deployment(record, make_config(16)) as site:
-        workers = [CrashingWorker(record, f'i-{site.seed.randrange(16**8):08x}', PLAIN_SERVICE, 6) for _ in range(WORKERS)]
-        keeping = [asyncio.create_task(keep_up(site, worker)) for worker in workers]
+        workers = [CrashingWorker(record, f'i-{site.seed.randrange(16**8):08x}') for _ in range(WORKERS)]
+        site.beats.extend(asyncio.create_task(site.keep_up(worker, worker.crash, DOWN_SECONDS)) for worker in workers)
         site.workers.extend(workers)
         await site.add_entry()
         await site.add_entry()
@@ -93,8 +79,6 @@
             tasks.append(asyncio.create_task(send_one(site, len(tasks))))
             await asyncio.sleep(max(0.0, started + len(tasks) / PER_SECOND - time.monotonic()))
         answers = await asyncio.gather(*tasks)
-        for task in keeping:
-            task.cancel()
         denied = [path for path, status in answers if 300 <= status < 500 and status not in {408, 421, 429}]
         limit = 5 + len(answers) / 500
         alike = sum(path == ALIKE for path, _ in answers)
--- a/review/load.py
+++ b/review/load.py
@@ -17,7 +17,6 @@
 )
 
 
-
 async def send_one(
     site: Deployment, entry: Program, route: str, adapter: str, deadline_ms: int, pieces: int
 ) -> dict[str, Any]:
@@ -45,5 +44,3 @@
     client.close()
     site.record.add(f'client got {request_id} {answer.describe()} after {answer.ended_at - sent_at:.3f} s')
     return {'id': request_id, 'entry': node, 'adapter': adapter, 'sent_at': sent_at, 'answer': answer, 'route': route}
-
-
