--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
-# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Runs the case; TROUBLE=0 leaves the disruption out. Exit 1: the rule was broken, 0: it held, 2: it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:.:review exec python3 -S -B review/2/case.py
+PYTHONPATH=target/deps:. exec python3 -S -B review/2/case.py
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,89 +1,84 @@
-"""Requests that wait in a sidecar's queue begin on a version that a newer one has replaced long ago."""
+"""Entries of another writer, for a service that isn't named here, stand in the store when all processes start again."""
 
 import asyncio
+import pathlib
+import sys
 import time
 
-from rig import MODEL, MODEL_SERVICE, TROUBLE, Rig, run_case
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+from standins import MODEL_SERVICE, PLAIN_SERVICE, Answer, Client, Deployment, Record, deployment, make_config, run_case
 
-from tamarackfield.testing.platform_site import make_config, make_route, read_events
-from tamarackfield.web.client import ClientError
+RECOVERY_SECONDS = 12.0
+SERVED_SHARE = 0.25
+PER_SECOND = 20
+DEADLINE_MS = 1000
 
-VERSION_S = 5.0
-RUN_S, EVENTS = 3.2, 49
-CLIENTS_PER_S, BURST_X, BURST_S = 4.5, 2.6, 4.8
-WARM_S = 6.0
-CONFIG = make_config(
-    routes=[make_route('/summary/', 'streaming', MODEL_SERVICE, resumable=True, target_latency_ms=1000)]
-)
 
-
-async def ask(rig: Rig, number: int) -> None:
-    request_id = f'q{number:04d}'
-    headers = [
-        ('Tamarackfield-Request-Id', request_id),
-        ('Tamarackfield-Model', f'{MODEL}/a1'),
-        ('Tamarackfield-Token-Usage', '100,300'),
-        ('Tamarackfield-Prompt-Prefix', f'aa:50,{number + 4096:x}:50'),
-    ]
-    rig.note(f'{request_id} sent')
+async def send_one(site: Deployment, number: int) -> tuple[float, bool]:
+    """Send one lookup or filing on a new connection; return when it was sent and whether it was served."""
+    entry = site.entries[number % len(site.entries)]
+    request_id = site.request_id()
+    headers = {'Tamarackfield-Request-Id': request_id, 'Tamarackfield-Deadline-Ms': str(DEADLINE_MS)}
+    method, path = ('POST', '/filing/2f') if number % 3 else ('GET', f'/lookup/{number}')
+    client = Client(site.front(entry))
+    sent_at = time.monotonic()
     try:
-        async with asyncio.timeout(20):
-            async with rig.site.stream('/summary/x', headers, entry=number % 2) as response:
-                events = await read_events(response)
-                rig.note(f'{request_id} answered {response.status} with {len(events)} events')
-    except (ClientError, TimeoutError) as exc:
-        rig.note(f'{request_id} failed: {exc!r}')
+        sending = client.send(method, path, headers, b'filing' if method == 'POST' else b'')
+        answer = await asyncio.wait_for(sending, DEADLINE_MS / 1000)
+    except (OSError, TimeoutError) as exc:
+        answer = Answer()
+        answer.error = repr(exc)
+    client.close()
+    site.record.add(f'{method} {path} {request_id}: {answer.describe()}')
+    served = answer.status == 200 and answer.complete and 'tamarackfield-server-signature' in answer.headers
+    return sent_at, served
 
 
-async def play(rig: Rig) -> tuple[bool, str]:
-    site = rig.site
-    site.store.put('op/version/base.a1', {'model': MODEL, 'adapter': 'a1', 'version': 1})
-    for name in ('w1', 'w2'):
-        worker = await site.add_worker(name, MODEL_SERVICE)
-        worker.event_count, worker.event_interval_seconds = EVENTS, RUN_S / (EVENTS + 1)
-        await site.add_sidecar(worker)
-    for _ in range(2):
-        await site.add_entry()
-    for entry in site.entries:
-        await site.wait_for_sidecars(entry)
-    begin = time.monotonic()
-    acked = 0.0
+async def send_load(site: Deployment, seconds: float) -> list[tuple[float, bool]]:
     tasks = []
-    due = begin
-    number = 0
-    while time.monotonic() < begin + WARM_S + BURST_S + 9:
-        now = time.monotonic()
-        in_burst = TROUBLE and WARM_S <= now - begin < WARM_S + BURST_S
-        if not acked and now - begin >= WARM_S + BURST_S - 0.5:
-            site.store.put('op/version/base.a1', {'model': MODEL, 'adapter': 'a1', 'version': 2})
-            acked = time.monotonic()
-            rig.note('version 2 of base/a1 is acknowledged', acked)
-        if now >= due:
-            number += 1
-            tasks.append(asyncio.create_task(ask(rig, number)))
-            due += 1 / (CLIENTS_PER_S * (BURST_X if in_burst else 1))
-        await asyncio.sleep(max(0, min(due - time.monotonic(), 0.05)))
-    await asyncio.gather(*tasks)
-    late = 0
-    for worker in site.workers.values():
-        for run in worker.runs:
-            version = run.headers.get('tamarackfield-expect-version', '')
-            rig.note(f'{run.request_id} begins at {worker.name} on version {version}', run.began_at)
-            if version == '1' and run.began_at > acked + VERSION_S:
-                late += 1
-    longest = max(
-        (
-            run.began_at - acked
-            for w in site.workers.values()
-            for run in w.runs
-            if run.headers.get('tamarackfield-expect-version') == '1'
-        ),
-        default=0,
-    )
-    return (
-        late > 0,
-        f'{late} requests began on version 1 over {VERSION_S} s after version 2 was acknowledged, the last {longest:.2f} s after',
-    )
+    started = time.monotonic()
+    while time.monotonic() < started + seconds:
+        tasks.append(asyncio.create_task(send_one(site, len(tasks))))
+        await asyncio.sleep(max(0.0, started + len(tasks) / PER_SECOND - time.monotonic()))
+    return list(await asyncio.gather(*tasks))
+
+
+def write_entries_of_another(site: Deployment, record: Record) -> None:
+    """Write an entry at the address of each worker for a service that no configuration names."""
+    for number, worker in enumerate(site.workers):
+        document = worker.entry() | {'service': 'fleet-inventory', 'born': int(time.time() * 1000)}
+        site.store.put(f'servers/inv-{number}', document)
+        record.add(f'another writer writes servers/inv-{number} for fleet-inventory at {document["address"]}')
+
+
+async def case(record: Record, trouble: bool) -> bool:
+    async with deployment(record, make_config(16)) as site:
+        for _ in range(4):
+            await site.add_worker(PLAIN_SERVICE, 6)
+        model_worker = await site.add_worker(MODEL_SERVICE, 16, adapters={'a1': 1})
+        await site.add_sidecar(model_worker)
+        await site.add_entry()
+        await site.add_entry()
+        await site.wait_ready()
+        before = await send_load(site, 4.0)
+        record.add('all processes are killed')
+        programs = [*site.entries, *site.sidecars]
+        for program in programs:
+            await program.end()
+        if trouble:
+            write_entries_of_another(site, record)
+        await asyncio.sleep(1.0)
+        for program in programs:
+            await program.start()
+        back_at = time.monotonic()
+        record.add('all processes are started again')
+        after = await send_load(site, RECOVERY_SECONDS + 6.0)
+        judged = [served for sent_at, served in after if sent_at > back_at + RECOVERY_SECONDS]
+        share_before = sum(served for _, served in before) / len(before)
+        share_after = sum(judged) / len(judged)
+        record.add(f'served before the fault: {share_before:.3f} of {len(before)}')
+        record.add(f'served later than recovery_s after the start: {share_after:.3f} of {len(judged)}')
+        return share_before >= SERVED_SHARE > share_after
 
 
-run_case(__file__.rpartition('/')[0], CONFIG, play)
+run_case(case, str(pathlib.Path(__file__).resolve().parent))
