What is listed takes no worker out of use

Cause: of the targets that are listed at one address the one that started last superseded the others, and only a call to it could correct that; it gets none if its service has no route, if it says draining or holds no models. A sidecar was told of the latest start on its machine only. The class: what is listed changes the use of what is there, without evidence from there.

Now a target is at its address while a connection is open on which it answered, and then the others there get no call; without one, none is out, and a call goes to the later target of its service. Sidecars are told of all targets that are listed on their machine and take the one of their engine's start, or the next name if the engine refuses an order in that name.

Ruled out: passing over services that no configuration names cures one of seven kinds of entries.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -190,12 +190,14 @@
     def _is_answered_by_another(self, call_state: CallState, target: Target, head: AnswerHead) -> bool:
         """Return whether an answer shows that another instance is at the address of a target.
 
-        A target without models refuses a call as misdirected for no other reason.
+        A target without models refuses a call as misdirected for no other reason. One with models also refuses a call
+        for an adapter that it does not hold.
         """
         if head.answered_by:
             return head.answered_by != target.record.name
-        is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST and not call_state.adapter_key()
-        return is_misdirected and bool(target.list_rivals())
+        if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            return False
+        return target.may_be_misdirected() if call_state.adapter_key() else bool(target.list_rivals())
 
     def _can_repeat(self, call_state: CallState) -> bool:
         """Return whether a further attempt of a call is allowed and a target that does not run it could take it."""
@@ -251,6 +253,8 @@
         reservation.report_started()
         if self._is_answered_by_another(call_state, target, head):
             self.fleet.directory.record_misdirected(target)
+        elif head.genuine:
+            self.fleet.directory.record_answer(target, exchange.connection)
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if head.event_stream and head.genuine and head.status == HTTPStatus.OK:
--- a/tamarackfield/gateway/directory.py
+++ b/tamarackfield/gateway/directory.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from loguru import logger
 
@@ -22,11 +23,20 @@
 RECENT_PLACES = 4
 #: Number of departed targets that are remembered, so that an older copy of the store does not bring them back.
 MAX_DEPARTED = 1024
+#: Seconds after another instance answered at the address of a target in which it gets no call, unless its sidecar
+#: shows before that it is there.
+MISDIRECTED_SECONDS = 3.0
 #: Limit of connections to a target until the number that it accepts and the number of entries that share
 #: them are known.
 DEFAULT_MAX_CONNECTIONS = 32
 
 
+class OpenConnection(Protocol):
+    """Connection of which is known whether it has ended."""
+
+    ended: bool
+
+
 @dataclass(slots=True)
 class Target:
     """One incarnation of a target.
@@ -45,12 +55,12 @@
         Monotonic seconds at which a vanished target is removed; 0 while it is listed.
     removed : bool
         Whether it was removed from the directory and receives no more requests.
-    address_reassigned : bool
-        Whether another target answered at its address.
+    proof : object or None
+        Connection on which it answered last; while this is open, the target is at its address.
+    misdirected_at : float
+        Monotonic seconds at which another instance answered at its address; 0 if it has answered itself since.
     rivals : list of Target
         Other targets that are or were listed at the same address.
-    superseded_by : Target or None
-        Latest of them, which is used instead unless another one answers there; None for the latest one.
     max_connections : int
         Limit of connections that this entry opens to it; a target resets those beyond what it accepts.
     evicted : dict
@@ -78,9 +88,9 @@
     listed_at: float = 0.0
     removal_due_at: float = 0.0
     removed: bool = False
-    address_reassigned: bool = False
+    proof: OpenConnection | None = None
+    misdirected_at: float = 0.0
     rivals: list['Target'] = field(default_factory=list)
-    superseded_by: 'Target | None' = None
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     evicted: dict[str, None] = field(default_factory=dict)
     paused_until: float = 0.0
@@ -93,14 +103,48 @@
 
     def accepts_requests(self, now: float) -> bool:
         """Return whether new requests may be sent to it."""
-        if self.removed or self.record.draining or not self.has_address():
+        if self.removed or self.record.draining or not self.has_address(now):
             return False
         return not self.removal_due_at or now < self.removal_due_at
 
-    def has_address(self) -> bool:
-        """Return whether this target, of those that are listed at its address, is taken to be there."""
-        later = self.superseded_by
-        return not self.address_reassigned and (later is None or later.removed or later.address_reassigned)
+    def has_address(self, now: float) -> bool:
+        """Return whether this target, of those that are listed at its address, may be there.
+
+        Items of other writers may name any address, so only answers from there decide, not what is listed.
+        """
+        if not self.misdirected_at and not self.rivals:
+            return True
+        rivals = self.list_rivals()
+        if any(rival.is_certain() for rival in rivals):
+            return False
+        if now < self.misdirected_at + MISDIRECTED_SECONDS and self.misdirected_at:
+            return False
+        return not self.misdirected_at or not self._has_untried_rival(rivals)
+
+    def is_certain(self) -> bool:
+        """Return whether the target is known to be at its address: a connection on which it answered is open."""
+        return self.proof is not None and not self.proof.ended
+
+    def is_preferred_to(self, other: 'Target') -> bool:
+        """Return whether a call goes to this target rather than to another one that is listed at its address.
+
+        A later one of the same service is: its predecessor there has mostly ended.
+        """
+        record, other_record = self.record, other.record
+        if record.address != other_record.address or record.service != other_record.service:
+            return False
+        return record.started_ms > other_record.started_ms and not self.misdirected_at
+
+    def may_be_misdirected(self) -> bool:
+        """Return whether a refusal that does not say who gave it may be one of another instance."""
+        return not self.is_certain() and self._has_untried_rival(self.list_rivals())
+
+    def _has_untried_rival(self, rivals: list['Target']) -> bool:
+        """Return whether a rival that calls can reach has not turned out to be elsewhere."""
+        return any(
+            rival.record.service == self.record.service and not rival.record.draining and not rival.misdirected_at
+            for rival in rivals
+        )
 
     def list_rivals(self) -> list['Target']:
         """Return the other targets that are listed at its address."""
@@ -228,16 +272,18 @@
         self._remove_target(target, 'item was deleted')
 
     def record_misdirected(self, target: Target) -> None:
-        """Record that another instance answered at the address of a target: use the others that are listed there.
-
-        Entries of other writers may name any address, so no entry by itself takes a target out.
-        """
-        others = target.list_rivals()
-        logger.bind(target=target.record.name, others=len(others)).warning('address_has_another_target')
-        target.address_reassigned = True
+        """Record that another instance answered at the address of a target."""
+        logger.bind(target=target.record.name, others=len(target.list_rivals())).warning('address_has_another_target')
+        target.proof = None
+        target.misdirected_at = self.clock.monotonic()
         self.on_end(target.record)
-        for other in others:
-            other.address_reassigned = False
+
+    def record_answer(self, target: Target, connection: OpenConnection | None = None) -> None:
+        """Record that a target is at its address, as an answer or its sidecar says."""
+        target.misdirected_at = 0.0
+        target.proof = connection
+        for rival in target.rivals:
+            rival.proof = None
 
     def remove_expired(self) -> None:
         """Remove the vanished targets that did not register again in time."""
@@ -283,8 +329,9 @@
             self._remove_target(previous, 'another incarnation was listed')
         rivals = [other for other in self.targets.values() if other.record.address == record.address]
         view = TargetView(record.name, record.zone, batch=max(1, record.batch))
-        target = Target(record, view)
-        _order_rivals(target, rivals)
+        target = Target(record, view, rivals=rivals)
+        for rival in rivals:
+            rival.rivals.append(target)
         self.targets[record.name] = target
         self._index_target(target)
         logger.bind(target=record.name, service=record.service, zone=record.zone, started_ms=record.started_ms).info(
@@ -310,6 +357,8 @@
 
     def _remove_target(self, target: Target, reason: str) -> None:
         target.removed = True
+        for rival in target.rivals:
+            rival.rivals = [other for other in rival.rivals if other is not target]
         if target.record.draining:
             self._remember_departure(target.record.name, max(target.record.started_ms, target.leaving_noticed_ms))
         else:
@@ -328,16 +377,3 @@
 
 def _ignore_end(record: TargetRecord) -> None:
     """Do nothing."""
-
-
-def _order_rivals(target: Target, rivals: list[Target]) -> None:
-    """Let the latest of the targets that are listed at one address supersede the others."""
-    group = (target, *rivals)
-    latest = max(group, key=_start_of)
-    for member in group:
-        member.superseded_by = None if member is latest else latest
-        member.rivals = [other for other in group if other is not member]
-
-
-def _start_of(target: Target) -> int:
-    return target.record.started_ms
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -13,7 +13,7 @@
 from tamarackfield.gateway.links import ManagerLink
 from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.request_limits import RequestLimits
-from tamarackfield.gateway.model import Call, Catalog, Versions
+from tamarackfield.gateway.model import Call, Catalog, Engine, Versions
 from tamarackfield.policy import CostWeights, Ring, RoutingRequest, TargetView
 from tamarackfield.policy.affine import choose_by_cost
 from tamarackfield.policy.health import select_usable
@@ -136,7 +136,7 @@
         # Largest number of entries that a sidecar has reported.
         self.entries = 0
         self.rings: dict[str, tuple[frozenset[str], Ring]] = {}
-        # Model targets by the IP number of their machine, as of the last change of the directory.
+        # Model targets that are listed on a machine, by its IP number, as of the last change of the directory.
         self.targets_by_host: dict[str, list[Target]] = {}
         self.engine_target_count = 0
 
@@ -199,7 +199,7 @@
         permitted = [target for target in reachable if target.takes_request(now, 0)] or [
             target for target in reachable if target.takes_request(now, MAX_PERMIT_WAIT_SECONDS)
         ]
-        usable = [target for target in permitted if self._can_serve(target, placement.adapter)]
+        usable = _prefer_later([target for target in permitted if self._can_serve(target, placement.adapter)])
         healthy = [usable[index] for index in select_usable([target.health for target in usable], now)]
         if not healthy:
             return None
@@ -262,16 +262,8 @@
         return report is not None and report.incarnation != target.record.started_ms
 
     def _engine_targets(self) -> list[Target]:
-        if self.catalog is None:
-            return []
-        services = self.catalog.services
-        return [
-            target
-            for target in self.directory.targets.values()
-            if target.has_address()
-            and target.record.service in services
-            and services[target.record.service].engine is not None
-        ]
+        targets = self.directory.targets.values()
+        return [target for target in targets if self._engine_of(target.record.service) is not None]
 
     def _open_link(self, address: Address) -> None:
         host = address[0]
@@ -281,16 +273,23 @@
         self.links[host] = link
         self.tasks[host] = self.application.supervise(link.run, f'sidecar-{host}')
 
-    def _facts_for(self, host: str) -> Facts | None:
-        """Return the message that describes the target on a machine to its sidecar, None if it is not known."""
-        targets = self.targets_by_host.get(host)
-        if not targets or self.catalog is None:
-            return None
-        record = max(targets, key=lambda target: target.record.started_ms).record
-        engine = self.catalog.services[record.service].engine
-        if engine is None:
-            return None
-        return make_facts(record.name, record.started_ms, self.catalog.version, engine, self.engine_target_count)
+    def _facts_for(self, host: str) -> list[Facts]:
+        """Return the messages that describe the targets that are listed on a machine to its sidecar.
+
+        Items of other writers may name that machine: the sidecar, which knows its engine, chooses.
+        """
+        if self.catalog is None:
+            return []
+        records = [target.record for target in self.targets_by_host.get(host, ()) if not target.removed]
+        return [
+            make_facts(record.name, record.started_ms, self.catalog.version, engine, self.engine_target_count)
+            for record in records
+            if (engine := self._engine_of(record.service)) is not None
+        ]
+
+    def _engine_of(self, service_name: str) -> Engine | None:
+        service = self.catalog.services.get(service_name) if self.catalog else None
+        return None if service is None else service.engine
 
     def _refresh_host(self, host: str) -> None:
         link = self.links.get(host)
@@ -350,22 +349,29 @@
         if link is None or link.report is None:
             return False
         started_ms = link.report.incarnation
+        now = BOOT_CLOCK.monotonic()
+        targets = self.targets_by_host.get(host, ())
+        reported = [target for target in targets if target.record.started_ms == started_ms]
         misdirected = [
             target
-            for target in self.targets_by_host.get(host, ())
+            for target in targets
             if target.record.started_ms != started_ms
-            and any(rival.record.started_ms == started_ms for rival in target.list_rivals())
+            and target.has_address(now)
+            and any(rival in reported for rival in target.list_rivals())
         ]
         for target in misdirected:
             self.directory.record_misdirected(target)
+        if misdirected and len(reported) == 1:
+            self.directory.record_answer(reported[0])
         return bool(misdirected)
 
     def _index_targets(self) -> None:
+        now = BOOT_CLOCK.monotonic()
         self.targets_by_host = {}
         targets = self._engine_targets()
-        self.engine_target_count = len(targets)
         for target in targets:
             self.targets_by_host.setdefault(target.record.address[0], []).append(target)
+        self.engine_target_count = sum(target.has_address(now) for target in targets)
 
     def _current_adapters(self, holdings: Iterable[str]) -> Iterable[str]:
         """Yield the models, and the adapters whose newest version is resident."""
@@ -373,3 +379,10 @@
             adapter, _, version = holding.partition('@')
             if not version or int(version) >= self.versions.newest.get(adapter, 0):
                 yield adapter
+
+
+def _prefer_later(targets: list[Target]) -> list[Target]:
+    """Return targets without those of which a later one, that may be called as well, is listed at the address."""
+    if not any(target.rivals for target in targets):
+        return targets
+    return [target for target in targets if not any(other.is_preferred_to(target) for other in targets)]
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -80,7 +80,7 @@
     hello : callable
         Returns the greeting that identifies this process.
     facts : callable
-        Returns the `Facts` message that describes the target to the sidecar, None if it is not known.
+        Returns the `Facts` messages that describe the targets that are listed on the machine of the sidecar.
     on_change : callable
         Called when a report or the holdings of the sidecar change, and when the connection is lost.
     """
@@ -89,7 +89,7 @@
         self,
         address: Address,
         hello: Callable[[], Hello],
-        facts: Callable[[], Facts | None],
+        facts: Callable[[], Iterable[Facts]],
         on_change: Callable[[], None],
     ) -> None:
         """Prepare a link that is not connected."""
@@ -103,7 +103,8 @@
         self.holdings: Holdings | None = None
         self.pending: dict[int, asyncio.Future[Answer]] = {}
         self.reservation_numbers = itertools.count(1)
-        self.sent_facts: Facts | None = None
+        # What the sidecar was sent of each target, by its name.
+        self.sent_facts: dict[str, Facts] = {}
         self.draining = False
         self.unreachable = False
         # Crashes as the sidecar knows them.
@@ -140,10 +141,12 @@
             pause = min(MAX_RECONNECT_SECONDS, 2 * pause)
 
     def send_facts(self) -> None:
-        """Send the facts about the target if they changed."""
-        facts = self.facts()
-        if facts is not None and facts != self.sent_facts and self.send_best_effort(facts):
-            self.sent_facts = facts
+        """Send the facts that changed."""
+        self.sent_facts = {
+            facts.target: facts
+            for facts in self.facts()
+            if self.sent_facts.get(facts.target) == facts or self.send_best_effort(facts)
+        }
 
     async def reserve(self, request: ReservationRequest) -> tuple[int, Answer]:
         """Reserve a slot in the batch of the target.
@@ -303,7 +306,7 @@
     def _reset(self) -> None:
         self.stream = None
         self.report = None
-        self.sent_facts = None
+        self.sent_facts.clear()
         self.draining = False
         self.known_crashes.clear()
         for future in self.pending.values():
--- a/tamarackfield/gateway/tests/test_fleet.py
+++ b/tamarackfield/gateway/tests/test_fleet.py
@@ -183,3 +183,14 @@
     fleet.directory.targets = UncountableTargets(fleet.directory.targets)
     assert choose(fleet, 'base/a1') == 't2'
     assert choose(fleet, '', 'plain') == 't1'
+
+
+def test_earlier_target_is_not_used_once_a_later_one_has_its_address():
+    fleet = make_fleet(make_target_record('old', 'plain', started_ms=5))
+    fleet.directory.upsert(make_target_record('new', 'plain', started_ms=9))
+    fleet.directory.upsert(make_target_record('old', 'plain', started_ms=5))
+    placement = PlacementRequest('plain', '', 1.0)
+    chosen = {fleet.choose_target(placement, allow_all).record.name for _ in range(20)}
+    assert chosen == {'new'}
+    later = fleet.choose_target(placement, lambda target: target.record.name == 'old')
+    assert later.record.name == 'old'
--- a/tamarackfield/gateway/tests/test_links.py
+++ b/tamarackfield/gateway/tests/test_links.py
@@ -25,14 +25,14 @@
 
 
 def make_link():
-    return ManagerLink(('127.0.0.1', 1), lambda: None, lambda: FACTS, lambda: None)
+    return ManagerLink(('127.0.0.1', 1), lambda: None, lambda: [FACTS], lambda: None)
 
 
 def test_closed_stream_does_not_raise_while_facts_are_sent_to_all_links():
     link = make_link()
     link.stream = ClosedStream()
     link.send_facts()
-    assert link.sent_facts is None
+    assert link.sent_facts == {}
 
 
 def test_unchanged_facts_are_not_sent_again():
--- a/tamarackfield/manager/engine.py
+++ b/tamarackfield/manager/engine.py
@@ -18,6 +18,7 @@
     OrderResult,
     OrderTerms,
 )
+from tamarackfield.manager.known_facts import NO_FACTS, KnownFacts
 from tamarackfield.manager.tickets import ModelOrder, Plan
 from tamarackfield.policy.pauses import extend_pause
 from tamarackfield.policy.crashes import Crash, make_crash
@@ -36,7 +37,6 @@
 LOAD_REFUSAL_SECONDS = 2.0
 #: Number of runs in the log line about the end of an engine, those that had written for the shortest time.
 MAX_LOGGED_RUNS = 8
-_NO_FACTS = Facts(0, '', 0, 1, 0, 0, [], [], [], 0)
 
 
 def _ignore_crash(crash: Crash) -> None:
@@ -56,7 +56,8 @@
         """Create the controller of an engine whose state has not been read yet."""
         self.client = client
         self.admission = AdmissionController(1, 0)
-        self.facts = _NO_FACTS
+        self.facts = NO_FACTS
+        self.known_facts = KnownFacts()
         self.state: EngineState | None = None
         self.state_read_at = 0.0
         self.read_failures = 0
@@ -71,15 +72,21 @@
         self.on_crash: Callable[[Crash], None] = _ignore_crash
 
     def update_facts(self, facts: Facts) -> None:
-        """Store what an entry reports about the target, unless the stored facts are as new or newer."""
+        """Store what an entry reports about a target, and use it if it is the one of the engine."""
+        if self.known_facts.add(facts) and facts.started_ms > self.facts.started_ms:
+            # The pause was one of an incarnation that may have ended; a reading of the state tells.
+            self.paused_until = 0.0
+        self._choose_facts()
+
+    def _choose_facts(self) -> None:
+        """Use the facts that belong to the engine's incarnation, the newest ones until its state is known."""
         current = self.facts
-        if (facts.started_ms, facts.revision) <= (current.started_ms, current.revision):
+        facts = self.known_facts.choose(self.state.started_ms if self.state else 0, current.target)
+        if facts is None or facts == current:
             return
         self.facts = facts
         self.admission.batch = facts.batch
         self.admission.residency.slots = facts.places
-        if (facts.target, facts.started_ms) != (current.target, current.started_ms):
-            self.paused_until = 0.0
         if facts.target != current.target:
             logger.bind(target=facts.target, started_ms=facts.started_ms, revision=facts.revision).info('target_named')
         self.decision_due.set()
@@ -218,6 +225,9 @@
     def _record_order_result(self, order: Order | ModelOrder, result: OrderResult, fencing: int) -> None:
         if result is OrderResult.FENCED:
             self.min_fencing = 2 * fencing
+        if result is OrderResult.MISDIRECTED:
+            self.known_facts.reject(self.facts)
+            self._choose_facts()
         if isinstance(order, ModelOrder) and result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
             self.next_model_load_at = BOOT_CLOCK.monotonic() + self.facts.load_gap_ms / MS_PER_SECOND
         if isinstance(order, LoadOrder):
@@ -238,6 +248,7 @@
         if state.draining and not self.admission.draining:
             logger.bind(started_ms=state.started_ms).info('engine_leaving')
         self.state = state
+        self._choose_facts()
         self.admission.draining = state.draining
         self.admission.update_engine_state(state.models, state.resident_versions, state.loading, self.state_read_at)
         self.admission.engine_request_count = state.running + state.queued
