An entry that stops answers the requests that wait

Callers of review/2 (LOST): 8 of 8 requests that waited for a place when their entry got SIGTERM ended after 7.5 to 7.9 s with a closed connection; none had run. Cause: at the end of the grace period the tasks of the connections are cancelled, and a cancelled handler answers nothing; nothing refuses a waiting call earlier. Ruled out: the sidecar, the web server (see the postmortem).

Now a stopping entry refuses a waiting call as soon as it is not expected to be answered in time, and at the end answers each call to which nothing was sent with its outcome. Both expire the limit in Dispatcher.serve, which makes the answer from what is known of the attempts, so a call that may have run is never called not run.

--- a/tamarackfield/gateway/app.py
+++ b/tamarackfield/gateway/app.py
@@ -8,7 +8,14 @@
 
 from loguru import logger
 
-from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Application, RequestError, new_incarnation
+from tamarackfield.core import (
+    BOOT_CLOCK,
+    SYSTEM_CLOCK,
+    Application,
+    RequestError,
+    cancel_and_wait,
+    new_incarnation,
+)
 from tamarackfield.gateway.attempts import AttemptRunner
 from tamarackfield.gateway.callers import CallerInterface, CallReader
 from tamarackfield.gateway.configuration import Configuration, DecodedItem
@@ -29,6 +36,10 @@
 
 #: Seconds before the end of the grace period at which requests still in progress are aborted.
 GRACE_MARGIN_SECONDS = 0.5
+#: Seconds after that in which the answers to those that got none yet are sent.
+LAST_ANSWERS_SECONDS = 0.2
+#: Seconds between two checks, as this entry stops, of which waiting requests can still be answered.
+LATE_START_CHECK_SECONDS = 0.05
 #: Lower bound, in seconds, of the time-out for receiving a complete request, body included.
 MIN_REQUEST_TIMEOUT_SECONDS = 10.0
 
@@ -177,18 +188,26 @@
         self.interface.stops_at = BOOT_CLOCK.monotonic() + self.settings.grace_seconds - GRACE_MARGIN_SECONDS
         self.server.disable_keep_alive()
         logger.bind(busy=len(self.server.busy)).info('draining')
+        refusing = self.application.spawn(self._refuse_late_starts(), 'late-starts')
         await asyncio.sleep(BALANCER_DETECTION_SECONDS)
-        try:
-            async with asyncio.timeout(stop_at - SYSTEM_CLOCK.monotonic()):
-                await self.server.shutdown()
-        except TimeoutError:
+        shutdown = self.application.spawn(self.server.shutdown(), 'shutdown')
+        if not await wait_until_done(shutdown, stop_at):
             logger.bind(busy=len(self.server.busy)).warning('requests_cut_at_end_of_grace')
-            await self.server.close()
+            self.dispatcher.end_unanswered()
+            await wait_until_done(shutdown, stop_at + LAST_ANSWERS_SECONDS)
+        await cancel_and_wait((refusing, shutdown))
+        await self.server.close()
         self.pool.close()
         await self.peers.close()
         await self.ready_server.close()
         await self.metrics_server.close()
 
+    async def _refuse_late_starts(self) -> None:
+        """Refuse the calls that wait, each as soon as it is not expected to be answered before the stop."""
+        while True:
+            self.interface.refuse_late_starts()
+            await asyncio.sleep(LATE_START_CHECK_SECONDS)
+
     async def answer_ready(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a readiness check of the load balancer."""
         if request.path != self.platform.ready_path:
@@ -280,3 +299,9 @@
             )
         self.fleet.catalog = catalog
         self.fleet.sync_links()
+
+
+async def wait_until_done(task: asyncio.Task[None], ends_at: float) -> bool:
+    """Wait for a task, which is not cancelled, until a monotonic time in seconds; return whether it was done."""
+    done, _ = await asyncio.wait((task,), timeout=max(0.0, ends_at - SYSTEM_CLOCK.monotonic()))
+    return bool(done)
--- a/tamarackfield/gateway/call_state.py
+++ b/tamarackfield/gateway/call_state.py
@@ -152,6 +152,10 @@
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
 
+    def is_unsent(self) -> bool:
+        """Return whether no attempt has run or is in progress."""
+        return self.outcome() is Outcome.NOT_RUN and not self.head_sent
+
     def record_event(self, now: float) -> None:
         """Record that events of a stream are sent to the caller."""
         if self.first_event_at:
--- a/tamarackfield/gateway/callers.py
+++ b/tamarackfield/gateway/callers.py
@@ -12,7 +12,7 @@
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.configuration import Configuration
-from tamarackfield.gateway.dispatch import Dispatcher
+from tamarackfield.gateway.dispatch import STOP_RETRY_SECONDS, Dispatcher
 from tamarackfield.gateway.matching import choose_service
 from tamarackfield.gateway.model import Call, Route, Service
 from tamarackfield.observe.prometheus import MetricRegistry
@@ -24,8 +24,6 @@
 #: Upper bound, in tokens, of the prompt length used for routing. Callers may state any length; an engine of
 #: the size that is served processes a prompt of this length in half a second.
 MAX_PROMPT_TOKENS = 16_384
-#: Retry-After, in seconds, of a refusal because this entry stops: the load balancer sends retries to other entries.
-STOP_RETRY_SECONDS = 0.1
 
 
 class CallReader(Protocol):
@@ -127,7 +125,7 @@
             If the stream is expected to last longer than that; it did not run.
         """
         now = BOOT_CLOCK.monotonic()
-        expected = self.run_times.expect(route.name, call.answer_tokens) if route.streaming else 0
+        expected = self._expect_run(call, route)
         if now + expected <= self.stops_at:
             return
         logger.bind(request_id=call.request_id, route=route.name, expected_seconds=round(expected, 1)).info(
@@ -141,6 +139,16 @@
             retry_after=STOP_RETRY_SECONDS,
         )
 
+    def refuse_late_starts(self) -> None:
+        """Refuse the calls that wait and cannot end before this entry stops."""
+        self.dispatcher.refuse_late_starts(
+            self.stops_at, lambda call_state: self._expect_run(call_state.call, call_state.route)
+        )
+
+    def _expect_run(self, call: Call, route: Route) -> float:
+        """Return how many seconds a call is expected to run; 0 if that is not known, or short."""
+        return self.run_times.expect(route.name, call.answer_tokens) if route.streaming else 0
+
     def _store_age(self) -> float:
         return round(self.configuration.store_age_seconds(), 3)
 
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -29,6 +29,8 @@
 #: Retry-After, in seconds, if no sidecar gave an estimate: the time in which a target that crashed or
 #: was removed is replaced in the instance list.
 DEFAULT_RETRY_SECONDS = 0.5
+#: Retry-After, in seconds, of a refusal because this entry stops: the load balancer sends retries to other entries.
+STOP_RETRY_SECONDS = 0.1
 #: Limit of attempts of one call, refused ones included.
 MAX_ATTEMPTS = 6
 
@@ -53,8 +55,10 @@
         self.fleet = fleet
         self.attempt_runner = attempt_runner
         self.budget_for = budget_for
-        # Deadline of each running call, in monotonic seconds on the boot clock.
-        self.deadlines: dict[TimeLimit, float] = {}
+        # Calls in progress by the limit of their time.
+        self.running: dict[TimeLimit, CallState] = {}
+        # Limits of calls that were ended because this entry stops.
+        self.stopped: set[TimeLimit] = set()
 
     async def serve(self, call_state: CallState, responder: Responder) -> None:
         """Serve one call until it is answered or fails.
@@ -73,9 +77,11 @@
         limit = deadline_at(asyncio.get_running_loop().time() + call_state.call.deadline - now)
         try:
             async with limit:
-                self.deadlines[limit] = call_state.call.deadline
+                self.running[limit] = call_state
                 await self._attempt_until_answered(call_state, responder)
         except TimeoutError:
+            if limit in self.stopped:
+                raise self._make_error(call_state, 'this entry stops') from None
             if not limit.stalled_seconds() or _is_late(call_state, limit):
                 _record_silence(call_state)
             raise self._make_error(call_state, 'deadline passed') from None
@@ -85,13 +91,46 @@
                 _record_silence(call_state)
             raise
         finally:
-            self.deadlines.pop(limit)
+            self.running.pop(limit)
+            self.stopped.discard(limit)
 
     def reschedule_deadlines(self) -> None:
         """Reschedule every time-out after a suspension of the machine, which event loop timers do not count."""
         loop = asyncio.get_running_loop()
-        for timeout, deadline in self.deadlines.items():
-            timeout.reschedule(loop.time() + deadline - BOOT_CLOCK.monotonic())
+        for timeout, call_state in self.running.items():
+            timeout.reschedule(loop.time() + call_state.call.deadline - BOOT_CLOCK.monotonic())
+
+    def refuse_late_starts(self, stops_at: float, expect_run: Callable[[CallState], float]) -> None:
+        """Refuse the calls that wait and are not expected to be answered before this entry stops.
+
+        Parameters
+        ----------
+        stops_at : float
+            Monotonic seconds at which this entry cuts what is in progress.
+        expect_run : callable
+            Returns how long the run of a call is expected to take, in seconds.
+
+        Notes
+        -----
+        A call that has waited for some time is expected to wait for as long again: places become free as runs end,
+        and how long those that hold them will take is not known.
+        """
+        now = BOOT_CLOCK.monotonic()
+        for limit, call_state in tuple(self.running.items()):
+            waited_seconds = now - call_state.call.received_at
+            if call_state.is_unsent() and now + waited_seconds + expect_run(call_state) > stops_at:
+                self._end_call(limit, call_state)
+
+    def end_unanswered(self) -> None:
+        """Answer the calls to which nothing was sent yet with what is known of them, as this entry stops now."""
+        for limit, call_state in tuple(self.running.items()):
+            if not call_state.head_sent:
+                self._end_call(limit, call_state)
+
+    def _end_call(self, limit: TimeLimit, call_state: CallState) -> None:
+        call_state.retry_seconds = STOP_RETRY_SECONDS
+        self.stopped.add(limit)
+        limit.expire()
 
     async def _attempt_until_answered(self, call_state: CallState, responder: Responder) -> None:
         if await self._try_targets(call_state, responder):
