A request that waits begins on the newest version of its adapter

Cause: an entry states the version when it asks for a reservation, the sidecar keeps it while the request waits, and nothing compares the grant with the newest version before the request is sent.

Entries now repeat waiting reservations with the newer version, for which the sidecar keeps their place, and look at the version once more when a call is about to be sent; a replaced one is reserved anew.

--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -48,6 +48,8 @@
 #: of its latency objective. The call is sent only once its batch reservation is granted, so the time
 #: excludes queueing.
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.0
+#: Why a call is not sent whose adapter was replaced by a newer version while the call waited.
+REPLACED_VERSION = 'version was replaced before the call was sent'
 
 
 class AttemptRunner:
@@ -177,7 +179,7 @@
         try:
             refusal = await exchange.send(options, max_idle_seconds, authorize_send, call_state.used_connections)
             if refusal:
-                return NotRun(refusal, sent=False)
+                return NotRun(refusal, sent=False, outdated=refusal is REPLACED_VERSION)
             return await self._receive(call_state, exchange, reservation, delivery)
         except ClientError as exc:
             if not exc.sent:
@@ -215,12 +217,24 @@
             return f'{refusal} before the call was sent'
         if target.request_limit is not None and not reservation.permitted:
             return 'target stated a limit before the call was sent'
+        if self._is_version_replaced(call_state, target, reservation):
+            return REPLACED_VERSION
         if now + MIN_REMAINING_SECONDS > call_state.call.deadline:
             return 'deadline passed before the call was sent'
         if call_state.send_count and not self.budget_for(call_state.service).can_spend(now):
             return 'retry budget was spent before the call was sent'
         return self.fleet.quarantine.explain_refusal(call_state)
 
+    def _is_version_replaced(self, call_state: CallState, target: Target, reservation: Reservation) -> bool:
+        """Return whether a newer version of the adapter was announced than the one that would serve the call."""
+        adapter = call_state.adapter_key()
+        newest = self.fleet.versions.newest.get(adapter, 0)
+        if not newest:
+            return False
+        if reservation.link is not None:
+            return reservation.version < newest
+        return adapter not in target.view.residents
+
     def _record_sent(self, call_state: CallState, exchange: Exchange, delivery: Delivery) -> None:
         if call_state.send_count:
             self.budget_for(call_state.service).spend(BOOT_CLOCK.monotonic())
--- a/tamarackfield/gateway/dispatch.py
+++ b/tamarackfield/gateway/dispatch.py
@@ -227,6 +227,9 @@
             case NotRun(reason, redirected=True):
                 self._add_note(call_state, target, f'not run: {reason}')
                 call_state.record_redirect(target)
+            case NotRun(reason, outdated=True):
+                self._add_note(call_state, target, f'not run: {reason}')
+                call_state.record_not_run(target, retry_allowed=True)
             case NotRun(reason, sent, retry_seconds):
                 self._add_note(call_state, target, f'not run: {reason}')
                 call_state.record_not_run(target, retry_allowed=sent and bool(call_state.adapter_key()))
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -27,13 +27,15 @@
 class NotRun:
     """Result of a call that the target did not run.
 
-    ``sent`` is whether it reached the target, ``redirected`` whether its sidecar left it to other targets.
+    ``sent`` is whether it reached the target, ``redirected`` whether its sidecar left it to other targets, ``outdated``
+    whether what was reserved for it was replaced meanwhile, so that the same target may be asked again.
     """
 
     reason: str
     sent: bool
     retry_seconds: float = 0.0
     redirected: bool = False
+    outdated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackfield/gateway/fleet.py
+++ b/tamarackfield/gateway/fleet.py
@@ -10,7 +10,7 @@
 from tamarackfield.gateway.call_state import CallState
 from tamarackfield.gateway.directory import Directory, Target
 from tamarackfield.gateway.facts import make_facts
-from tamarackfield.gateway.links import ManagerLink
+from tamarackfield.gateway.links import ManagerLink, raise_versions
 from tamarackfield.gateway.quarantine import RequestQuarantine
 from tamarackfield.gateway.request_limits import RequestLimits
 from tamarackfield.gateway.model import Call, Catalog, Engine, Versions
@@ -154,6 +154,7 @@
             self._open_link((host, self.manager_port))
         for link in self.links.values():
             link.send_facts()
+            raise_versions(link, self.versions.newest)
         self.refresh_views()
 
     def refresh_views(self) -> None:
--- a/tamarackfield/gateway/links.py
+++ b/tamarackfield/gateway/links.py
@@ -4,8 +4,8 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 from functools import partial
 
 from loguru import logger
@@ -70,6 +70,14 @@
     redirectable: bool
 
 
+@dataclass(slots=True)
+class PendingRequest:
+    """Request of this entry that a sidecar has not answered yet."""
+
+    message: Message
+    answer: asyncio.Future[Answer]
+
+
 class ManagerLink:
     """Link to one sidecar; owned by one task.
 
@@ -101,7 +109,7 @@
         self.report: EngineReport | None = None
         self.reported_at = 0.0
         self.holdings: Holdings | None = None
-        self.pending: dict[int, asyncio.Future[Answer]] = {}
+        self.pending: dict[int, PendingRequest] = {}
         self.reservation_numbers = itertools.count(1)
         # What the sidecar was sent of each target, by its name.
         self.sent_facts: dict[str, Facts] = {}
@@ -180,11 +188,12 @@
         """
         number = next(self.reservation_numbers)
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.pending[number] = answer
+        message = make_message(number)
+        self.pending[number] = PendingRequest(message, answer)
         reply: Answer | None = None
         try:
             async with time_limit(seconds + ANSWER_MARGIN_SECONDS):
-                self._send(make_message(number))
+                self._send(message)
                 reply = await self._await_answer(answer)
         except TimeoutError:
             raise StreamClosedError('sidecar did not answer', step='reserve', peer=self._peer_name()) from None
@@ -280,9 +289,9 @@
         return answer.result()
 
     def _resolve_answer(self, message: Answer) -> None:
-        future = self.pending.get(message.request_id)
-        if future is not None and not future.done():
-            future.set_result(message)
+        pending = self.pending.get(message.request_id)
+        if pending is not None and not pending.answer.done():
+            pending.answer.set_result(message)
         elif isinstance(message, Granted):
             # The attempt stopped waiting before the slot was granted.
             self.release(message.request_id)
@@ -309,10 +318,10 @@
         self.sent_facts.clear()
         self.draining = False
         self.known_crashes.clear()
-        for future in self.pending.values():
-            if not future.done():
+        for pending in self.pending.values():
+            if not pending.answer.done():
                 error = StreamClosedError('sidecar is lost', step='reserve', peer=self._peer_name())
-                future.set_exception(error)
+                pending.answer.set_exception(error)
         self.on_change()
 
     def _peer_name(self) -> str:
@@ -359,6 +368,19 @@
             self.link.report_pause(self.number, seconds)
 
 
+def raise_versions(link: ManagerLink, newest: Mapping[str, int]) -> None:
+    """Raise the lowest acceptable versions of the reservations that wait to the newest ones of their adapters.
+
+    The sidecar keeps the place of a request that it is sent again.
+    """
+    for pending in link.pending.values():
+        message = pending.message
+        if isinstance(message, Reserve) and newest.get(message.adapter, 0) > message.version:
+            raised = replace(message, version=newest[message.adapter])
+            if not pending.answer.done() and link.send_best_effort(raised):
+                pending.message = raised
+
+
 def _ignore_crash(crash: Crash) -> None:
     logger.bind(target=crash.target, started_ms=crash.started_ms).debug('crash_not_recorded')
 
--- a/tamarackfield/manager/admission.py
+++ b/tamarackfield/manager/admission.py
@@ -81,8 +81,12 @@
         self.load_seconds = INITIAL_LOAD_SECONDS
 
     def enqueue(self, ticket: Ticket) -> None:
-        """Queue a request."""
-        self.waiting[ticket.key] = ticket
+        """Queue a request; one that is queued keeps its place, with the higher of both versions."""
+        queued = self.waiting.get(ticket.key)
+        if queued is not None:
+            queued.version = max(queued.version, ticket.version)
+        elif ticket.key not in self.granted:
+            self.waiting[ticket.key] = ticket
 
     def release(self, key: TicketKey, now: float) -> None:
         """Remove a request that ended, whether or not it was sent to the engine."""
--- a/tamarackfield/manager/tests/test_admission.py
+++ b/tamarackfield/manager/tests/test_admission.py
@@ -98,6 +98,23 @@
     assert [decline.code for decline in admission.make_plan(100.0).declines] == ['target_away']
 
 
+def test_request_that_is_queued_again_with_a_newer_version_keeps_its_place():
+    admission = make_admission(batch=1)
+    admission.update_engine_state(('m',), {'m/a': 1, 'm/b': 1}, (), 100.0)
+    admission.engine_request_count = 1
+    enqueue(admission, 1, 'm/a', enqueued_at=99.0, start_within_seconds=5)
+    enqueue(admission, 2, 'm/b', enqueued_at=99.5, start_within_seconds=5)
+    admission.enqueue(Ticket((1, 1), 'm/a', 2, 0, 100.0, 105.0, 101.0))
+    assert admission.make_plan(100.0).orders == [LoadOrder('m/a', 2)]
+    admission.record_order_result(LoadOrder('m/a', 2), accepted=True, now=100.0)
+    admission.update_engine_state(('m',), {'m/a': 2, 'm/b': 1}, (), 100.1)
+    admission.engine_request_count = 0
+    assert [ticket.key for ticket in admission.make_plan(100.1).grants] == [(1, 1)]
+    # A version that is raised when the grant is on its way must not queue the request once more.
+    admission.enqueue(Ticket((1, 1), 'm/a', 3, 0, 100.2, 105.0, 101.0))
+    assert (1, 1) not in admission.waiting
+
+
 def replay_burst(start_within_seconds):
     """Return the fractions of requests served in time and served at all in a burst that needs too many loads.
 
--- a/tamarackfield/platform/tests/test_replaced_versions.py
+++ b/tamarackfield/platform/tests/test_replaced_versions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tamarackfield.testing.platform_site import MODEL, MODEL_SERVICE, running_site
+from tamarackfield.testing.platform_site import MODEL, MODEL_SERVICE, make_config, running_site
 from tamarackfield.testing.processes import wait_until
 
 LONG = ('Tamarackfield-Deadline-Ms', '60000')
@@ -16,34 +16,41 @@
 LONG_EVENTS = 140
 
 
-async def read_stream(site, path, adapter):
+async def read_stream(site, path, adapter, begun):
+    """Read a stream to its end; count it in ``begun`` once its first event has arrived."""
     async with site.stream(path, [('Tamarackfield-Model', f'{MODEL}/{adapter}'), LONG]) as response:
-        await response.read()
+        async for _ in response.chunks():
+            begun.add(asyncio.current_task())
         return response.status
 
 
-async def has_runs(worker, count):
-    """Return whether a worker has begun a number of runs."""
-    return len(worker.runs) >= count
+async def have_begun(begun, count):
+    """Return whether a number of streams have begun."""
+    return len(begun) >= count
 
 
 @pytest.mark.parametrize('path', ['/draft/x', '/summary/x'])
 async def test_requests_that_wait_while_their_version_is_replaced_begin_on_the_new_one(tmp_path, path):
     # Guards against a version that is stated when a request starts to wait and never looked at again.
-    async with running_site(tmp_path) as site:
+    config = make_config()
+    for route in config['routes']:
+        route['timeout_ms'] = 60_000
+    async with running_site(tmp_path, config) as site:
         worker = await site.add_worker('m1', MODEL_SERVICE, event_interval_seconds=EVENT_SECONDS)
         worker.event_count = LONG_EVENTS
         worker.adapters |= {'a1': 1, 'a2': 1, 'a3': 1}
         site.write_worker_entry(worker)
         await site.add_sidecar(worker)
         await site.wait_for_sidecars(await site.add_entry())
-        calls = [asyncio.create_task(read_stream(site, '/draft/x', 'a1')) for _ in range(PLACES)]
-        await wait_until(partial(has_runs, worker, PLACES), 'all places are taken')
+        begun = set()
+        calls = [asyncio.create_task(read_stream(site, '/draft/x', 'a1', begun)) for _ in range(PLACES)]
+        await wait_until(partial(have_begun, begun, PLACES), 'all places are taken')
         worker.event_count = 2
-        calls += [asyncio.create_task(read_stream(site, path, f'a{2 + number % 2}')) for number in range(4)]
+        calls += [asyncio.create_task(read_stream(site, path, f'a{2 + number % 2}', begun)) for number in range(8)]
         await asyncio.sleep(0.5)
+        assert len(worker.runs) == PLACES
         for adapter in ('a2', 'a3'):
             site.store.put(f'op/version/{MODEL}.{adapter}', {'model': MODEL, 'adapter': adapter, 'version': 2})
         assert set(await asyncio.gather(*calls)) == {200}
         versions = [run.headers.get('tamarackfield-expect-version') for run in worker.runs[PLACES:]]
-        assert versions == ['2', '2', '2', '2']
+        assert versions == ['2' for _ in range(8)]
