Peers that send without end stop neither other requests nor the process

Callers of a sound worker got no answer (0 of 20) while eight calls went to one that sends chunks of a byte, informational heads, answers to others, events or comments without end; beside bodies without end the entry grew by 213 MB. Causes: an exchange gives the event loop back only when it has no input left; limits on memory hold for one exchange; errors keep what was read until they are collected; nothing ends answers that go nowhere; events are split from copies of the buffer.

A connection now counts the pieces that it parses and goes on in a queue, one connection a pass of the loop. Bodies that are read as a whole share 16 MiB, beyond which the newest ends. Informational heads, answers to others and comments are limited in number.

Ruled out: a limit of time a turn, which is cut by what others do meanwhile; a pause for each connection by itself, whose sum still grows with their number; a lower limit for one answer, which sound answers need.

--- a/tamarackfield/gateway/events.py
+++ b/tamarackfield/gateway/events.py
@@ -9,6 +9,9 @@
 _LONGEST_EVENT_END = 4
 #: Limit of one event, in bytes; the events of model workers have some hundred bytes.
 MAX_EVENT_BYTES = 262_144
+#: Comments in a row, without an event between them, above which a stream goes nowhere: more than a heartbeat in each
+#: hundredth of a second of the longest stream.
+MAX_COMMENTS = 4096
 
 
 class EventSplitter:
@@ -27,7 +30,9 @@
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
-        self.buffered = b''
+        self.buffered = bytearray()
+        # Number of comments since the last event that has a field.
+        self.comments = 0
 
     def feed(self, chunk: bytes) -> list[bytes]:
         """Append bytes and return the events that are now complete, each with its blank line.
@@ -42,14 +47,16 @@
         events = []
         event_start = 0
         for end in _EVENT_END.finditer(self.buffered, scan_from):
-            events.append(self.buffered[event_start : end.end()])
+            events.append(bytes(self.buffered[event_start : end.end()]))
+            self.comments = self.comments + 1 if events[-1].lstrip().startswith(b':') else 0
             event_start = end.end()
-        self.buffered = self.buffered[event_start:]
+        if event_start:
+            self.buffered = self.buffered[event_start:]
         return events
 
     def exceeds_limit(self) -> bool:
-        """Return whether the incomplete event is larger than `MAX_EVENT_BYTES`."""
-        return len(self.buffered) > MAX_EVENT_BYTES
+        """Return whether the incomplete event is larger than `MAX_EVENT_BYTES`, or comments follow without an end."""
+        return len(self.buffered) > MAX_EVENT_BYTES or self.comments > MAX_COMMENTS
 
     def is_inside_event(self) -> bool:
         """Return whether the bytes after the last complete event begin a further one."""
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -10,6 +10,7 @@
 from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
+from tamarackfield.web.answer_budget import read_bounded_body
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import BodyFraming, TargetConnection, find_framing
 from tamarackfield.web.pool import ConnectionPool
@@ -217,15 +218,7 @@
         ClientError
             If it is truncated or larger than `MAX_ANSWER_BYTES`.
         """
-        connection = self._require_connection()
-        body = bytearray()
-        while True:
-            event = await connection.receive()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            body += event.data
-            if len(body) > MAX_ANSWER_BYTES:
-                raise ClientError('answer is too large', 'read_body', connection.peer, sent=True)
+        return await read_bounded_body(self._require_connection(), self.pool.answers, MAX_ANSWER_BYTES)
 
     async def next_chunk(self) -> bytes:
         """Return the next chunk of the body, empty at its end.
--- a/tamarackfield/gateway/maintenance.py
+++ b/tamarackfield/gateway/maintenance.py
@@ -7,6 +7,7 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK
 from tamarackfield.core.clock import MS_PER_SECOND
+from tamarackfield.core.turns import count_cut_turns
 from tamarackfield.gateway.directory import Directory
 from tamarackfield.gateway.dispatch import Dispatcher
 from tamarackfield.policy.overload import OverloadDetector
@@ -45,11 +46,17 @@
         self.server = server
         self.overload = OverloadDetector()
         self.close_connections_at = math.inf
+        # How late the latest pass was.
+        self.lag_seconds = 0.0
 
     def is_shedding(self) -> bool:
         """Return whether callers are directed to other entries by load shedding."""
         return self.overload.is_shedding()
 
+    def count_cut_turns(self) -> int:
+        """Return how many turns of connections were cut short because their peers send without pause."""
+        return count_cut_turns()
+
     async def run(self) -> None:
         """Run a maintenance pass periodically; never return."""
         suspended = _suspended_seconds()
@@ -70,6 +77,7 @@
 
         A caller whose connection is closed before the load balancer has reacted would reconnect to this entry.
         """
+        self.lag_seconds = max(0.0, seconds)
         now = SYSTEM_CLOCK.monotonic()
         if self.overload.record_lag(seconds, now):
             shedding = self.is_shedding()
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -26,6 +26,8 @@
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
 #: Bytes of an incomplete event that count like an event: a large one may arrive slowly.
 PROGRESS_BYTES = 1024
+#: Bytes that are split into events at once: the smallest events have three.
+MAX_PART_BYTES = 2048
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +96,7 @@
             return MaybeRan('answer is not the rest of the stream')
         await _send_events(call_state, events, responder)
         if splitter.exceeds_limit():
-            return MaybeRan('event is too large')
+            return MaybeRan('event is too large or comments do not end')
     if silence.gave_up:
         return MaybeRan('stream is silent')
     fault = await _explain_incomplete_end(call_state, incoming, splitter, responder)
@@ -103,7 +105,7 @@
         fault = 'answer without framing has nothing of the rest of the stream'
     if fault:
         return MaybeRan(fault)
-    await responder.send_body(splitter.buffered)
+    await responder.send_body(bytes(splitter.buffered))
     await responder.finish()
     return Streamed()
 
@@ -200,7 +202,10 @@
         if not chunk:
             return
         incoming.reservation.report_wait(listening_seconds() - waiting_since)
-        yield chunk
+        for start in range(0, len(chunk), MAX_PART_BYTES):
+            if start:
+                await incoming.exchange.connection.turn.count_piece()
+            yield chunk[start : start + MAX_PART_BYTES]
         waiting_since = listening_seconds()
     silence.gave_up = True
 
--- a/tamarackfield/gateway/tests/test_events.py
+++ b/tamarackfield/gateway/tests/test_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarackfield.gateway.events import EventSplitter, event_number
+from tamarackfield.gateway.events import MAX_COMMENTS, EventSplitter, event_number
 
 LINE_ENDS = (b'\n', b'\r\n', b'\r')
 
@@ -28,3 +28,13 @@
     assert not splitter.is_inside_event()
     splitter.feed(b': comment\n')
     assert splitter.is_inside_event()
+
+
+def test_comments_without_an_end_exceed_the_limit_and_heartbeats_between_events_do_not():
+    splitter = EventSplitter()
+    for _ in range(3):
+        splitter.feed(MAX_COMMENTS * b':\n\n')
+        assert not splitter.exceeds_limit()
+        splitter.feed(b'id: 1\ndata: x\n\n')
+    splitter.feed((MAX_COMMENTS + 1) * b':\n\n')
+    assert splitter.exceeds_limit()
--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -15,12 +15,15 @@
 from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.time_limits import time_limit
+from tamarackfield.core.turns import Turn
 
 #: Time limit for connecting.
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: Size limit of an answer that `ClientResponse.read` returns.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 _READ_BYTES = 65_536
+#: Limit of the informational heads that a peer may send ahead of an answer.
+MAX_INFORMATIONAL_HEADS = 16
 
 Headers = list[tuple[str, str]]
 
@@ -67,6 +70,8 @@
         self.protocol = protocol
         self.reader = reader
         self.peer = peer
+        self.turn = Turn(peer)
+        self.informational_heads = 0
         self.status = 0
         self.headers: dict[str, str] = {}
 
@@ -80,6 +85,9 @@
                 return
             if isinstance(event, h11.ConnectionClosed):
                 raise ClientError('peer closed before its answer', 'read_head', self.peer, sent=True)
+            self.informational_heads += 1
+            if self.informational_heads > MAX_INFORMATIONAL_HEADS:
+                raise ClientError('peer sends only informational heads', 'read_head', self.peer, sent=True)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in parts.
@@ -113,8 +121,10 @@
 
     async def _next_event(self) -> Any:
         try:
+            await self.turn.count_piece()
             event = self.protocol.next_event()
             while event is h11.NEED_DATA:
+                self.turn.begin()
                 self.protocol.receive_data(await self.reader.read(_READ_BYTES))
                 event = self.protocol.next_event()
         except (OSError, h11.RemoteProtocolError) as exc:
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -13,7 +13,8 @@
 import h11
 
 from tamarackfield.core.clock import BOOT_CLOCK
-from tamarackfield.web.client import ClientError
+from tamarackfield.core.turns import Turn
+from tamarackfield.web.client import MAX_INFORMATIONAL_HEADS, ClientError
 
 #: TCP_USER_TIMEOUT: a connection is closed if sent data is not acknowledged for this time. It is a third
 #: of the time in which an instance must detect that its network failed.
@@ -23,7 +24,9 @@
 #: Number of unanswered TCP keep-alive probes after which a connection is closed.
 KEEPALIVE_PROBES = 2
 #: Received bytes that an exchange has not read yet, above which reading from the socket is paused.
-MAX_UNREAD_BYTES = 262_144
+MAX_UNREAD_BYTES = 65_536
+#: Limit of the answers to other requests that a target may send ahead of the answer to a request.
+MAX_FOREIGN_ANSWERS = 16
 _TCP_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS),
@@ -92,6 +95,9 @@
     def __init__(self, peer: str) -> None:
         """Create a connection whose transport is not connected yet."""
         self.peer = peer
+        self.turn = Turn(peer)
+        self.informational_heads = 0
+        self.foreign_answers = 0
         self.transport: Any = None
         self.parser = h11.Connection(h11.CLIENT)
         self.request: h11.Request | None = None
@@ -167,6 +173,8 @@
         if self.ended or self.transport.is_closing():
             raise ClientError('connection had ended', 'send', self.peer, sent=False)
         self.busy = True
+        self.informational_heads = 0
+        self.foreign_answers = 0
         self.has_answer_bytes = False
         self.request = request
         self.body = body
@@ -186,6 +194,7 @@
             If the connection fails, or the target sends a malformed answer.
         """
         while True:
+            await self.turn.count_piece()
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as exc:
@@ -194,7 +203,9 @@
                 await self._wait_for_input()
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise self._fail_with_error('target closed the connection before its answer')
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_informational_head()
+            else:
                 return event
 
     def skip_answer(self) -> None:
@@ -205,6 +216,9 @@
         ClientError
             If the skipped answer is incomplete or ended the connection.
         """
+        self.foreign_answers += 1
+        if self.foreign_answers > MAX_FOREIGN_ANSWERS:
+            raise self._fail_with_error('target sends only answers to other requests')
         unparsed, closed = self.parser.trailing_data
         if self.parser.their_state is not h11.DONE or closed:
             raise self._fail_with_error('the answer of another request ended the connection')
@@ -236,6 +250,11 @@
         self.released_at = BOOT_CLOCK.monotonic()
         return True
 
+    def _count_informational_head(self) -> None:
+        self.informational_heads += 1
+        if self.informational_heads > MAX_INFORMATIONAL_HEADS:
+            raise self._fail_with_error('target sends only informational heads')
+
     def _encode_request(self) -> bytes:
         """Advance the parser state past the request; return the encoded request."""
         head = self.parser.send(self.request)
@@ -245,6 +264,7 @@
     async def _wait_for_input(self) -> None:
         if self.ended:
             raise self._fail_with_error('answer ended early')
+        self.turn.begin()
         self.unread_bytes = 0
         self.transport.resume_reading()
         self.progress = asyncio.get_running_loop().create_future()
--- a/tamarackfield/web/json_calls.py
+++ b/tamarackfield/web/json_calls.py
@@ -11,8 +11,8 @@
 
 from tamarackfield.core import Address
 from tamarackfield.core.time_limits import time_limit
+from tamarackfield.web.answer_budget import read_bounded_body
 from tamarackfield.web.client import ClientError
-from tamarackfield.web.connection import TargetConnection
 from tamarackfield.web.pool import ConnectionPool
 
 #: Size limit of an answer; the stores limit pages to one megabyte before encoding.
@@ -117,7 +117,7 @@
         connection.send(request, body)
         while True:
             head = await connection.receive()
-            answer = await _read_body(connection)
+            answer = await read_bounded_body(connection, pool.answers, MAX_ANSWER_BYTES)
             if _answers(head, *identity):
                 return head, answer
             connection.skip_answer()
@@ -134,17 +134,6 @@
     return named in {b'', request_id.encode()}
 
 
-async def _read_body(connection: TargetConnection) -> bytes:
-    body = bytearray()
-    event = await connection.receive()
-    while isinstance(event, h11.Data):
-        body += event.data
-        if len(body) > MAX_ANSWER_BYTES:
-            raise ClientError('answer is too large', 'read_answer', connection.peer, sent=True)
-        event = await connection.receive()
-    return bytes(body)
-
-
 def _decode(answer: bytes, peer: str) -> Any:
     if not answer:
         return None
--- a/tamarackfield/web/pool.py
+++ b/tamarackfield/web/pool.py
@@ -11,6 +11,7 @@
 from tamarackfield.core.problems import Address
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.policy.idle_limits import IdleLimit
+from tamarackfield.web.answer_budget import AnswerBudget
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 
@@ -35,6 +36,8 @@
         Idle connections by address, the most recently used last.
     idle_limits : dict
         Idle limits by address, lowered when a target resets idle connections.
+    answers : AnswerBudget
+        Memory for the bodies of answers.
     opened, reused : int
         Number of connections opened and number of reuses.
     """
@@ -43,6 +46,7 @@
         """Create an empty pool."""
         self.idle: dict[Address, deque[TargetConnection]] = {}
         self.idle_limits: dict[Address, IdleLimit] = {}
+        self.answers = AnswerBudget()
         self.opened = 0
         self.reused = 0
 
--- a/tamarackfield/web/request_reader.py
+++ b/tamarackfield/web/request_reader.py
@@ -10,6 +10,7 @@
 
 from tamarackfield.core.clock import SYSTEM_CLOCK, Clock
 from tamarackfield.core.time_limits import listening_seconds, time_limit_at
+from tamarackfield.core.turns import Turn
 from tamarackfield.web.limits import HttpLimits
 from tamarackfield.web.request import (
     MAX_HEAD_BYTES,
@@ -92,6 +93,7 @@
         self.writer = writer
         self.read_limits = read_limits
         self.budget = budget
+        self.turn = Turn(describe_peer(writer))
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.reserved_bytes = 0
 
@@ -145,6 +147,7 @@
 
     async def _read_head(self, expires_at: float) -> h11.Request | None:
         while True:
+            await self.turn.count_piece()
             before = self.protocol.trailing_data[0]
             event = self._next_event()
             if isinstance(event, h11.Request):
@@ -158,6 +161,7 @@
     async def _read_body(self, expires_at: float, max_bytes: int) -> bytes:
         body = bytearray()
         while True:
+            await self.turn.count_piece()
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
@@ -183,6 +187,7 @@
     async def _receive(self, expires_at: float) -> None:
         if self.protocol.they_are_waiting_for_100_continue:
             self.writer.write(self.protocol.send(h11.InformationalResponse(status_code=100, headers=[])))
+        self.turn.begin()
         async with time_limit_at(expires_at):
             chunk = await self.reader.read(MAX_READ_BYTES)
         self.protocol.receive_data(chunk)
@@ -194,3 +199,9 @@
             raise make_read_error(
                 f'malformed HTTP: {exc}', code='malformed_http', status=exc.error_status_hint
             ) from None
+
+
+def describe_peer(writer: asyncio.StreamWriter) -> str:
+    """Return the address of the peer of a connection, for logs."""
+    address = writer.transport.get_extra_info('peername')
+    return f'{address[0]}:{address[1]}' if address else 'unknown'
--- a/tamarackfield/web/tests/test_server.py
+++ b/tamarackfield/web/tests/test_server.py
@@ -43,6 +43,9 @@
         self.closed = False
         self.transport = self
 
+    def get_extra_info(self, name):
+        """Return that nothing is known of the peer."""
+
     def get_write_buffer_size(self):
         """Return that nothing is buffered."""
         return 0
--- a/tamarackfield/wire/stream.py
+++ b/tamarackfield/wire/stream.py
@@ -10,6 +10,7 @@
 from tamarackfield.core.connections import retrieve_close_error
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.time_limits import listening_seconds, poll_sockets, time_limit
+from tamarackfield.core.turns import Turn
 from tamarackfield.wire.codec import FrameDecoder, encode
 from tamarackfield.wire.messages import Heartbeat, Hello, Message
 
@@ -69,6 +70,7 @@
         self.encode_message = encode_message
         self.reader = reader
         self.writer = writer
+        self.turn = Turn('')
         self.decoder = FrameDecoder()
         self.received_messages: deque[Message] = deque()
         self.unsent_frames: list[bytes] = []
@@ -125,6 +127,7 @@
         """
         while True:
             while self.received_messages:
+                await self.turn.count_piece()
                 message = self.received_messages.popleft()
                 if not isinstance(message, Heartbeat):
                     return message
@@ -203,6 +206,8 @@
         return listening_seconds() - self.last_received_at > SILENCE_TIMEOUT_SECONDS
 
     async def _read_messages(self) -> None:
+        self.turn.begin()
+        self.turn.peer = self.peer
         try:
             chunk = await self.reader.read(_MAX_READ_BYTES)
         except (OSError, ssl.SSLError) as exc:
