--- a/tamarackfield/platform/tests/test_endless_bytes.py
+++ b/tamarackfield/platform/tests/test_endless_bytes.py
@@ -8,7 +8,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.endless_peer import ENDLESS_FORMS, EndlessPeer
-from tamarackfield.testing.platform_site import allocate_address, make_config, make_route, running_site
+from tamarackfield.testing.platform_site import HOST_NAME, allocate_address, make_config, make_route, running_site
 from tamarackfield.testing.ports import reserve_port
 from tamarackfield.web import ClientError
 
@@ -107,3 +107,31 @@
         assert read_peak_bytes(entry) - before < MAX_GROWTH_BYTES
         assert await call_in_time(site) == 200
         await peer.stop()
+
+
+async def send_small_chunks(address, request_id):
+    """Send a request whose body comes in chunks of one byte, within the limit on its size."""
+    reader, writer = await asyncio.open_connection(*address)
+    head = f'POST /look/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nTamarackfield-Request-Id: {request_id}\r\n'
+    writer.write(f'{head}Tamarackfield-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n'.encode())
+    try:
+        while True:
+            writer.write(b'1\r\nx\r\n' * 1000)
+            await writer.drain()
+    except OSError:
+        return
+    finally:
+        writer.close()
+
+
+async def test_bodies_in_small_chunks_do_not_stop_other_callers(one_worker_site):
+    # Guards against a caller whose request body keeps the event loop.
+    site = one_worker_site
+    address = site.entry_address(0)
+    callers = [asyncio.create_task(send_small_chunks(address, f'chunks-{number}')) for number in range(NOISY_CALLERS)]
+    await asyncio.sleep(0.5)
+    statuses = [await call_in_time(site) for _ in range(SOUND_CALLS)]
+    for caller in callers:
+        caller.cancel()
+    await asyncio.wait(callers)
+    assert statuses == [200 for _ in range(SOUND_CALLS)]
