A request that ran soundly within a minute is not condemned by crashes

A request that crashes its targets does so from its first run on, so a sound run of it says more than one of a shared part, whose window stays.

Five crashes 10 to 14 s after a sound run: condemned before, not now (test).

--- a/tamarackfield/policy/quarantine.py
+++ b/tamarackfield/policy/quarantine.py
@@ -30,6 +30,9 @@
 
 #: Seconds before a crash within which a run with a part clears the part of it.
 RECENT_PROOF_SECONDS = 5.0
+#: The same for a whole request: one that crashes its targets does so from its first run on, while a part may be shared
+#: by prompts that differ in all else.
+REQUEST_PROOF_SECONDS = 60.0
 #: Seconds for which a crash that no culprit explains is remembered.
 EVIDENCE_SECONDS = 3600.0
 #: Limits of the crashes and of the proven parts that are remembered.
@@ -147,14 +150,13 @@
         return self.requests.find_isolated_part(parts, self.scores) if self.scores else ''
 
     def _recently_proven(self, parts: Parts, now: float) -> Parts:
-        earliest = now - RECENT_PROOF_SECONDS
-        return frozenset(part for part in parts if self.proven_at.get(part, -math.inf) > earliest)
+        return frozenset(part for part in parts if self.proven_at.get(part, -math.inf) > now - _proof_seconds(part))
 
     def _forget_old_proofs(self, now: float) -> None:
         """Forget proofs that clear no part of a further crash, and the earliest ones beyond the limit."""
         while self.proven_at:
             part, proven_at = next(iter(self.proven_at.items()))
-            if len(self.proven_at) <= MAX_PROVEN_PARTS and now - proven_at < RECENT_PROOF_SECONDS:
+            if len(self.proven_at) <= MAX_PROVEN_PARTS and now - proven_at < _proof_seconds(part):
                 return
             self.proven_at.pop(part)
 
@@ -181,3 +183,8 @@
             replace(culprit, found_at=found_at.get(culprit.parts, now))
             for culprit in find_culprits(self.crashes.values(), self.requests.by_part)
         ]
+
+
+def _proof_seconds(part: str) -> float:
+    """Return how long before a crash a run with a part clears the part of it, in seconds."""
+    return REQUEST_PROOF_SECONDS if is_fingerprint(part) else RECENT_PROOF_SECONDS
