--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds what the scripts of this review start: the stand-ins are Python, so that building is a check that they load.
+# Builds what the scripts of this review start, after the build of the deploy file. The stand-ins are Python: the check
+# is that they, and those of the project that they use, load with nothing but target/deps.
 set -e
 cd "$(dirname "$0")/.."
-python3 -S -m py_compile review/rig2.py review/worker2.py review/[678]*/case.py review/10/case.py 2>/dev/null || true
-PYTHONPATH=target/deps:. python3 -S -c 'import sys; sys.path.insert(0, "review"); import rig2'
+python3 -S -m py_compile review/rig2.py review/worker2.py review/[6-9]/case.py
+python3 -S -c 'import sys; sys.path.insert(0, "review"); import rig2'
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -197,10 +197,10 @@
 class WorkerProcess:
     """Model worker in a process of its own, see ``worker2.py``."""
 
-    def __init__(self, name: str, events: int, interval: float, fault: str, folder: pathlib.Path) -> None:
+    def __init__(self, name: str, events: int, interval: float, every: int, folder: pathlib.Path) -> None:
         self.name = name
         self.host, self.port = next_host(), reserve_port()
-        self.options = (str(events), str(interval), fault)
+        self.options = (str(events), str(interval), str(every))
         self.log_path = folder / f'worker-{name}.log'
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -218,8 +218,8 @@
         return [json.loads(line) for line in text.splitlines() if line.startswith('{')]
 
     def runs(self) -> list[str]:
-        """Return the ids of the requests that it ran."""
-        return [line['run'] for line in self.lines() if 'run' in line]
+        """Return the ids of the requests that it ran, those whose answers had no framing with a star."""
+        return [line['run'] + '*' * line['unframed'] for line in self.lines() if 'run' in line]
 
     async def make_store_entry(self) -> dict[str, Any]:
         """Return its entry once it listens."""
@@ -315,9 +315,9 @@
         self.programs.append(program)
         return program
 
-    async def add_worker_process(self, name: str, events: int, interval: float, fault: str = '-') -> WorkerProcess:
+    async def add_worker_process(self, name: str, events: int, interval: float, every: int) -> WorkerProcess:
         """Start a model worker in a process of its own and list it in the store."""
-        worker = WorkerProcess(name, events, interval, fault, self.folder)
+        worker = WorkerProcess(name, events, interval, every, self.folder)
         self.workers.append(worker)
         worker.start()
         self.store.put(f'servers/{name}', await worker.make_store_entry())
