--- a/review/plain2.py
+++ b/review/plain2.py
@@ -1,7 +1,7 @@
 """Plain worker in a process of its own, which answers in two parts; each Nth answer has no length.
 
 Usage: plain2.py NAME HOST PORT WORK LONG_WORK N; answers without a length take LONG_WORK seconds, the others WORK. Each
-request that it runs is printed on one line as it begins.
+request that it runs is printed on one line as it begins, and those without a length once more when half is written.
 """
 
 import asyncio
@@ -9,6 +9,8 @@
 import sys
 
 PART = 400 * b'a'
+#: Requests that run at once; the others wait.
+SLOTS = 6
 
 
 class Worker:
@@ -20,6 +22,7 @@
         self.long_work_seconds = long_work_seconds
         self.every = every
         self.requests = 0
+        self.slots = asyncio.Semaphore(SLOTS)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection."""
@@ -28,7 +31,9 @@
                 head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').split('\r\n')
                 fields = {key.lower(): text for key, _, text in (line.partition(': ') for line in head[1:])}
                 await reader.readexactly(int(fields.get('content-length', '0')))
-                if not await self.answer(writer, fields):
+                async with self.slots:
+                    goes_on = await self.answer(writer, fields)
+                if not goes_on:
                     return
         except (OSError, asyncio.IncompleteReadError):
             return
@@ -52,6 +57,8 @@
         await asyncio.sleep(half_seconds)
         writer.write('\r\n'.join(['HTTP/1.1 200 OK', *lines, '', '']).encode() + PART)
         await writer.drain()
+        if unframed:
+            print(json.dumps({'half': request_id}), flush=True)
         await asyncio.sleep(half_seconds)
         writer.write(PART)
         await writer.drain()
