--- /dev/null
+++ b/tamarackfield/testing/tests/test_hangups.py
@@ -0,0 +1,53 @@
+"""SIGHUP at each moment of the life of a program of the own interface, which reads its settings at its start only."""
+
+import signal
+
+import pytest
+
+from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
+from tamarackfield.testing.held_process import EXIT, IMPORTS, held_process, hold_next_start
+
+PROGRAMS = ('entry-1', 'engine-1-sidecar', 'engine-1')
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    """Run one entry, and one engine with its sidecar."""
+    async with Cluster(tmp_path, [TargetSpec('engine-1')], 1, make_bundle(('clinic',), ('draft@v1',))) as cluster:
+        yield cluster
+
+
+# Guards against: SIGHUP ends a program of the own interface, which never handled it.
+@pytest.mark.parametrize('name', PROGRAMS)
+async def test_program_signalled_while_it_runs_goes_on_and_logs_that_settings_are_kept(cluster, name):
+    process = cluster.processes[name]
+    process.send_signal(signal.SIGHUP)
+    await process.wait_for_log_text('event=settings_kept')
+    await process.wait_ready()
+    assert await process.terminate() == 0
+
+
+# Guards against: SIGHUP ends a program of the own interface, which never handled it.
+@pytest.mark.parametrize('name', PROGRAMS)
+async def test_program_signalled_during_its_imports_becomes_ready(cluster, monkeypatch, tmp_path, name):
+    process = cluster.processes[name]
+    await process.terminate()
+    pipe = hold_next_start(monkeypatch, tmp_path / 'held', IMPORTS)
+    await process.start()
+    async with held_process(pipe):
+        process.send_signal(signal.SIGHUP)
+    await process.wait_ready()
+
+
+# Guards against: SIGHUP ends a program whose event loop has ended, with the exit code of a crash.
+@pytest.mark.parametrize('name', PROGRAMS)
+async def test_program_signalled_at_its_exit_ends_with_zero(cluster, monkeypatch, tmp_path, name):
+    process = cluster.processes[name]
+    await process.terminate()
+    pipe = hold_next_start(monkeypatch, tmp_path / 'held', EXIT)
+    await process.start()
+    await process.wait_ready()
+    process.send_signal(signal.SIGTERM)
+    async with held_process(pipe):
+        process.send_signal(signal.SIGHUP)
+    assert await process.terminate() == 0
