--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -48,10 +48,10 @@
         settings = {'listen': {'host': HOST, 'port': self.service_port}}
         self.service = ManagedProcess(
             'configuration',
-            'tamarackfield.testing.main',
+            'tamarackfield.programs',
             settings,
             directory,
-            arguments=('configuration',),
+            arguments=('standin', 'configuration'),
             health=(self.service_port, '/control'),
         )
         self.processes: list[asyncio.subprocess.Process] = []
--- a/tamarackfield/core/application.py
+++ b/tamarackfield/core/application.py
@@ -1,7 +1,6 @@
 """Life cycle of a process: start and stop hooks, background tasks and stop signals."""
 
 import asyncio
-import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -9,6 +8,7 @@
 
 from tamarackfield.core.clock import MS_PER_SECOND
 from tamarackfield.core.connections import cancel_and_wait
+from tamarackfield.process_signals import PROCESS_SIGNALS, STOP_SIGNALS
 
 #: Bounds of the exponential backoff before a failed task is restarted; a task that fails immediately is restarted a
 #: few times in the first second, and then at most once a second.
@@ -99,13 +99,16 @@
         self.stopping.set()
 
     async def run(self) -> None:
-        """Start, wait for SIGTERM, SIGINT or `request_stop`, then stop."""
+        """Start, wait for SIGTERM, SIGINT or `request_stop`, then stop; signals have no effect after that.
+
+        An application that is asked to stop before it starts does not start.
+        """
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self.request_stop)
-        await self.start()
-        await self.stopping.wait()
-        await self.stop()
+        PROCESS_SIGNALS.deliver_to(loop, dict.fromkeys(STOP_SIGNALS, self.request_stop))
+        try:
+            await self._run_until_stopped()
+        finally:
+            PROCESS_SIGNALS.ignore(loop)
 
     async def start(self) -> None:
         """Run the start hooks."""
@@ -122,6 +125,15 @@
         _report_unowned_tasks()
         logger.bind(instance=self.name).info('stopped')
 
+    async def _run_until_stopped(self) -> None:
+        if self.stopping.is_set():
+            await cancel_and_wait(self.tasks)
+            logger.bind(instance=self.name, reason='asked to stop before the start').info('stopped')
+            return
+        await self.start()
+        await self.stopping.wait()
+        await self.stop()
+
     async def _run_with_restarts(self, make_coroutine: CoroutineFactory, name: str) -> None:
         backoff = MIN_RESTART_BACKOFF_SECONDS
         while True:
--- a/tamarackfield/observe/program.py
+++ b/tamarackfield/observe/program.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 import click
+from loguru import logger
 from result import Err
 
 from tamarackfield.core import Application, Problem, format_problems
 from tamarackfield.core.settings import load_settings
 from tamarackfield.observe.logs import configure_logs
 from tamarackfield.observe.startup_checks import find_listen_problems, find_security_problems
+from tamarackfield.process_signals import PROCESS_SIGNALS, RELOAD_SIGNAL
 
 #: Exit code for invalid settings.
 EXIT_BAD_SETTINGS = 2
@@ -58,4 +60,10 @@
 
 
 async def _run_application(settings: dict[str, Any], build_application: ApplicationFactory) -> None:
-    await build_application(settings).run()
+    application = build_application(settings)
+    PROCESS_SIGNALS.deliver_to(asyncio.get_running_loop(), {RELOAD_SIGNAL: _log_kept_settings})
+    await application.run()
+
+
+def _log_kept_settings() -> None:
+    logger.bind(signal=RELOAD_SIGNAL.name, reason='settings are read at the start only').warning('settings_kept')
--- a/tamarackfield/platform/main.py
+++ b/tamarackfield/platform/main.py
@@ -5,7 +5,6 @@
 import importlib
 import os
 import pathlib
-import signal
 import sys
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -16,6 +15,7 @@
 from tamarackfield.core import Application, Problem, format_problems
 from tamarackfield.observe.rate_limited_logs import configure_rate_limited_logs
 from tamarackfield.core.settings_reader import read_settings_file
+from tamarackfield.process_signals import PROCESS_SIGNALS, RELOAD_SIGNAL
 
 #: Module of each program, by its name in the start commands of deploy/system.toml.
 PROGRAM_MODULES = {'entry': 'tamarackfield.platform.entry', 'sidecar': 'tamarackfield.platform.sidecar'}
@@ -46,6 +46,7 @@
 def main() -> None:
     """Run the program named by the last argument."""
     if CHECK_COMMAND in sys.argv[1:2]:
+        PROCESS_SIGNALS.restore()
         importlib.import_module('tamarackfield.platform.check').main()
     module = PROGRAM_MODULES.get(sys.argv[-1])
     if module is None:
@@ -64,7 +65,7 @@
 
 async def _run(program: Program, path: str) -> None:
     reload_requested = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload_requested.set)
+    PROCESS_SIGNALS.deliver_to(asyncio.get_running_loop(), {RELOAD_SIGNAL: reload_requested.set})
     application = program.application
     application.supervise(lambda: _watch_settings(path, reload_requested, program), 'settings')
     await application.run()
--- a/tamarackfield/platform/tests/test_hangups.py
+++ b/tamarackfield/platform/tests/test_signals.py
@@ -1,4 +1,4 @@
-"""SIGHUP at each moment of the life of a program, and settings that change while it starts."""
+"""Signals at each moment of the life of a program: those that reload its settings and those that stop it."""
 
 import json
 import os
@@ -55,16 +55,54 @@
     pipe = replace_settings_by_pipe(monkeypatch, process)
     await process.start()
     async with held_process(pipe) as descriptor:
-        replace_pipe_by_file(pipe, process.settings)
+        replace_pipe_by_file(pipe, process.settings | {'zone': 'zone-b'})
         process.send_signal(signal.SIGHUP)
         os.write(descriptor, json.dumps(process.settings).encode())
     await process.wait_ready()
     await process.wait_for_log_text('event=settings_reloaded')
+    assert role == 'sidecar' or 'changed=zone' in process.read_log()
 
 
-# Guards against: SIGHUP ends a program whose event loop has ended, with the exit code of a crash.
+# Guards against: a stop that arrives before its handler is set ends a program with the exit code of a crash.
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
 @pytest.mark.parametrize('role', ROLES)
-async def test_program_signalled_at_its_exit_ends_with_zero(model_site, monkeypatch, tmp_path, role):
+async def test_program_stopped_during_its_imports_ends_with_zero_and_does_not_start(
+    model_site, monkeypatch, tmp_path, role, number
+):
+    process = find_process(model_site, role)
+    await process.terminate()
+    pipe = hold_next_start(monkeypatch, tmp_path / 'held', IMPORTS)
+    await process.start()
+    async with held_process(pipe):
+        process.send_signal(number)
+        process.send_signal(signal.SIGHUP)
+    assert await process.process.wait() == 0
+    log = process.read_log()[process.log_offset :]
+    assert ('event=stopped' in log, 'event=started' in log) == (True, False)
+
+
+async def test_settings_in_force_are_those_of_the_file_after_signals_at_broken_and_missing_files(model_site):
+    entry = model_site.entries[0]
+    path = entry.write_settings()
+    whole = path.read_text()
+    for content, event in ((whole[: len(whole) // 2], 'settings_not_taken'), (None, 'settings_not_read')):
+        path.unlink()
+        if content is not None:
+            path.write_text(content)
+        for _ in range(10):
+            entry.send_signal(signal.SIGHUP)
+        await entry.wait_for_log_text(f'event={event}')
+    entry.settings['zone'] = 'zone-b'
+    entry.reload()
+    await entry.wait_for_log_text('changed=zone')
+    assert (await model_site.call('/look/x'))[0] == 503
+    assert await entry.terminate() == 0
+
+
+# Guards against: a signal ends a program whose event loop has ended, with the exit code of a crash.
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize('role', ROLES)
+async def test_program_signalled_at_its_exit_ends_with_zero(model_site, monkeypatch, tmp_path, role, number):
     process = find_process(model_site, role)
     await process.terminate()
     pipe = hold_next_start(monkeypatch, tmp_path / 'held', EXIT)
@@ -72,5 +110,5 @@
     await process.wait_ready()
     process.send_signal(signal.SIGTERM)
     async with held_process(pipe):
-        process.send_signal(signal.SIGHUP)
-    assert await process.terminate() == 0
+        process.send_signal(number)
+    assert await process.process.wait() == 0
--- a/tamarackfield/testing/cluster.py
+++ b/tamarackfield/testing/cluster.py
@@ -185,10 +185,10 @@
         settings = {'instance': name, 'listen': {'host': HOST, 'port': port}, **options}
         self.processes[name] = ManagedProcess(
             name,
-            'tamarackfield.testing.main',
+            'tamarackfield.programs',
             settings,
             self.directory,
-            arguments=(kind,),
+            arguments=('standin', kind),
             health=(port, '/control'),
         )
 
@@ -229,7 +229,7 @@
             'target_address': target_address,
             'listen': {'host': HOST, 'port': peer_port},
         }
-        self._add_program(name, 'tamarackfield.sidecar.main', settings)
+        self._add_program(name, 'sidecar', settings)
 
     def add_entry(self, name: str, zone: str = 'zone-1', region: str = 'west') -> None:
         """Add an entry."""
@@ -238,11 +238,13 @@
             'listen': {'host': HOST, 'port': self.reserve_named_port(name)},
             'drain_seconds': 0.2,
         }
-        self._add_program(name, 'tamarackfield.entry.main', settings)
+        self._add_program(name, 'entry', settings)
 
-    def _add_program(self, name: str, module: str, settings: dict[str, Any]) -> None:
+    def _add_program(self, name: str, program: str, settings: dict[str, Any]) -> None:
         health = (self.ports[f'{name}-operations'], '/readyz')
-        self.processes[name] = ManagedProcess(name, module, settings, self.directory, health=health)
+        self.processes[name] = ManagedProcess(
+            name, 'tamarackfield.programs', settings, self.directory, arguments=(program,), health=health
+        )
 
     def _shared_settings(self, name: str, zone: str, region: str) -> dict[str, Any]:
         self.peers.append(address(self.reserve_named_port(f'{name}-bundle')))
--- a/tamarackfield/testing/tests/test_hangups.py
+++ b/tamarackfield/testing/tests/test_signals.py
@@ -1,4 +1,4 @@
-"""SIGHUP at each moment of the life of a program of the own interface, which reads its settings at its start only."""
+"""Signals at each moment of the life of a program of the own interface, which reads its settings at its start only."""
 
 import signal
 
@@ -7,7 +7,9 @@
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.held_process import EXIT, IMPORTS, held_process, hold_next_start
 
-PROGRAMS = ('entry-1', 'engine-1-sidecar', 'engine-1')
+LOGGING_PROGRAMS = ('entry-1', 'engine-1-sidecar')
+#: The stand-in logs warnings only.
+PROGRAMS = (*LOGGING_PROGRAMS, 'engine-1')
 
 
 @pytest.fixture
@@ -39,9 +41,26 @@
     await process.wait_ready()
 
 
-# Guards against: SIGHUP ends a program whose event loop has ended, with the exit code of a crash.
+# Guards against: a stop that arrives before its handler is set ends a program with the exit code of a crash.
+@pytest.mark.parametrize('name', LOGGING_PROGRAMS)
+async def test_program_stopped_during_its_imports_ends_with_zero_and_does_not_start(
+    cluster, monkeypatch, tmp_path, name
+):
+    process = cluster.processes[name]
+    await process.terminate()
+    pipe = hold_next_start(monkeypatch, tmp_path / 'held', IMPORTS)
+    await process.start()
+    async with held_process(pipe):
+        process.send_signal(signal.SIGTERM)
+    assert await process.process.wait() == 0
+    log = process.read_log()[process.log_offset :]
+    assert ('event=stopped' in log, 'event=started' in log) == (True, False)
+
+
+# Guards against: a signal ends a program whose event loop has ended, with the exit code of a crash.
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 @pytest.mark.parametrize('name', PROGRAMS)
-async def test_program_signalled_at_its_exit_ends_with_zero(cluster, monkeypatch, tmp_path, name):
+async def test_program_signalled_at_its_exit_ends_with_zero(cluster, monkeypatch, tmp_path, name, number):
     process = cluster.processes[name]
     await process.terminate()
     pipe = hold_next_start(monkeypatch, tmp_path / 'held', EXIT)
@@ -49,5 +68,5 @@
     await process.wait_ready()
     process.send_signal(signal.SIGTERM)
     async with held_process(pipe):
-        process.send_signal(signal.SIGHUP)
-    assert await process.terminate() == 0
+        process.send_signal(number)
+    assert await process.process.wait() == 0
