Settings that change while a program starts are taken without a signal

What operators saw: an entry that was started while its settings changed kept the former ones until the next change.

Cause: the watch of the settings file compared with the content that it read when it began, not with the content that the program was built from. A change between the two was never noticed unless SIGHUP came as well.

--- a/tamarackfield/core/settings_reader.py
+++ b/tamarackfield/core/settings_reader.py
@@ -41,11 +41,19 @@
         return Err(sorted(self.problems)) if self.problems else Ok(settings)
 
 
-def read_settings_file(path: str) -> Result[dict[str, Any], list[Problem]]:
+def read_content(path: str) -> Result[bytes, list[Problem]]:
     """Read the settings file, or return the problem that prevents it."""
     try:
-        document = json.loads(pathlib.Path(path).read_text('utf-8'))
-    except (OSError, ValueError, RecursionError) as exc:
+        return Ok(pathlib.Path(path).read_bytes())
+    except OSError as exc:
+        return Err([Problem('$', f'{path}: {exc}')])
+
+
+def parse_settings(path: str, content: bytes) -> Result[dict[str, Any], list[Problem]]:
+    """Return the settings document in the content of a file, or the problem that prevents it."""
+    try:
+        document = json.loads(content.decode('utf-8'))
+    except (ValueError, RecursionError) as exc:
         return Err([Problem('$', f'{path}: {exc}')])
     if not isinstance(document, dict):
         return Err([Problem('$', f'{path}: settings are not a JSON object')])
--- a/tamarackfield/platform/main.py
+++ b/tamarackfield/platform/main.py
@@ -4,17 +4,17 @@
 import gc
 import importlib
 import os
-import pathlib
 import sys
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from loguru import logger
 from result import Err, Result
 
 from tamarackfield.core import Application, Problem, format_problems
+from tamarackfield.core.settings_reader import parse_settings, read_content
 from tamarackfield.observe.rate_limited_logs import configure_rate_limited_logs
-from tamarackfield.core.settings_reader import read_settings_file
 from tamarackfield.process_signals import PROCESS_SIGNALS, RELOAD_SIGNAL
 
 #: Module of each program, by its name in the start commands of deploy/system.toml.
@@ -40,6 +40,14 @@
         """Apply changed settings."""
 
 
+@dataclass(slots=True)
+class SettingsFile:
+    """Settings file of the process and its content when it was last taken."""
+
+    path: str
+    known_content: bytes
+
+
 ProgramBuilder = Callable[[dict[str, Any]], Result[Program, list[Problem]]]
 
 
@@ -54,46 +62,44 @@
         sys.exit(EXIT_UNKNOWN_PROGRAM)
     build_program: ProgramBuilder = importlib.import_module(module).build_program
     path = os.environ.get(SETTINGS_VARIABLE, '')
-    document = _unwrap_or_exit(read_settings_file(path))
+    content = _unwrap_or_exit(read_content(path))
+    document = _unwrap_or_exit(parse_settings(path, content))
     configure_rate_limited_logs(str(document.get('node', 'unnamed')), 'INFO')
     program = _unwrap_or_exit(build_program(document))
     # Imported modules and built objects live as long as the process; freezing exempts them from garbage collection.
     gc.freeze()
     gc.enable()
-    asyncio.run(_run(program, path))
+    asyncio.run(_run(program, SettingsFile(path, content)))
 
 
-async def _run(program: Program, path: str) -> None:
+async def _run(program: Program, settings_file: SettingsFile) -> None:
     reload_requested = asyncio.Event()
     PROCESS_SIGNALS.deliver_to(asyncio.get_running_loop(), {RELOAD_SIGNAL: reload_requested.set})
     application = program.application
-    application.supervise(lambda: _watch_settings(path, reload_requested, program), 'settings')
+    application.supervise(lambda: _watch_settings(settings_file, reload_requested, program), 'settings')
     await application.run()
 
 
-async def _watch_settings(path: str, reload_requested: asyncio.Event, program: Program) -> None:
+async def _watch_settings(settings_file: SettingsFile, reload_requested: asyncio.Event, program: Program) -> None:
     """Reload the settings when the file changes or a signal requests it."""
-    known_content = pathlib.Path(path).read_bytes()
     while True:
         try:
             async with asyncio.timeout(SETTINGS_CHECK_SECONDS):
                 await reload_requested.wait()
         except TimeoutError:
-            logger.bind(path=path).trace('settings_looked_at')
+            logger.bind(path=settings_file.path).trace('settings_looked_at')
         was_requested = reload_requested.is_set()
         reload_requested.clear()
-        try:
-            content = pathlib.Path(path).read_bytes()
-        except OSError as exc:
-            logger.bind(path=path, error=repr(exc)).error('settings_not_read')
-            continue
-        if content != known_content or was_requested:
-            known_content = content
-            _reload_settings(path, program)
+        content = read_content(settings_file.path)
+        if isinstance(content, Err):
+            logger.bind(problems=format_problems(content.err_value)).error('settings_not_read')
+        elif content.ok_value != settings_file.known_content or was_requested:
+            settings_file.known_content = content.ok_value
+            _reload_settings(settings_file, program)
 
 
-def _reload_settings(path: str, program: Program) -> None:
-    document = read_settings_file(path)
+def _reload_settings(settings_file: SettingsFile, program: Program) -> None:
+    document = parse_settings(settings_file.path, settings_file.known_content)
     if isinstance(document, Err):
         logger.bind(problems=format_problems(document.err_value)).error('settings_not_taken')
         return
--- a/tamarackfield/platform/tests/test_signals.py
+++ b/tamarackfield/platform/tests/test_signals.py
@@ -112,3 +112,15 @@
     async with held_process(pipe):
         process.send_signal(number)
     assert await process.process.wait() == 0
+
+
+# Guards against: settings that change between their first reading and the first look at the file are never taken.
+async def test_settings_that_change_while_an_entry_starts_are_taken_without_a_signal(model_site, monkeypatch):
+    entry = model_site.entries[0]
+    await entry.terminate()
+    pipe = replace_settings_by_pipe(monkeypatch, entry)
+    await entry.start()
+    async with held_process(pipe) as descriptor:
+        replace_pipe_by_file(pipe, entry.settings | {'zone': 'zone-b'})
+        os.write(descriptor, json.dumps(entry.settings).encode())
+    await entry.wait_for_log_text('changed=zone')
