--- a/tamarackfield/testing/demo.py
+++ b/tamarackfield/testing/demo.py
@@ -10,7 +10,7 @@
 import click
 
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
-from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.processes import HOST, stop_on_signals
 from tamarackfield.web import fetch, open_request
 
 _CALLER = 'clinic'
@@ -22,6 +22,7 @@
 @click.option('--keep', is_flag=True, help='Stay up and print a ready curl line.')
 def main(*, keep: bool) -> None:
     """Serve requests through entry, sidecar and stand-ins as separate processes."""
+    stop_on_signals()
     with tempfile.TemporaryDirectory(prefix='tamarackfield-demo-') as directory, contextlib.suppress(KeyboardInterrupt):
         asyncio.run(_demo(pathlib.Path(directory), keep=keep))
 
@@ -42,7 +43,7 @@
 
 async def _wait_for_signal() -> None:
     stopping = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         asyncio.get_running_loop().add_signal_handler(number, stopping.set)
     await stopping.wait()
 
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -14,7 +14,7 @@
 
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.platform_site import PlatformProcess
-from tamarackfield.testing.processes import ProcessFailedError, wait_until
+from tamarackfield.testing.processes import ProcessFailedError, stop_on_signals, wait_until
 from tamarackfield.testing.soak.callers import BUSY, CRASHING_REQUESTS, PATH_WEIGHTS, RESTING, Call, Caller, Pace
 from tamarackfield.testing.soak.faults import ALL_FAULTS, Series, list_kinds
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
@@ -244,6 +244,7 @@
     seed: int, seeds: int, seconds: float, processes: int, series: str, replay: int | None
 ) -> None:
     """Inject overlapping faults into a deployment of real processes and check every promise."""
+    stop_on_signals()
     selected_seeds = range(seed, seed + seeds) if replay is None else (replay,)
     passed = [
         _run_and_report(current, seconds, processes, Series(series), replay is not None) for current in selected_seeds
--- a/tamarackfield/testing/tests/test_signals.py
+++ b/tamarackfield/testing/tests/test_signals.py
@@ -1,11 +1,15 @@
 """Signals at each moment of the life of a program of the own interface, which reads its settings at its start only."""
 
+import asyncio
 import signal
+import sys
 
+import psutil
 import pytest
 
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.held_process import EXIT, IMPORTS, held_process, hold_next_start
+from tamarackfield.testing.processes import wait_until
 
 LOGGING_PROGRAMS = ('entry-1', 'engine-1-sidecar')
 #: The stand-in logs warnings only.
@@ -70,3 +74,31 @@
     async with held_process(pipe):
         process.send_signal(number)
     assert await process.process.wait() == 0
+
+
+def find_children(process):
+    """Return the processes that a process has started and that still run."""
+    return [child for child in psutil.Process(process.pid).children() if child.status() != psutil.STATUS_ZOMBIE]
+
+
+# Guards against: a signal ends a script by its default action, and the processes that it started go on.
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+@pytest.mark.parametrize('shown', ['', 'curl -N'])
+async def test_demo_ended_by_a_signal_leaves_no_process(number, shown):
+    command = (sys.executable, '-m', 'tamarackfield.testing.demo', '--keep')
+    demo = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
+
+    async def has_children():
+        return find_children(demo)
+
+    await wait_until(has_children, 'the demo starts processes')
+    while shown and not (await demo.stdout.readline()).startswith(shown.encode()):
+        await asyncio.sleep(0)
+    children = find_children(demo)
+    demo.send_signal(number)
+    demo.send_signal(number)
+    await demo.communicate()
+    _, alive = psutil.wait_procs(children, 1)
+    for child in alive:
+        child.kill()
+    assert alive == []
