--- a/tamarackfield/testing/soak/faults.py
+++ b/tamarackfield/testing/soak/faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Sequence
-from enum import StrEnum
 from typing import Any, TypeVar
 
 from tamarackfield.core import SYSTEM_CLOCK
@@ -12,6 +11,7 @@
 from tamarackfield.testing.platform_worker import PlatformWorker, WorkerFault
 from tamarackfield.testing.relay import FAULTY_MODES, Relay, no_faults
 from tamarackfield.testing.soak.crashes import crash_on_part, crash_on_request
+from tamarackfield.testing.soak.hangups import restart_amid_signals
 from tamarackfield.testing.soak.limits import state_limit
 from tamarackfield.testing.soak.outages import silence_store
 from tamarackfield.testing.soak.plan import PlannedFault
@@ -366,39 +366,16 @@
 OUTAGE_FAULTS: dict[str, Fault] = {'store_silent': silence_store}
 #: Additions after those, in a further series of their own.
 CRASH_FAULTS: dict[str, Fault] = {'workers_crash_on_request': crash_on_request}
-#: Faults that are drawn beside `CRASH_FAULTS` where only crashes are to be tested.
-BESIDE_CRASHES = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'store_silent', 'worker_left', 'worker_restarted')
-#: Faults that are drawn beside `OUTAGE_FAULTS` where only silences of the store are to be tested.
-BESIDE_OUTAGES = ('configuration_changed', 'version_announced', 'worker_left')
-#: Faults that are drawn beside `LIMIT_FAULTS` where only limits are to be tested.
-BESIDE_LIMITS = ('entry_killed', 'entry_stopped', 'sidecar_killed', 'sidecar_stopped', 'sidecar_paused')
+#: Additions after those, in a further series of their own.
+SIGNAL_FAULTS: dict[str, Fault] = {'restarted_amid_signals': restart_amid_signals}
 #: Fault functions by name, of all series.
-ALL_FAULTS = FAULTS | FURTHER_FAULTS | LATEST_FAULTS | STANDSTILL_FAULTS | LIMIT_FAULTS | OUTAGE_FAULTS | CRASH_FAULTS
-
-
-class Series(StrEnum):
-    """Series of faults of a run; `FORMER` and `EARLIER` are all series as they were before the last two were added."""
-
-    ALL = 'all'
-    FORMER = 'former'
-    STANDSTILLS = 'standstills'
-    EARLIER = 'earlier'
-    LIMITS = 'limits'
-    OUTAGES = 'outages'
-    CRASHES = 'crashes'
-
-
-def list_kinds(series: Series) -> list[tuple[str, ...]]:
-    """Return the names of the faults of each series, empty for one that is left out."""
-    kinds = [tuple(faults) for faults in (FAULTS, FURTHER_FAULTS, LATEST_FAULTS, STANDSTILL_FAULTS, LIMIT_FAULTS)]
-    former, standstills, limits = kinds[:-2], kinds[-2], kinds[-1]
-    series_kinds = {
-        Series.FORMER: former,
-        Series.EARLIER: [*former, standstills],
-        Series.STANDSTILLS: [*(() for _ in former), standstills],
-        Series.LIMITS: [*(() for _ in former), BESIDE_LIMITS, limits],
-        Series.OUTAGES: [*(() for _ in former), BESIDE_OUTAGES, (), tuple(OUTAGE_FAULTS)],
-        Series.CRASHES: [*(() for _ in former), BESIDE_CRASHES, (), (), tuple(CRASH_FAULTS)],
-        Series.ALL: [*kinds, (), tuple(CRASH_FAULTS)],
-    }
-    return series_kinds[series]
+ALL_FAULTS = (
+    FAULTS
+    | FURTHER_FAULTS
+    | LATEST_FAULTS
+    | STANDSTILL_FAULTS
+    | LIMIT_FAULTS
+    | OUTAGE_FAULTS
+    | CRASH_FAULTS
+    | SIGNAL_FAULTS
+)
--- /dev/null
+++ b/tamarackfield/testing/soak/hangups.py
@@ -0,0 +1,64 @@
+"""SIGHUP in quick succession while a process stops and starts, from its first line to its exit."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+
+from tamarackfield.testing.incidents import Incident
+from tamarackfield.testing.platform_site import PlatformProcess
+from tamarackfield.testing.soak.plan import PlannedFault
+from tamarackfield.testing.soak.site import SoakSite
+
+#: Bounds of the time between two signals in seconds.
+MIN_INTERVAL_SECONDS, MAX_INTERVAL_SECONDS = 0.002, 0.05
+_HANGUP_BIT = 1 << (signal.SIGHUP - 1)
+_HANDLED_MASKS = ('SigCgt', 'SigIgn')
+
+
+async def restart_amid_signals(site: SoakSite, step: PlannedFault, incident: Incident) -> None:
+    """Stop and start a process that gets SIGHUP all the while, and expect that only the stop ends it, with code 0."""
+    processes = site.list_processes()
+    process = processes[int(step.target_share * len(processes))]
+    incident.name = 'entry_stopped' if process in site.entries else 'sidecar_stopped'
+    incident.where = process.name
+    interval = MIN_INTERVAL_SECONDS + step.variant_share * (MAX_INTERVAL_SECONDS - MIN_INTERVAL_SECONDS)
+    async with site.locks[process.name]:
+        if not process.has_started():
+            return
+        signals = asyncio.create_task(_send_hangups(process, interval))
+        code = await process.terminate()
+        if code:
+            site.record_violation(f'{process.name} stopped amid signals with exit code {code}', incident.started_at)
+        await process.start()
+        while not process.has_started() and process.process.returncode is None:
+            await asyncio.sleep(interval)
+        if process.process.returncode is not None:
+            site.record_violation(
+                f'{process.name} ended amid signals with exit code {process.process.returncode}', incident.started_at
+            )
+            await process.start()
+        signals.cancel()
+
+
+async def _send_hangups(process: PlatformProcess, interval: float) -> None:
+    """Signal each process of a program from the first time that it handles the signal to its exit."""
+    handling = 0
+    while True:
+        running = process.process
+        if running.pid == handling or _handles_hangups(running.pid):
+            handling = running.pid
+            with contextlib.suppress(ProcessLookupError):
+                running.send_signal(signal.SIGHUP)
+        await asyncio.sleep(interval)
+
+
+def _handles_hangups(pid: int) -> bool:
+    """Return whether a process has replaced the default action of SIGHUP, which its first line does."""
+    try:
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    except OSError:
+        # The process has exited.
+        return False
+    masks = [line.split()[1] for line in status.splitlines() if line.startswith(_HANDLED_MASKS)]
+    return any(int(mask, 16) & _HANGUP_BIT for mask in masks)
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -16,10 +16,11 @@
 from tamarackfield.testing.platform_site import PlatformProcess
 from tamarackfield.testing.processes import ProcessFailedError, stop_on_signals, wait_until
 from tamarackfield.testing.soak.callers import BUSY, CRASHING_REQUESTS, PATH_WEIGHTS, RESTING, Call, Caller, Pace
-from tamarackfield.testing.soak.faults import ALL_FAULTS, Series, list_kinds
+from tamarackfield.testing.soak.faults import ALL_FAULTS
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
 from tamarackfield.testing.soak.probes import Probe
 from tamarackfield.testing.soak.promises import Observations, check_all
+from tamarackfield.testing.soak.series import Series, list_kinds
 from tamarackfield.testing.soak.site import SoakSite
 from tamarackfield.testing.soak.variation import FIRST_VARIATION, make_version
 
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -6,13 +6,13 @@
 from tamarackfield.testing.platform_worker import PlatformWorker, Refusal, Run
 from tamarackfield.testing.soak.callers import CRASHING_PART, Call
 from tamarackfield.testing.soak.crashes import check_late_runs
-from tamarackfield.testing.soak.faults import Series
 from tamarackfield.testing.soak.limits import StatedLimit, check_limits
 from tamarackfield.testing.soak.main import run_soak
 from tamarackfield.testing.soak.notices import check_leaving, check_pauses
 from tamarackfield.testing.soak.outages import check_applied
 from tamarackfield.testing.soak.probes import Probe
 from tamarackfield.testing.soak.promises import check_call, check_probes, check_retries
+from tamarackfield.testing.soak.series import Series
 from tamarackfield.testing.soak.site import SoakSite
 
 EVENTS = 5
@@ -206,3 +206,10 @@
     soak = await run_soak(tmp_path, 5, 12.0, 4, Series.OUTAGES)
     assert soak.site.violations == []
     assert any(incident.name == 'store_silent' for incident in soak.site.incidents)
+
+
+# Guards against: a signal ends a process that starts or stops, by its default action.
+async def test_processes_restart_amid_signals_and_stop_with_zero(tmp_path):
+    soak = await run_soak(tmp_path, 3, 6.0, 4, Series.SIGNALS)
+    assert soak.site.violations == []
+    assert any('stopped' in incident.name for incident in soak.site.incidents)
--- a/tamarackfield/testing/tests/test_soak_losses.py
+++ b/tamarackfield/testing/tests/test_soak_losses.py
@@ -8,9 +8,10 @@
 from tamarackfield.testing.incidents import Incident
 from tamarackfield.testing.platform_worker import PlatformWorker, Run
 from tamarackfield.testing.soak.callers import Call, Caller, Close
-from tamarackfield.testing.soak.faults import ALL_FAULTS, CRASH_FAULTS, LIMIT_FAULTS, Series, list_kinds
+from tamarackfield.testing.soak.faults import ALL_FAULTS, CRASH_FAULTS, LIMIT_FAULTS, SIGNAL_FAULTS
 from tamarackfield.testing.soak.losses import is_lost
 from tamarackfield.testing.soak.plan import draw_plan
+from tamarackfield.testing.soak.series import Series, list_kinds
 from tamarackfield.testing.soak.site import SoakSite
 
 SEED, SECONDS = 7, 20.0
@@ -106,9 +107,9 @@
     every = draw_plan(SEED, SECONDS, *list_kinds(Series.ALL))
     assert sorted(former + standstills, key=lambda step: step.start_seconds) == earlier
     assert {step.kind for step in standstills} == set(list_kinds(Series.EARLIER)[-1])
-    added = LIMIT_FAULTS | CRASH_FAULTS
-    assert [step for step in every if step.kind not in added] == earlier
-    assert all(any(step.kind in faults for step in every) for faults in (LIMIT_FAULTS, CRASH_FAULTS))
+    added = (LIMIT_FAULTS, CRASH_FAULTS, SIGNAL_FAULTS)
+    assert [step for step in every if not any(step.kind in faults for faults in added)] == earlier
+    assert all(any(step.kind in faults for step in every) for faults in added)
     assert {step.kind for step in every} <= set(ALL_FAULTS)
 
 
