--- a/tamarackfield/testing/platform_store.py
+++ b/tamarackfield/testing/platform_store.py
@@ -45,6 +45,8 @@
         self.calls: list[str] = []
         #: Number of calls, the first ones, that are never answered.
         self.lost_calls = 0
+        #: Connections of the watches that wait.
+        self.waiting_writers: set[asyncio.StreamWriter] = set()
         self.server = HttpServer(self.handle_request, answer_error)
 
     def put(self, key: str, document: Any) -> int:
@@ -108,6 +110,16 @@
         """Leave the calls that wait without an answer for good, as if their connections had fallen silent."""
         self.lost_calls = len(self.calls)
 
+    def cut_watches(self, resets: bool = True) -> int:
+        """Close, or reset, the connections of the watches that wait; return their number."""
+        cut = list(self.waiting_writers)
+        for writer in cut:
+            if resets:
+                writer.transport.abort()
+            else:
+                writer.close()
+        return len(cut)
+
     async def handle_request(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         query = dict(urllib.parse.parse_qsl(request.query, keep_blank_values=True))
@@ -153,12 +165,15 @@
 
     async def _answer_watch(self, query: dict[str, str], responder: Responder, number: int) -> None:
         after = int(query['after'])
+        self.waiting_writers.add(responder.writer)
         try:
             async with asyncio.timeout(int(query['wait_ms']) / _MS_PER_SECOND):
                 while not self._list_events(query['path_prefix'], after) and self._has_history(after):
                     await self.changed.wait()
         except TimeoutError:
             pass  # noqa: WPS420 the answer without events is sent below
+        finally:
+            self.waiting_writers.discard(responder.writer)
         if self.fault == 'silent' or number <= self.lost_calls:
             await asyncio.Event().wait()
         if not self._has_history(after):
