--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -24,6 +24,8 @@
 _READ_BYTES = 65_536
 #: Limit of the informational heads that a peer may send ahead of an answer.
 MAX_INFORMATIONAL_HEADS = 16
+#: Largest status of an answer (RFC 9110, section 15); the parser refuses those below 100, but passes larger ones on.
+MAX_STATUS = 599
 
 Headers = list[tuple[str, str]]
 
@@ -80,6 +82,8 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ClientError(f'answer has status {event.status_code}', 'read_answer', self.peer, sent=True)
                 self.status = event.status_code
                 self.headers = {name.decode('ascii'): text.decode('latin-1') for name, text in event.headers}
                 return
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -15,7 +15,7 @@
 
 from tamarackfield.core.clock import BOOT_CLOCK
 from tamarackfield.core.turns import Turn
-from tamarackfield.web.client import MAX_INFORMATIONAL_HEADS, ClientError
+from tamarackfield.web.client import MAX_INFORMATIONAL_HEADS, MAX_STATUS, ClientError
 
 #: TCP_USER_TIMEOUT: a connection is closed if sent data is not acknowledged for this time. It is a third
 #: of the time in which an instance must detect that its network failed.
@@ -244,6 +244,7 @@
             elif isinstance(event, h11.InformationalResponse):
                 self._count_informational_head()
             else:
+                self._require_known_status(event)
                 return event
 
     def skip_answer(self) -> None:
@@ -295,6 +296,10 @@
             if len(part) > PIECE_BYTES:
                 self.unsent.appendleft(part[PIECE_BYTES:])
 
+    def _require_known_status(self, event: Any) -> None:
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            raise self._fail_with_error(f'answer has status {event.status_code}')
+
     def _count_informational_head(self) -> None:
         self.informational_heads += 1
         if self.informational_heads > MAX_INFORMATIONAL_HEADS:
