Soak: signals reach a process by a descriptor of it, so that its exit code is not lost

The sidecar had logged that it stopped. Cause: the soak's own series of signals used the method of subprocess, which reaps a process that has just exited, before asyncio does. Signals are sent by pidfd now, and until the process has exited.

--- a/tamarackfield/testing/soak/hangups.py
+++ b/tamarackfield/testing/soak/hangups.py
@@ -1,7 +1,7 @@
 """SIGHUP in quick succession while a process stops and starts, from its first line to its exit."""
 
 import asyncio
-import contextlib
+import os
 import pathlib
 import signal
 
@@ -43,16 +43,27 @@
 
 async def _send_hangups(process: PlatformProcess, interval: float) -> None:
     """Signal each process of a program from the first time that it handles the signal to its exit."""
-    handling = 0
     while True:
-        running = process.process
-        if running.pid == handling or _handles_hangups(running.pid):
-            handling = running.pid
-            with contextlib.suppress(ProcessLookupError):
-                running.send_signal(signal.SIGHUP)
+        pid = process.process.pid
+        if _handles_hangups(pid):
+            await _send_hangups_until_exit(pid, interval)
         await asyncio.sleep(interval)
 
 
+async def _send_hangups_until_exit(pid: int, interval: float) -> None:
+    """Signal a process by a descriptor of it: the methods of `subprocess` reap it, so that its exit code is lost."""
+    descriptor = os.pidfd_open(pid)
+    try:
+        while True:
+            signal.pidfd_send_signal(descriptor, signal.SIGHUP)
+            await asyncio.sleep(interval)
+    except ProcessLookupError:
+        # The process has exited.
+        return
+    finally:
+        os.close(descriptor)
+
+
 def _handles_hangups(pid: int) -> bool:
     """Return whether a process has replaced the default action of SIGHUP, which its first line does."""
     try:
