--- a/tamarackfield/testing/soak/hangups.py
+++ b/tamarackfield/testing/soak/hangups.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 
+from tamarackfield.core import cancel_and_wait
 from tamarackfield.testing.incidents import Incident
 from tamarackfield.testing.platform_site import PlatformProcess
 from tamarackfield.testing.soak.plan import PlannedFault
@@ -27,18 +28,23 @@
         if not process.has_started():
             return
         signals = asyncio.create_task(_send_hangups(process, interval))
-        code = await process.terminate()
-        if code:
-            site.record_violation(f'{process.name} stopped amid signals with exit code {code}', incident.started_at)
+        try:
+            await _restart(site, process, incident)
+        finally:
+            await cancel_and_wait((signals,))
+
+
+async def _restart(site: SoakSite, process: PlatformProcess, incident: Incident) -> None:
+    code = await process.terminate()
+    if code:
+        site.record_violation(f'{process.name} stopped amid signals with exit code {code}', incident.started_at)
+    await process.start()
+    while not process.has_started() and process.process.returncode is None:
+        await asyncio.sleep(MIN_INTERVAL_SECONDS)
+    code = process.process.returncode
+    if code is not None:
+        site.record_violation(f'{process.name} ended amid signals with exit code {code}', incident.started_at)
         await process.start()
-        while not process.has_started() and process.process.returncode is None:
-            await asyncio.sleep(interval)
-        if process.process.returncode is not None:
-            site.record_violation(
-                f'{process.name} ended amid signals with exit code {process.process.returncode}', incident.started_at
-            )
-            await process.start()
-        signals.cancel()
 
 
 async def _send_hangups(process: PlatformProcess, interval: float) -> None:
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -12,7 +12,7 @@
 
 import click
 
-from tamarackfield.core import SYSTEM_CLOCK
+from tamarackfield.core import SYSTEM_CLOCK, cancel_and_wait
 from tamarackfield.testing.platform_site import PlatformProcess
 from tamarackfield.testing.processes import ProcessFailedError, stop_on_signals, wait_until
 from tamarackfield.testing.soak.callers import BUSY, CRASHING_REQUESTS, PATH_WEIGHTS, RESTING, Call, Caller, Pace
@@ -101,18 +101,25 @@
         for entry in soak.site.entries
         for index, pace in enumerate(paces)
     ]
+    tasks = [asyncio.create_task(work) for work in (_inject_plan(soak, plan), *callers)]
     lag_task = asyncio.create_task(_measure_lag(soak.observations))
-    await asyncio.gather(_inject_plan(soak, plan), *callers)
-    lag_task.cancel()
+    try:
+        await asyncio.gather(*tasks)
+    finally:
+        # A fault that goes on would start processes again after the site was stopped.
+        await cancel_and_wait((*tasks, lag_task))
 
 
 async def _inject_plan(soak: SoakRun, plan: list[PlannedFault]) -> None:
     began_at = SYSTEM_CLOCK.monotonic()
-    running = []
-    for step in plan:
-        await asyncio.sleep(max(0, began_at + step.start_seconds - SYSTEM_CLOCK.monotonic()))
-        running.append(asyncio.create_task(_inject_fault(soak.site, step)))
-    await asyncio.gather(*running)
+    running: list[asyncio.Task[None]] = []
+    try:
+        for step in plan:
+            await asyncio.sleep(max(0, began_at + step.start_seconds - SYSTEM_CLOCK.monotonic()))
+            running.append(asyncio.create_task(_inject_fault(soak.site, step)))
+        await asyncio.gather(*running)
+    finally:
+        await cancel_and_wait(running)
 
 
 async def _inject_fault(site: SoakSite, step: PlannedFault) -> None:
--- a/tamarackfield/testing/tests/test_signals.py
+++ b/tamarackfield/testing/tests/test_signals.py
@@ -1,18 +1,29 @@
 """Signals at each moment of the life of a program of the own interface, which reads its settings at its start only."""
 
 import asyncio
+import contextlib
+import os
 import signal
 import sys
+import uuid
 
 import psutil
 import pytest
 
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
 from tamarackfield.testing.held_process import EXIT, IMPORTS, held_process, hold_next_start
-from tamarackfield.testing.processes import wait_until
+from tamarackfield.testing.processes import START_TIMEOUT_SECONDS, wait_until
 
 LOGGING_PROGRAMS = ('entry-1', 'engine-1-sidecar')
 #: The stand-in logs warnings only.
+#: Arguments of the scripts that start processes, by their names below bin/.
+SCRIPTS = {
+    'demo': ('tamarackfield.testing.demo', '--keep'),
+    'chaos': ('tamarackfield.testing.chaos', '--seconds', '20'),
+    'soak': ('tamarackfield.testing.soak.main', '--seconds', '20', '--processes', '4'),
+}
+#: Environment variable by which a test finds the processes that a script has started.
+MARKER = 'TAMARACKFIELD_TEST_MARKER'
 PROGRAMS = (*LOGGING_PROGRAMS, 'engine-1')
 
 
@@ -76,29 +87,36 @@
     assert await process.process.wait() == 0
 
 
-def find_children(process):
-    """Return the processes that a process has started and that still run."""
-    return [child for child in psutil.Process(process.pid).children() if child.status() != psutil.STATUS_ZOMBIE]
+def find_marked(marker):
+    """Return the processes that run with a marker in their environment."""
+    found = []
+    for process in psutil.process_iter():
+        with contextlib.suppress(psutil.Error):
+            if MARKER in process.environ() and process.environ()[MARKER] == marker:
+                found.append(process)
+    return found
 
 
 # Guards against: a signal ends a script by its default action, and the processes that it started go on.
 @pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
-@pytest.mark.parametrize('shown', ['', 'curl -N'])
-async def test_demo_ended_by_a_signal_leaves_no_process(number, shown):
-    command = (sys.executable, '-m', 'tamarackfield.testing.demo', '--keep')
-    demo = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
-
-    async def has_children():
-        return find_children(demo)
-
-    await wait_until(has_children, 'the demo starts processes')
-    while shown and not (await demo.stdout.readline()).startswith(shown.encode()):
-        await asyncio.sleep(0)
-    children = find_children(demo)
-    demo.send_signal(number)
-    demo.send_signal(number)
-    await demo.communicate()
-    _, alive = psutil.wait_procs(children, 1)
-    for child in alive:
-        child.kill()
-    assert alive == []
+@pytest.mark.parametrize('seconds', [0, 4])
+@pytest.mark.parametrize('script', SCRIPTS)
+async def test_script_ended_by_a_signal_leaves_no_process(script, seconds, number):
+    marker = uuid.uuid4().hex
+    command = (sys.executable, '-m', *SCRIPTS[script])
+    quiet = {'stdout': asyncio.subprocess.DEVNULL, 'stderr': asyncio.subprocess.DEVNULL}
+    running = await asyncio.create_subprocess_exec(*command, **quiet, env=os.environ | {MARKER: marker})
+
+    async def has_started_another():
+        return len(find_marked(marker)) > 1
+
+    await wait_until(has_started_another, 'the script starts processes')
+    await asyncio.sleep(seconds)
+    running.send_signal(number)
+    running.send_signal(number)
+    try:
+        await asyncio.wait_for(running.wait(), START_TIMEOUT_SECONDS)
+        assert find_marked(marker) == []
+    finally:
+        for process in find_marked(marker):
+            process.kill()
