--- a/tamarackfield/platform/tests/test_signals.py
+++ b/tamarackfield/platform/tests/test_signals.py
@@ -1,8 +1,10 @@
 """Signals at each moment of the life of a program: those that reload its settings and those that stop it."""
 
+import asyncio
 import json
 import os
 import signal
+import sys
 
 import pytest
 
@@ -124,3 +126,15 @@
         replace_pipe_by_file(pipe, entry.settings | {'zone': 'zone-b'})
         os.write(descriptor, json.dumps(entry.settings).encode())
     await entry.wait_for_log_text('changed=zone')
+
+
+# Guards against: the check of a configuration, which serves nothing, cannot be ended while it waits for its file.
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+async def test_check_of_a_configuration_can_be_ended(tmp_path, number):
+    pipe = tmp_path / 'configuration'
+    os.mkfifo(pipe)
+    arguments = ('-m', 'tamarackfield.platform', 'check-configuration', str(pipe))
+    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+    async with held_process(pipe):
+        process.send_signal(number)
+        assert await process.wait() == -number
