--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -21,7 +21,8 @@
 from benchmarks.traces import CALLERS, Arrival, list_adapter_names, count_clairvoyant_loads, make_trace
 from tamarackfield.core import SYSTEM_CLOCK
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
-from tamarackfield.testing.processes import HOST, stop_on_signals
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.scripts import script_processes
 
 _BASELINE = {'eviction': 'lru', 'queue': 'fifo', 'admission': 'all'}
 _FULL = {'routing': 'affine', 'eviction': 'lru', 'queue': 'fair', 'admission': 'deadline'}
@@ -216,13 +217,13 @@
 
 def bench(**options: Any) -> None:
     """Compare a policy with a baseline at the sizes of one deployment."""
-    stop_on_signals()
     deployment = DEPLOYMENTS[options['deployment']]
     if options['share']:
         deployment = deployment.scale_to_capacity_share(options['share'])
     trace = make_trace(deployment, options['seed'], options['seconds'], options['load'])
     benchmark_run = BenchmarkRun(deployment, trace, options['seconds'], options['seconds'] / 3, options['load'])
-    metrics = asyncio.run(compare_policies(benchmark_run, (options['policy'], options['baseline'])))
+    with script_processes():
+        metrics = asyncio.run(compare_policies(benchmark_run, (options['policy'], options['baseline'])))
     metrics = {
         'deployment': deployment.name,
         'seed': options['seed'],
--- a/benchmarks/path_latency.py
+++ b/benchmarks/path_latency.py
@@ -16,7 +16,8 @@
 import psutil
 
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
-from tamarackfield.testing.processes import HOST, stop_on_signals
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.scripts import script_processes
 from tamarackfield.web import fetch
 
 _CHAT = {'model': 'draft@v1', 'messages': [{'role': 'user', 'content': 'hi'}], 'max_tokens': 1}
@@ -70,8 +71,7 @@
 @click.option('--requests', default=300, help='Number of calls of each kind.')
 def main(requests: int) -> None:
     """Print the added latency and the idle memory."""
-    stop_on_signals()
-    with tempfile.TemporaryDirectory(prefix='tamarackfield-latency-') as directory:
+    with tempfile.TemporaryDirectory(prefix='tamarackfield-latency-') as directory, script_processes():
         click.echo(json.dumps(asyncio.run(measure_path_latency(pathlib.Path(directory), requests)), indent=2))
 
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -16,7 +16,8 @@
 from benchmarks.measure import Usage, compute_cpu_share, fit_line, read_usage
 from tamarackfield.testing.cluster import MODEL, Cluster, TargetSpec, address, make_bundle
 from tamarackfield.testing.ports import reserve_port
-from tamarackfield.testing.processes import HOST, stop_on_signals
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.scripts import script_processes
 from tamarackfield.web import open_request
 
 ADAPTER = 'draft@v1'
@@ -31,9 +32,9 @@
 @click.option('--requests', default=300, help='Number of requests of each size.')
 def main(streams: str, seconds: float, requests: int) -> None:
     """Print the slopes as JSON."""
-    stop_on_signals()
     counts = [int(part) for part in streams.split(',')]
-    click.echo(json.dumps(asyncio.run(_measure_slopes(counts, seconds, requests)), indent=2))
+    with script_processes():
+        click.echo(json.dumps(asyncio.run(_measure_slopes(counts, seconds, requests)), indent=2))
 
 
 async def _measure_slopes(counts: list[int], seconds: float, requests: int) -> dict[str, Any]:
--- a/tamarackfield/testing/chaos.py
+++ b/tamarackfield/testing/chaos.py
@@ -16,7 +16,8 @@
 from tamarackfield.testing.faults import FAULTS
 from tamarackfield.testing.incidents import Incident, format_violation
 from tamarackfield.testing.outcome_checker import OutcomeChecker
-from tamarackfield.testing.processes import HOST, stop_on_signals
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.scripts import script_processes
 from tamarackfield.web import ClientError, fetch_json
 
 ADAPTERS = ('draft@v1', 'draft@v2', 'summary@v1', 'summary@v2', 'notes@v1')
@@ -169,10 +170,9 @@
 @click.option('--seconds', default=10.0, show_default=True, help='How long faults are injected for each.')
 def main(seed: int, seeds: int, seconds: float) -> None:
     """Inject random faults into a whole deployment under load and check every promise."""
-    stop_on_signals()
     failed = 0
     for current in range(seed, seed + seeds):
-        with tempfile.TemporaryDirectory(prefix='tamarackfield-chaos-') as directory:
+        with tempfile.TemporaryDirectory(prefix='tamarackfield-chaos-') as directory, script_processes():
             run = asyncio.run(run_chaos(pathlib.Path(directory), current, seconds))
         failed += bool(run.violations)
         verdict = 'FAILED' if run.violations else 'held'
--- a/tamarackfield/testing/demo.py
+++ b/tamarackfield/testing/demo.py
@@ -10,7 +10,8 @@
 import click
 
 from tamarackfield.testing.cluster import Cluster, TargetSpec, make_bundle
-from tamarackfield.testing.processes import HOST, stop_on_signals
+from tamarackfield.testing.processes import HOST
+from tamarackfield.testing.scripts import script_processes
 from tamarackfield.web import fetch, open_request
 
 _CALLER = 'clinic'
@@ -22,8 +23,10 @@
 @click.option('--keep', is_flag=True, help='Stay up and print a ready curl line.')
 def main(*, keep: bool) -> None:
     """Serve requests through entry, sidecar and stand-ins as separate processes."""
-    stop_on_signals()
-    with tempfile.TemporaryDirectory(prefix='tamarackfield-demo-') as directory, contextlib.suppress(KeyboardInterrupt):
+    with contextlib.ExitStack() as stack:
+        directory = stack.enter_context(tempfile.TemporaryDirectory(prefix='tamarackfield-demo-'))
+        stack.enter_context(contextlib.suppress(KeyboardInterrupt))
+        stack.enter_context(script_processes())
         asyncio.run(_demo(pathlib.Path(directory), keep=keep))
 
 
--- a/tamarackfield/testing/processes.py
+++ b/tamarackfield/testing/processes.py
@@ -16,23 +16,6 @@
 START_TIMEOUT_SECONDS = 30.0
 _POLL_SECONDS = 0.02
 _OK = 200
-_SCRIPT_STOP_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
-
-
-def stop_on_signals() -> None:
-    """Let SIGTERM and SIGHUP end a script as SIGINT does: its task is cancelled, which stops what it has started.
-
-    Without a handler the script ends at once, and its processes go on.
-    """
-
-    def stop(*_: Any) -> None:
-        for number in _SCRIPT_STOP_SIGNALS:
-            # A further signal must not end the clean-up.
-            signal.signal(number, signal.SIG_IGN)
-        signal.raise_signal(signal.SIGINT)
-
-    for number in _SCRIPT_STOP_SIGNALS:
-        signal.signal(number, stop)
 
 
 class ProcessFailedError(Exception):
--- a/tamarackfield/testing/soak/main.py
+++ b/tamarackfield/testing/soak/main.py
@@ -14,7 +14,8 @@
 
 from tamarackfield.core import SYSTEM_CLOCK, cancel_and_wait
 from tamarackfield.testing.platform_site import PlatformProcess
-from tamarackfield.testing.processes import ProcessFailedError, stop_on_signals, wait_until
+from tamarackfield.testing.processes import ProcessFailedError, wait_until
+from tamarackfield.testing.scripts import script_processes
 from tamarackfield.testing.soak.callers import BUSY, CRASHING_REQUESTS, PATH_WEIGHTS, RESTING, Call, Caller, Pace
 from tamarackfield.testing.soak.faults import ALL_FAULTS
 from tamarackfield.testing.soak.plan import PlannedFault, draw_plan
@@ -226,7 +227,8 @@
 def _run_and_report(seed: int, seconds: float, processes: int, series: Series, verbose: bool) -> bool:
     """Run one seed, print its verdict and return whether every promise was kept; a failed run keeps its logs."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f'tamarackfield-soak-{seed}-'))
-    soak = asyncio.run(run_soak(directory, seed, seconds, processes, series))
+    with script_processes():
+        soak = asyncio.run(run_soak(directory, seed, seconds, processes, series))
     click.echo(_format_summary(seed, soak))
     incidents = soak.site.incidents if verbose else []
     for line in (*incidents, *soak.site.violations):
@@ -252,7 +254,6 @@
     seed: int, seeds: int, seconds: float, processes: int, series: str, replay: int | None
 ) -> None:
     """Inject overlapping faults into a deployment of real processes and check every promise."""
-    stop_on_signals()
     selected_seeds = range(seed, seed + seeds) if replay is None else (replay,)
     passed = [
         _run_and_report(current, seconds, processes, Series(series), replay is not None) for current in selected_seeds
