--- a/tamarackfield/platform/main.py
+++ b/tamarackfield/platform/main.py
@@ -6,14 +6,13 @@
 import os
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
-from loguru import logger
 from result import Err, Result
 
 from tamarackfield.core import Application, Problem, format_problems
 from tamarackfield.core.settings_reader import parse_settings, read_content
+from tamarackfield.core.settings_watch import SettingsFile, watch_settings
 from tamarackfield.observe.rate_limited_logs import configure_rate_limited_logs
 from tamarackfield.process_signals import PROCESS_SIGNALS, RELOAD_SIGNAL
 
@@ -27,8 +26,6 @@
 EXIT_BAD_SETTINGS = 2
 #: Exit code for an unknown program name.
 EXIT_UNKNOWN_PROGRAM = 64
-#: Interval between two checks of the settings file, which may change without a signal.
-SETTINGS_CHECK_SECONDS = 1.0
 
 
 class Program(Protocol):
@@ -40,14 +37,6 @@
         """Apply changed settings."""
 
 
-@dataclass(slots=True)
-class SettingsFile:
-    """Settings file of the process and its content when it was last taken."""
-
-    path: str
-    known_content: bytes
-
-
 ProgramBuilder = Callable[[dict[str, Any]], Result[Program, list[Problem]]]
 
 
@@ -76,36 +65,10 @@
     reload_requested = asyncio.Event()
     PROCESS_SIGNALS.deliver_to(asyncio.get_running_loop(), {RELOAD_SIGNAL: reload_requested.set})
     application = program.application
-    application.supervise(lambda: _watch_settings(settings_file, reload_requested, program), 'settings')
+    application.supervise(lambda: watch_settings(settings_file, reload_requested, program.reload), 'settings')
     await application.run()
 
 
-async def _watch_settings(settings_file: SettingsFile, reload_requested: asyncio.Event, program: Program) -> None:
-    """Reload the settings when the file changes or a signal requests it."""
-    while True:
-        try:
-            async with asyncio.timeout(SETTINGS_CHECK_SECONDS):
-                await reload_requested.wait()
-        except TimeoutError:
-            logger.bind(path=settings_file.path).trace('settings_looked_at')
-        was_requested = reload_requested.is_set()
-        reload_requested.clear()
-        content = read_content(settings_file.path)
-        if isinstance(content, Err):
-            logger.bind(problems=format_problems(content.err_value)).error('settings_not_read')
-        elif content.ok_value != settings_file.known_content or was_requested:
-            settings_file.known_content = content.ok_value
-            _reload_settings(settings_file, program)
-
-
-def _reload_settings(settings_file: SettingsFile, program: Program) -> None:
-    document = parse_settings(settings_file.path, settings_file.known_content)
-    if isinstance(document, Err):
-        logger.bind(problems=format_problems(document.err_value)).error('settings_not_taken')
-        return
-    program.reload(document.ok_value)
-
-
 def _unwrap_or_exit(outcome: Any) -> Any:
     """Return the value of an outcome, or print every problem on one line and exit."""
     if isinstance(outcome, Err):
