--- a/tamarackfield/core/tests/test_limits_in_use.py
+++ b/tamarackfield/core/tests/test_limits_in_use.py
@@ -11,7 +11,7 @@
     'gateway/app.py',
     'manager/engine.py',
     'manager/server.py',
-    'platform/main.py',
+    'core/settings_watch.py',
     'sidecar/engine_tasks.py',
     'sidecar/worker.py',
 }
