--- a/tamarackfield/gateway/attempts.py
+++ b/tamarackfield/gateway/attempts.py
@@ -87,6 +87,7 @@
         self.budget_for = budget_for
         self.explain_key_refusal: Callable[[CallState], str] = _accept_key
         self.hedger = Hedger(fleet, budget_for)
+        fleet.quarantine.ends.connect(pool, dialect, lambda: fleet.catalog)
 
     async def run_attempt(self, call_state: CallState, target: Target, delivery: Delivery) -> AttemptResult:
         """Run one attempt; its reservation and its connection are released however it ends."""
@@ -275,9 +276,9 @@
                 logger.bind(request_id=call_state.call.request_id, target=target.record.name).info('successor_sought')
                 delivery.start_search()
 
-        async def has_target_ended() -> bool:
-            """Return whether the target ended together with its answer."""
-            return await self.fleet.quarantine.has_target_ended(exchange, self.fleet.find_link(target))
+        async def explain_unproven_end() -> str:
+            """Return why it is not proven that the target finished its answer, empty if it is."""
+            return await self.fleet.quarantine.explain_unproven_end(exchange, self.fleet.find_link(target))
 
         waits = self.hedger.list_waits(call_state, delivery, _silence_timeout(call_state, target), seek_successor)
         head = await read_head(exchange, waits, delivery)
@@ -294,12 +295,12 @@
         if not call_state.adapter_key():
             update_service_time(target.view, BOOT_CLOCK.monotonic() - exchange.sent_at)
         if is_stream:
-            incoming = Incoming(exchange, head, reservation, seek_successor, has_target_ended)
+            incoming = Incoming(exchange, head, reservation, seek_successor, explain_unproven_end)
             return await relay_stream(call_state, incoming, delivery)
         body = await _read_unless_replaced(exchange.read_body(call_state.hold_answer()), delivery)
         if body is None:
             return _make_silent_result(delivery)
-        fault = await explain_unframed_end(exchange, head, body, has_target_ended)
+        fault = await explain_unframed_end(exchange, head, body, explain_unproven_end)
         return MaybeRan(fault) if fault else classify_answer(head, body)
 
 
--- a/tamarackfield/gateway/end_watch.py
+++ b/tamarackfield/gateway/end_watch.py
@@ -1,14 +1,16 @@
-"""Ends of targets that no sidecar watches, as an entry finds them out after runs have broken off."""
+"""Ends of targets as an entry finds them out itself, after runs have ended or broken off with their connection."""
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, Application
-from tamarackfield.gateway.model import TargetRecord
+from tamarackfield.gateway.directory import Target
+from tamarackfield.gateway.liveness import Liveness, LivenessCheck, StatusDialect
+from tamarackfield.gateway.model import Catalog, TargetRecord
 from tamarackfield.policy.crashes import Crash, make_crash
 from tamarackfield.web.client import ClientError
-from tamarackfield.web.pool import open_connection
+from tamarackfield.web.pool import ConnectionPool, open_connection
 from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
 
 #: Attempts to connect to a target without a sidecar that responds, and seconds between two of them, to find out
@@ -36,6 +38,8 @@
     ----------
     broken_runs : deque of pairs
         Runs that broke off lately, with the monotonic seconds of that.
+    check_liveness : callable
+        Coroutine function that finds out whether a target lives.
     """
 
     def __init__(self, application: Application, on_crash: Callable[[Crash], None]) -> None:
@@ -43,6 +47,11 @@
         self.application = application
         self.on_crash = on_crash
         self.broken_runs: deque[tuple[float, BrokenRun]] = deque(maxlen=MAX_BROKEN_RUNS)
+        self.check_liveness: Callable[[Target], Awaitable[Liveness]] = _know_nothing
+
+    def connect(self, pool: ConnectionPool, dialect: StatusDialect, find_catalog: Callable[[], Catalog | None]) -> None:
+        """Ask targets whether they live in a dialect, and keep the connections in a pool."""
+        self.check_liveness = LivenessCheck(pool, dialect, find_catalog).check
 
     def check(self, run: BrokenRun, address: Address) -> asyncio.Future[None]:
         """Find out whether the target of a broken run has ended; return what is done after the first attempt."""
@@ -50,12 +59,27 @@
         self.application.spawn(self._check_end(run, address, first_check), f'end-of-{run.target}')
         return first_check
 
-    async def record_if_ended(self, run: BrokenRun, address: Address) -> bool:
-        """Record a crash if no process listens at the address of a target; return whether that is so."""
-        has_ended = await _is_refused(address)
-        if has_ended:
+    async def explain_unproven_end(self, run: BrokenRun, target: Target, is_watched: bool) -> str:
+        """Return why a target may not have finished an answer that only the end of its connection ended.
+
+        Parameters
+        ----------
+        run : BrokenRun
+            Run of the answer.
+        target : Target
+            Its target.
+        is_watched : bool
+            Whether a sidecar responds, which records crashes of the target.
+
+        Returns
+        -------
+        str
+            Empty if the target has answered a later call.
+        """
+        liveness = await self.check_liveness(target)
+        if liveness is Liveness.ENDED and not is_watched:
             self._record_crash(run.target, run.started_ms, [run])
-        return has_ended
+        return '' if liveness is Liveness.ALIVE else f'target is {liveness.value} after it closed the connection'
 
     def record_end(self, record: TargetRecord) -> None:
         """Record what the instance list says: a target has ended, which is a crash if runs had broken off at it."""
@@ -71,7 +95,9 @@
     async def _check_end(self, run: BrokenRun, address: Address, first_check: asyncio.Future[None]) -> None:
         self.broken_runs.append((BOOT_CLOCK.monotonic(), run))
         for _ in range(END_CHECKS):
-            has_ended = await self.record_if_ended(run, address)
+            has_ended = await _is_refused(address)
+            if has_ended:
+                self._record_crash(run.target, run.started_ms, [run])
             if not first_check.done():
                 first_check.set_result(None)
             if has_ended:
@@ -91,3 +117,8 @@
         return isinstance(exc.__cause__, ConnectionRefusedError)
     connection.fail('not used')
     return False
+
+
+async def _know_nothing(target: Target) -> Liveness:
+    """Ask nobody."""
+    return Liveness.UNKNOWN
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from tamarackfield.core import BOOT_CLOCK
 from tamarackfield.gateway.directory import Target
+from tamarackfield.gateway.liveness import StatusDialect
 from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
 from tamarackfield.web.answer_budget import HeldBody, read_bounded_body
 from tamarackfield.web.answer_room import HeldAnswer
@@ -69,7 +70,7 @@
 AttemptResult = NotRun | MaybeRan | Answered | Streamed
 
 
-class Dialect(Protocol):
+class Dialect(StatusDialect, Protocol):
     """Format of calls and answers on the connections to targets."""
 
     def request_headers(
@@ -77,9 +78,6 @@
     ) -> HeaderLines:
         """Return the header lines of a call to a target."""
 
-    def read_head(self, status: int, headers: HeaderLines) -> AnswerHead:
-        """Parse the head of an answer."""
-
 
 @dataclass(frozen=True, slots=True)
 class CallOptions:
@@ -307,7 +305,7 @@
 
 
 async def explain_unframed_end(
-    exchange: Exchange, head: AnswerHead, body: HeldBody, has_target_ended: Callable[[], Awaitable[bool]]
+    exchange: Exchange, head: AnswerHead, body: HeldBody, explain_unproven_end: Callable[[], Awaitable[str]]
 ) -> str:
     """Return why a success that only the end of its connection ended is not complete, empty if it is."""
     has_body = head.status != HTTPStatus.NO_CONTENT and exchange.call.method != 'HEAD'
@@ -315,7 +313,7 @@
         return ''
     if not body:
         return 'connection was closed before the body'
-    return 'target ended when it closed the connection' if await has_target_ended() else ''
+    return await explain_unproven_end()
 
 
 def _ignore_change(target: Target) -> None:
--- a/tamarackfield/gateway/model.py
+++ b/tamarackfield/gateway/model.py
@@ -61,11 +61,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Group of interchangeable targets; ``engine`` is None for a plain service, set for a model service."""
+    """Group of interchangeable targets.
+
+    ``engine`` is None for a plain service, set for a model service; ``health_path`` is the path at which its targets
+    answer whether they are healthy, empty if the configuration names none.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    health_path: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -237,28 +237,29 @@
         if link is None or link.is_silent():
             call_state.end_check = self.ends.check(run, exchange.target.record.address)
 
-    async def has_target_ended(self, exchange: Exchange, link: ManagerLink | None) -> bool:
-        """Find out whether a target ended together with an answer that only its connection ended.
+    async def explain_unproven_end(self, exchange: Exchange, link: ManagerLink | None) -> str:
+        """Find out whether a target lived on after an answer that only the end of its connection ended.
 
         Parameters
         ----------
         exchange : Exchange
             Exchange whose connection the target closed.
         link : ManagerLink or None
-            Link to the sidecar of the target.
+            Link to the sidecar of the target, which learns that the run may have broken off.
 
         Returns
         -------
-        bool
-            True if the sidecar reports the end within `END_CHECK_SECONDS` or, if it does not respond, if the target
-            refuses connections.
+        str
+            Why the answer is not complete; empty if the target has answered a later call, or if its sidecar responds
+            and reports no end within `END_CHECK_SECONDS`.
         """
         run = self._report_end(exchange, link)
         record = exchange.target.record
         if link is None or link.is_silent():
-            return await self.ends.record_if_ended(run, record.address)
+            return await self.ends.explain_unproven_end(run, exchange.target, is_watched=False)
         await listen_for(END_CHECK_SECONDS)
-        return (record.name, record.started_ms) in self.evidence.crashes
+        has_ended = (record.name, record.started_ms) in self.evidence.crashes
+        return 'target ended when it closed the connection' if has_ended else ''
 
     async def run(self) -> None:
         """Tell the sidecars, or other entries if no sidecar responds, what has changed; never return."""
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -1,9 +1,9 @@
 """Relaying of streams from targets to callers, in whole events.
 
 An answer without framing ends with its connection, whether the target finished it or broke off. A stream is
-complete only if it also ends between two events, and its target did not end with it. The rest of a stream that broke
-off begins with an event after the last one that the caller has: anything else is not a part of that stream. If its
-target has no further event, and says so with framing, the stream was complete but for its end.
+complete only if it also ends between two events, and its target is proven to have lived on. The rest of a stream
+that broke off begins with an event after the last one that the caller has: anything else is not a part of that stream.
+If its target has no further event, and says so with framing, the stream was complete but for its end.
 """
 
 import math
@@ -44,15 +44,15 @@
         Reservation of the call in the batch of the target.
     seek_successor : callable
         Starts to look for a target that goes on with the stream, if one could do so now.
-    has_target_ended : callable
-        Coroutine function that finds out whether the target ended together with the answer.
+    explain_unproven_end : callable
+        Coroutine function that returns why an end without framing may not be that of the answer, empty if it is.
     """
 
     exchange: Exchange
     head: AnswerHead
     reservation: Reservation
     seek_successor: Callable[[], None]
-    has_target_ended: Callable[[], Awaitable[bool]]
+    explain_unproven_end: Callable[[], Awaitable[str]]
 
 
 async def relay_stream(call_state: CallState, incoming: Incoming, delivery: Delivery) -> AttemptResult:
@@ -121,7 +121,7 @@
         return ''
     if not call_state.has_events():
         return 'connection was closed before the first event'
-    return 'target ended when it closed the connection' if await incoming.has_target_ended() else ''
+    return await incoming.explain_unproven_end()
 
 
 def _may_continue(events: list[bytes], broke_off_at: int) -> bool:
--- a/tamarackfield/platform/calls.py
+++ b/tamarackfield/platform/calls.py
@@ -9,11 +9,13 @@
 from tamarackfield.gateway.authentication import digest_key
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.exchange import CallOptions
-from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines
+from tamarackfield.gateway.model import AnswerHead, Call, HeaderLines, Service
 from tamarackfield.platform.headers import (
     LEAVING_HEADER,
     LEAVING_VALUE,
     LIMIT_HEADER,
+    REQUEST_ID_HEADER,
+    REPORT_PATH,
     RETRY_AFTER_HEADER,
     parse_number,
     parse_request_limit,
@@ -43,6 +45,7 @@
 #: Headers of callers that targets do not get where callers are authenticated.
 _REPLACED_HEADERS = frozenset((_KEY_HEADER.encode(), _CUSTOMER_HEADER.lower()))
 _INSTANCE_HEADER = b'tamarackfield-instance-id'
+_EXPECTATION_HEADER = b'Tamarackfield-Expect-Instance'
 #: Largest value of the priority header, which is the least urgent.
 _LEAST_URGENT_PRIORITY = 9
 #: Headers that apply to one connection only, so that they are not forwarded.
@@ -138,6 +141,8 @@
 class WorkerDialect:
     """Headers of requests to workers and of their answers."""
 
+    started_field = 'born'
+
     def request_headers(
         self, call: Call, target: Target, remaining_seconds: float, options: CallOptions
     ) -> HeaderLines:
@@ -145,7 +150,7 @@
         header_lines = [
             *_customer_headers(call),
             (b'Tamarackfield-Deadline-Ms', str(max(1, int(remaining_seconds * MS_PER_SECOND))).encode()),
-            (b'Tamarackfield-Expect-Instance', target.record.name.encode()),
+            (_EXPECTATION_HEADER, target.record.name.encode()),
         ]
         if call.model:
             header_lines.append(
@@ -159,6 +164,12 @@
             header_lines.append((b'Content-Length', str(len(call.body)).encode()))
         return header_lines
 
+    def status_call(self, target: Target, service: Service, request_id: str) -> tuple[str, HeaderLines]:
+        """Return a call that runs nothing; a model worker answers one for its report without a free slot."""
+        path = service.health_path if service.engine is None else REPORT_PATH
+        named = [(REQUEST_ID_HEADER.encode(), request_id.encode()), (_EXPECTATION_HEADER, target.record.name.encode())]
+        return path, [(b'Host', target.record.address[0].encode()), *named]
+
     def read_head(self, status: int, headers: HeaderLines) -> AnswerHead:
         """Decode the status and headers of an answer."""
         fields = {name.lower(): text for name, text in headers}
--- a/tamarackfield/platform/engine.py
+++ b/tamarackfield/platform/engine.py
@@ -21,6 +21,7 @@
     LEAVING_HEADER,
     LEAVING_VALUE,
     LIMIT_HEADER,
+    REPORT_PATH,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
     parse_request_limit,
@@ -74,7 +75,7 @@
             If the worker wants no request now.
         """
         try:
-            answer = await self._call('GET', '/v1/report')
+            answer = await self._call('GET', REPORT_PATH)
         except ClientError as exc:
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 raise EngineEndedError(exc.message, exc.step, exc.peer) from exc
--- a/tamarackfield/platform/headers.py
+++ b/tamarackfield/platform/headers.py
@@ -8,6 +8,8 @@
 
 #: Header with the id of one attempt of a caller, or of a call of the system, in requests and in answers.
 REQUEST_ID_HEADER = 'Tamarackfield-Request-Id'
+#: Path of the report that a model worker gives of itself.
+REPORT_PATH = '/v1/report'
 #: Header with which a worker says in all its answers that it leaves, in lower case, and its value.
 LEAVING_HEADER = 'server-leaving'
 LEAVING_VALUE = '1'
--- a/tamarackfield/platform/items.py
+++ b/tamarackfield/platform/items.py
@@ -151,6 +151,7 @@
         require_text(service['name']),
         require_whole(service.get('max_conns', 0)),
         None if engine is None else _decode_engine(engine),
+        str(service.get('health_path', '')),
     )
 
 
--- a/tamarackfield/testing/platform_site.py
+++ b/tamarackfield/testing/platform_site.py
@@ -13,7 +13,7 @@
 
 from tamarackfield.core.problems import split_address
 from tamarackfield.testing.platform_store import PlatformStore
-from tamarackfield.testing.platform_worker import PlatformWorker
+from tamarackfield.testing.platform_worker import HEALTH_PATH, PlatformWorker
 from tamarackfield.testing.ports import reserve_port
 from tamarackfield.testing.processes import ManagedProcess, wait_until
 from tamarackfield.web.client import Headers, fetch, open_request
@@ -82,8 +82,8 @@
         'version': version,
         'routes': standard if routes is None else routes,
         'services': [
-            {'name': PLAIN_SERVICE, 'health_path': '/healthz', 'max_conns': 100},
-            {'name': MODEL_SERVICE, 'health_path': '/healthz', 'max_conns': 100, 'engine': engine},
+            {'name': PLAIN_SERVICE, 'health_path': HEALTH_PATH, 'max_conns': 100},
+            {'name': MODEL_SERVICE, 'health_path': HEALTH_PATH, 'max_conns': 100, 'engine': engine},
         ],
         'limits': {
             'max_header_bytes': 16_384,
--- a/tamarackfield/testing/platform_worker.py
+++ b/tamarackfield/testing/platform_worker.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 import h11
@@ -33,6 +34,8 @@
 )
 from tamarackfield.testing.worker_records import Headers, Refusal, Run, WorkerFault
 
+#: Path of the health check of plain workers.
+HEALTH_PATH = '/healthz'
 _TRANSFER_SECONDS = 0.02
 _MAX_CONCURRENT_TRANSFERS = 4
 
@@ -77,6 +80,10 @@
         How it answers requests for the rest of a stream, see `send_odd_continuation`; empty for the rest.
     crashed_at : list of float
         Monotonic seconds of its crashes.
+    health_seconds : float
+        Time for which a health check waits for a free slot.
+    kernel_listens_seconds : float
+        Time after a crash in which the kernel still accepts connections, which are reset at its end.
     """
 
     announces_leaving = False
@@ -89,6 +96,8 @@
     names_calls = True
     silence_seconds = 0.0
     odd_continuation = ''
+    health_seconds = 0.0
+    kernel_listens_seconds = 0.0
 
     def __init__(  # noqa: WPS211 each parameter is part of the entry
         self, name: str, service: str, host: str, port: int, model: str = ''
@@ -159,6 +168,9 @@
     async def crash(self) -> None:
         """End like a process that crashes; `restart` starts it again."""
         self.crashed_at.append(SYSTEM_CLOCK.monotonic())
+        if self.kernel_listens_seconds:
+            listener = os.dup(self.server.sockets[0].fileno())
+            asyncio.get_running_loop().call_later(self.kernel_listens_seconds, os.close, listener)
         await self.stop()
 
     def is_crashed(self) -> bool:
@@ -220,6 +232,11 @@
         elif target == '/v1/order':
             status = self.execute_order(headers, json.loads(body))
             await send_response(protocol, writer, status, {}, header_lines)
+        elif target == HEALTH_PATH:
+            await asyncio.sleep(self.health_seconds)
+            status = 200 if self.state == 'ready' else 503
+            header_lines.append(('Tamarackfield-Instance-Id', self.name))
+            await send_response(protocol, writer, status, b'health', header_lines)
         else:
             await self._serve_run(
                 protocol,
@@ -373,6 +390,11 @@
         run.finished = True
         if fault == 'extra':
             writer.write(encode_answer('another-request', b'not for you', []))
+        if fault == 'unframed_crash':
+            writer.write(encode_answer(run.request_id, body[: len(body) // 2], self.notice_headers(), framed=False))
+            await writer.drain()
+            await self.crash()
+            return
         if fault.startswith('unframed'):
             writer.write(encode_answer(run.request_id, body, self.notice_headers(), framed=False))
             await writer.drain()
