--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -35,9 +35,6 @@
 COLLECT_SECONDS = 0.05
 #: Seconds after the break of a run in which its sidecar finds that the target has ended, and tells the entries.
 SUSPICION_SECONDS = 0.15
-#: Seconds for which the end of an answer without framing waits for word of the end of its target; a busy sidecar may
-#: be late, and the caller has all events by then.
-END_CHECK_SECONDS = 0.5
 #: Size limit, in bytes, of the bodies of requests whose runs are remembered while no target has crashed: hashing one
 #: takes some 30 microseconds.
 MAX_REMEMBERED_BYTES = 16_384
@@ -250,16 +247,10 @@
         Returns
         -------
         str
-            Why the answer is not complete; empty if the target has answered a later call, or if its sidecar responds
-            and reports no end within `END_CHECK_SECONDS`.
+            Why the answer is not complete; empty if the target has answered a later call.
         """
         run = self._report_end(exchange, link)
-        record = exchange.target.record
-        if link is None or link.is_silent():
-            return await self.ends.explain_unproven_end(run, exchange.target, is_watched=False)
-        await listen_for(END_CHECK_SECONDS)
-        has_ended = (record.name, record.started_ms) in self.evidence.crashes
-        return 'target ended when it closed the connection' if has_ended else ''
+        return await self.ends.explain_unproven_end(run, exchange.target, link is not None and not link.is_silent())
 
     async def run(self) -> None:
         """Tell the sidecars, or other entries if no sidecar responds, what has changed; never return."""
