--- a/tamarackfield/gateway/end_watch.py
+++ b/tamarackfield/gateway/end_watch.py
@@ -6,10 +6,11 @@
 
 from tamarackfield.core import BOOT_CLOCK, SYSTEM_CLOCK, Address, Application
 from tamarackfield.gateway.directory import Target
-from tamarackfield.gateway.liveness import Liveness, LivenessCheck, StatusDialect
+from tamarackfield.gateway.liveness import LivenessCheck, StatusDialect
 from tamarackfield.gateway.model import Catalog, TargetRecord
 from tamarackfield.policy.crashes import Crash, make_crash
 from tamarackfield.web.client import ClientError
+from tamarackfield.web.liveness import Liveness
 from tamarackfield.web.pool import ConnectionPool, open_connection
 from tamarackfield.wire.crash_reports import BrokenRun, make_suspect_run
 
--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -14,7 +14,8 @@
 from tamarackfield.web.answer_budget import HeldBody, read_bounded_body
 from tamarackfield.web.answer_room import HeldAnswer
 from tamarackfield.web.client import ClientError
-from tamarackfield.web.connection import BodyFraming, TargetConnection, find_framing
+from tamarackfield.web.connection import TargetConnection
+from tamarackfield.web.framing import BodyFraming, find_framing
 from tamarackfield.web.pool import ConnectionPool
 
 #: Limit of an answer that is buffered completely, in bytes; equals the largest request body of callers.
--- a/tamarackfield/gateway/liveness.py
+++ b/tamarackfield/gateway/liveness.py
@@ -1,16 +1,9 @@
-"""Proof that a target lived on after an answer that only the end of its connection ended.
+"""Proof that a target lived on: an answer of the same incarnation to a later call (`tamarackfield.web.liveness`)."""
 
-The kernel ends the connections of a process that crashes as the process itself does after its answer, and it may accept
-new ones for a moment. Neither an open connection nor the silence of others is therefore a proof, only an answer of
-the same incarnation to a call that was made afterwards.
-"""
-
-import asyncio
 import contextlib
-import enum
 import json
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -18,7 +11,7 @@
 from loguru import logger
 
 from tamarackfield.core.clock import MS_PER_SECOND
-from tamarackfield.core.time_limits import listening_seconds, time_limit_at
+from tamarackfield.core.time_limits import listening_seconds
 from tamarackfield.gateway.directory import Target
 from tamarackfield.gateway.model import AnswerHead, Catalog, HeaderLines, Service
 from tamarackfield.web.answer_budget import read_bounded_body
@@ -26,29 +19,13 @@
 from tamarackfield.web.client import ClientError
 from tamarackfield.web.connection import TargetConnection
 from tamarackfield.web.json_calls import REQUEST_ID_BYTES
+from tamarackfield.web.liveness import Liveness, find_liveness, interpret_failure
 from tamarackfield.web.pool import ConnectionPool, open_connection
 
-#: Seconds in which a target proves that it lives; a plain one answers when a slot is free.
-PROOF_SECONDS = 1.0
-#: Seconds between two calls, of which the first was not answered.
-RETRY_SECONDS = 0.1
 #: Size limit of the answer to a call.
 MAX_STATUS_BYTES = 262_144
 
 
-class Liveness(enum.Enum):
-    """What is known of a target after the end of an answer."""
-
-    #: It has answered a later call.
-    ALIVE = 'alive'
-    #: No process listens at its address.
-    ENDED = 'ended'
-    #: Another instance, or another incarnation, answers at its address.
-    REPLACED = 'replaced'
-    #: No call was answered.
-    UNKNOWN = 'unknown'
-
-
 class StatusDialect(Protocol):
     """Format of the calls that ask a target for its status, and of their answers.
 
@@ -89,9 +66,9 @@
         self.find_catalog = find_catalog
 
     async def check(self, target: Target) -> Liveness:
-        """Ask a target whether it lives until that is known, for `PROOF_SECONDS` at most."""
+        """Find out whether a target lives; a plain one answers when a slot is free."""
         started_at = listening_seconds()
-        liveness = await _repeat_until_known(lambda: self._ask(target), started_at + PROOF_SECONDS)
+        liveness = await find_liveness(lambda: self._ask(target))
         logger.bind(
             target=target.record.name,
             started_ms=target.record.started_ms,
@@ -111,7 +88,7 @@
         try:
             connection = await open_connection(address)
         except ClientError as exc:
-            return Liveness.ENDED if isinstance(exc.__cause__, ConnectionRefusedError) else Liveness.UNKNOWN
+            return interpret_failure(exc)
         try:
             path, headers = self.dialect.status_call(target, service, request_id)
             connection.send(h11.Request(method='GET', target=path, headers=headers), b'')
@@ -141,20 +118,6 @@
         return Liveness.ALIVE if is_same else Liveness.REPLACED
 
 
-async def _repeat_until_known(ask: Callable[[], Awaitable[Liveness]], ends_at: float) -> Liveness:
-    """Repeat a question until its answer tells something, at most up to a time of `listening_seconds`."""
-    liveness = Liveness.UNKNOWN
-    try:
-        async with time_limit_at(ends_at):
-            while liveness is Liveness.UNKNOWN:
-                liveness = await ask()
-                if liveness is Liveness.UNKNOWN:
-                    await asyncio.sleep(RETRY_SECONDS)
-    except TimeoutError:
-        return Liveness.UNKNOWN
-    return liveness
-
-
 def _read_field(body: bytes, name: str) -> Any:
     """Return a field of a JSON object, None if the body has none."""
     with contextlib.suppress(ValueError, RecursionError):
--- a/tamarackfield/gateway/quarantine.py
+++ b/tamarackfield/gateway/quarantine.py
@@ -28,7 +28,7 @@
 from tamarackfield.policy.culprits import Culprit
 from tamarackfield.policy.quarantine import Quarantine
 from tamarackfield.policy.ring import order_by_rendezvous
-from tamarackfield.web.connection import BodyFraming
+from tamarackfield.web.framing import BodyFraming
 from tamarackfield.wire.crash_reports import BrokenRun, mark_probed
 
 #: Seconds for which changes are collected before the sidecars are told: most of them have heard from others by then.
--- a/tamarackfield/gateway/relay.py
+++ b/tamarackfield/gateway/relay.py
@@ -20,7 +20,8 @@
 from tamarackfield.gateway.reservation import Reservation
 from tamarackfield.gateway.model import AnswerHead
 from tamarackfield.web import Responder
-from tamarackfield.web.connection import MAX_UNREAD_BYTES, RECEIVE_BYTES, BodyFraming
+from tamarackfield.web.connection import MAX_UNREAD_BYTES, RECEIVE_BYTES
+from tamarackfield.web.framing import BodyFraming
 
 #: Seconds without a complete event after which a successor of a stream is sought, if one is allowed.
 STREAM_SILENCE_TIMEOUT_SECONDS = 1.2
--- a/tamarackfield/gateway/tests/test_hedging.py
+++ b/tamarackfield/gateway/tests/test_hedging.py
@@ -14,7 +14,7 @@
 from tamarackfield.policy.hedging import DOUBTFUL_FAILURE_RATIO, MAX_SAVED_HEDGES
 from tamarackfield.policy.shared_retry_budget import SharedRetryBudget
 from tamarackfield.web.answer_budget import AnswerBudget, HeldBody
-from tamarackfield.web.connection import BodyFraming
+from tamarackfield.web.framing import BodyFraming
 
 HEDGE_SECONDS = 0.02
 TIMEOUT_SECONDS = 5.0
--- a/tamarackfield/gateway/tests/test_quarantine.py
+++ b/tamarackfield/gateway/tests/test_quarantine.py
@@ -17,7 +17,7 @@
 from tamarackfield.policy.probe_gate import CLAIM_SETTLE_SECONDS, SETTLE_SECONDS_PER_ENTRY
 from tamarackfield.policy.crashes import PROOF_SECONDS, Crash
 from tamarackfield.policy.culprits import SETTLED_SECONDS
-from tamarackfield.web.connection import BodyFraming
+from tamarackfield.web.framing import BodyFraming
 from tamarackfield.wire.crash_reports import BrokenRun
 
 SUSPECT = frozenset('p')
--- a/tamarackfield/sidecar/keyed_dispatch.py
+++ b/tamarackfield/sidecar/keyed_dispatch.py
@@ -10,7 +10,7 @@
 from tamarackfield.sidecar.events import JobEnded
 from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.keyed_calls import RunCall
-from tamarackfield.sidecar.target import make_job, make_request_error, select_forwarded_headers
+from tamarackfield.sidecar.target import make_job, make_request_error, read_answer, select_forwarded_headers
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, open_request
 from tamarackfield.wire.request_relay import Submit
@@ -54,7 +54,8 @@
             deadline_at(expires_at),
             open_request(address, submit.method, submit.path, submit.body, headers) as response,
         ):
-            return Answer(response.status, select_forwarded_headers(response), await response.read())
+            body = await read_answer(response, address)
+            return Answer(response.status, select_forwarded_headers(response), body)
 
     return run_call
 
--- a/tamarackfield/sidecar/request_run.py
+++ b/tamarackfield/sidecar/request_run.py
@@ -17,6 +17,7 @@
     make_job,
     make_request_error,
     open_target_request,
+    read_answer,
     select_forwarded_headers,
 )
 from tamarackfield.web import ClientError, ClientResponse
@@ -137,7 +138,7 @@
             self.reply.send_head(response.status, headers)
             await self._relay_events(response)
             return
-        body = await response.read()
+        body = await read_answer(response, self.target.address)
         if submit.adapter and response.status < HTTPStatus.MULTIPLE_CHOICES:
             check_echo(body, f'{submit.adapter}@{submit.version}', self.target.name)
         self.reply.send_head(response.status, headers)
--- a/tamarackfield/sidecar/target.py
+++ b/tamarackfield/sidecar/target.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from tamarackfield.core import SYSTEM_CLOCK, RequestError, deadline_from_unix_ms
+from tamarackfield.core import SYSTEM_CLOCK, Address, RequestError, deadline_from_unix_ms
 from tamarackfield.core.outcome import Outcome
 from tamarackfield.sidecar.jobs import Job
 from tamarackfield.sidecar.keyed_calls import KeyedCalls
 from tamarackfield.sidecar.worker import TargetWorker
 from tamarackfield.web import ClientError, ClientResponse, open_request
+from tamarackfield.web.framing import BodyFraming
+from tamarackfield.web.liveness import require_proof
 from tamarackfield.wire.request_relay import Submit
 
 #: Headers of an answer that are forwarded to the caller.
@@ -57,6 +59,21 @@
     return open_request(target.address, submit.method, submit.path, submit.body, headers)
 
 
+async def read_answer(response: ClientResponse, address: Address) -> bytes:
+    """Return the whole body of an answer of the target at an address.
+
+    Raises
+    ------
+    ClientError
+        If it is truncated, or may be: only the end of its connection ended it, and the target may have ended with it.
+    """
+    body = await response.read()
+    has_body = response.status not in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
+    if has_body and response.framing is BodyFraming.CLOSE:
+        await require_proof(address)
+    return body
+
+
 def make_job(submit: Submit) -> Job:
     """Return the job that represents a request in the scheduler."""
     adapter = f'{submit.adapter}@{submit.version}' if submit.adapter else ''
--- a/tamarackfield/testing/service.py
+++ b/tamarackfield/testing/service.py
@@ -1,6 +1,7 @@
 """Plain service stand-in that counts the runs of each idempotency key."""
 
 import asyncio
+import json
 import os
 from typing import Any
 
@@ -25,7 +26,7 @@
         self.runs_by_key: dict[str, int] = {}
         self.calls = 0
         self.faults: dict[str, Any] = {'delay': 0, 'die_before': False, 'die_after': False, 'cut_answer': False}
-        self.faults['padding_bytes'] = 0
+        self.faults |= {'padding_bytes': 0, 'unframed': False, 'die_amid_answer': False}
         self.standin = Standin(settings, self.route, self.faults, self.read_counts)
 
     def read_counts(self) -> dict[str, Any]:
@@ -50,8 +51,21 @@
         document = {'path': request.path, 'key': key, 'run': run_number, 'call': self.calls}
         if self.faults['padding_bytes']:
             document['padding'] = 'x' * self.faults['padding_bytes']
+        if self.faults['unframed']:
+            await self._send_unframed(json.dumps(document).encode(), responder.writer)
         await responder.send_json(200, document)
 
+    async def _send_unframed(self, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send an answer that ends with its connection, or with the process in the middle."""
+        dies = self.faults['die_amid_answer']
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n')
+        writer.write(body[: len(body) // 2] if dies else body)
+        await writer.drain()
+        if dies:
+            os._exit(1)
+        writer.close()
+        raise ConnectionResetError('answer ended with its connection')
+
 
 def build(settings: dict[str, Any]) -> Application:
     """Return the application of a plain service stand-in."""
--- a/tamarackfield/testing/standin.py
+++ b/tamarackfield/testing/standin.py
@@ -72,6 +72,9 @@
 
     async def handle_request(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request to the control page, or pass the request to the route."""
+        if request.method == 'OPTIONS':
+            await responder.send_json(200, {})
+            return
         if request.path != CONTROL_PATH:
             await self.route(request, responder)
             return
--- a/tamarackfield/web/client.py
+++ b/tamarackfield/web/client.py
@@ -16,6 +16,7 @@
 from tamarackfield.core.errors import TamarackfieldError
 from tamarackfield.core.time_limits import time_limit
 from tamarackfield.core.turns import Turn
+from tamarackfield.web.framing import BodyFraming, find_framing
 
 #: Time limit for connecting.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -65,6 +66,8 @@
         HTTP status; 0 until the head is read.
     headers : dict
         Header values by name in lower case.
+    framing : BodyFraming or None
+        Framing of the body; None until the head is read.
     """
 
     def __init__(self, protocol: h11.Connection, reader: asyncio.StreamReader, peer: str) -> None:
@@ -76,6 +79,7 @@
         self.informational_heads = 0
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.framing: BodyFraming | None = None
 
     async def read_head(self) -> None:
         """Read status and headers; skip informational responses."""
@@ -85,6 +89,7 @@
                 if event.status_code > MAX_STATUS:
                     raise ClientError(f'answer has status {event.status_code}', 'read_answer', self.peer, sent=True)
                 self.status = event.status_code
+                self.framing = find_framing(event)
                 self.headers = {name.decode('ascii'): text.decode('latin-1') for name, text in event.headers}
                 return
             if isinstance(event, h11.ConnectionClosed):
--- a/tamarackfield/web/connection.py
+++ b/tamarackfield/web/connection.py
@@ -8,7 +8,6 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from enum import StrEnum
 from typing import Any
 
 import h11
@@ -49,14 +48,6 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 
-class BodyFraming(StrEnum):
-    """How the end of an answer's body is marked; ``CLOSE`` is the end of the connection."""
-
-    LENGTH = 'length'
-    CHUNKED = 'chunked'
-    CLOSE = 'close'
-
-
 def set_keepalive(transport: asyncio.BaseTransport) -> None:
     """Enable TCP keep-alive and the TCP user time-out, so that the kernel closes connections to dead peers.
 
@@ -327,19 +318,3 @@
         message = f'{reason}: {self.failure}' if self.failure else reason
         self.fail(reason)
         return ClientError(message, 'read_answer', self.peer, sent=True)
-
-
-def find_framing(response: h11.Response) -> BodyFraming:
-    """Return how the body of an answer is framed.
-
-    Examples
-    --------
-    >>> find_framing(h11.Response(status_code=200, headers=[('Content-Length', '3')]))
-    <BodyFraming.LENGTH: 'length'>
-    >>> find_framing(h11.Response(status_code=200, headers=[]))
-    <BodyFraming.CLOSE: 'close'>
-    """
-    names = {name for name, _ in response.headers}
-    if b'transfer-encoding' in names:
-        return BodyFraming.CHUNKED
-    return BodyFraming.LENGTH if b'content-length' in names else BodyFraming.CLOSE
