--- a/tamarackfield/gateway/exchange.py
+++ b/tamarackfield/gateway/exchange.py
@@ -20,6 +20,7 @@
 
 #: Limit of an answer that is buffered completely, in bytes; equals the largest request body of callers.
 MAX_ANSWER_BYTES = 4_194_304
+_STATUSES_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 #: Longest idle time, in seconds, of a connection that is reused for a call which may not be repeated.
 #: A target may drop an idle connection without notice, and such a call then fails with an unknown outcome.
 MAX_IDLE_NON_REPEATABLE_SECONDS = 1.5
@@ -308,11 +309,11 @@
 async def explain_unframed_end(
     exchange: Exchange, head: AnswerHead, body: HeldBody, explain_unproven_end: Callable[[], Awaitable[str]]
 ) -> str:
-    """Return why a success that only the end of its connection ended is not complete, empty if it is."""
-    has_body = head.status != HTTPStatus.NO_CONTENT and exchange.call.method != 'HEAD'
-    if exchange.framing is not BodyFraming.CLOSE or head.status >= HTTPStatus.MULTIPLE_CHOICES or not has_body:
+    """Return why an answer that only the end of its connection ended is not complete, empty if it is."""
+    has_body = head.status not in _STATUSES_WITHOUT_BODY and exchange.call.method != 'HEAD'
+    if exchange.framing is not BodyFraming.CLOSE or head.not_run or not has_body:
         return ''
-    if not body:
+    if not body and head.status < HTTPStatus.MULTIPLE_CHOICES:
         return 'connection was closed before the body'
     return await explain_unproven_end()
 
--- a/tamarackfield/platform/tests/test_unframed_answers.py
+++ b/tamarackfield/platform/tests/test_unframed_answers.py
@@ -42,6 +42,37 @@
     assert sum(worker.is_crashed() for worker in two_worker_site.workers.values()) == 1
 
 
+@pytest.mark.parametrize('status', [302, 404, 500])
+async def test_half_of_a_failure_is_no_answer(one_worker_site, status):
+    # Guards against failures whose worker crashed amid them, which were delivered as they came.
+    worker = one_worker_site.workers['w1']
+    worker.raw_answer = make_failure(status)
+    worker.fault = WorkerFault('raw_crash', 1)
+    received_status, headers, _ = await one_worker_site.call('/file/x', 'POST', b'{}')
+    assert received_status == 502
+    assert 'tamarackfield-server-signature' not in headers
+
+
+@pytest.mark.parametrize('body', [b'', b'whole'])
+@pytest.mark.parametrize('status', [302, 404, 500])
+async def test_whole_failure_of_a_living_worker_is_complete(one_worker_site, status, body):
+    # Guards against a check that takes the failures of sound workers from callers, those without a body included.
+    worker = one_worker_site.workers['w1']
+    worker.raw_answer = make_failure(status, body)
+    worker.fault = WorkerFault('raw', 1)
+    received_status, headers, received_body = await one_worker_site.call('/file/x', 'POST', b'{}')
+    assert (received_status, received_body) == (status, body)
+    assert headers['tamarackfield-server-signature'] == 'signed'
+
+
+def make_failure(status, body=b'half'):
+    """Return an answer without a length; ID stands for the id of its request."""
+    head = (
+        f'HTTP/1.1 {status} Failure\r\nTamarackfield-Request-Id: ID\r\nTamarackfield-Server-Signature: signed\r\n\r\n'
+    )
+    return head.encode() + body
+
+
 async def test_another_instance_at_the_address_proves_nothing(one_worker_site):
     # Guards against a successor at the address of a crashed worker whose answers count as those of the worker.
     worker = one_worker_site.workers['w1']
