--- a/tamarackfield/testing/soak/callers.py
+++ b/tamarackfield/testing/soak/callers.py
@@ -196,7 +196,7 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 connection = await self._acquire()
-                connection.send(self._make_request(call), b'prompt')
+                connection.send(self.make_request(call), b'prompt')
                 await _receive_answer(connection, call)
         except TimeoutError:
             call.disconnected_at = SYSTEM_CLOCK.monotonic()
@@ -227,7 +227,8 @@
         await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         return connection
 
-    def _make_request(self, call: Call) -> h11.Request:
+    def make_request(self, call: Call) -> h11.Request:
+        """Return the request of a call."""
         remaining_seconds = call.deadline - SYSTEM_CLOCK.monotonic()
         headers = [
             ('Host', HOST_NAME),
@@ -239,7 +240,9 @@
             drawn = min(int(self.rng.expovariate(0.5)), ADAPTER_COUNT - 1)
             adapter = 0 if call.query else drawn
             headers.append(('Tamarackfield-Model', f'base/a{adapter}'))
-            parts = [*list_shared_parts(call.request_id), call.request_id]
+            # Calls with a query are one request, which has the same shared parts whatever its id.
+            shared_parts = ['all', call.query.removeprefix('?')] if call.query else list_shared_parts(call.request_id)
+            parts = [*shared_parts, call.request_id]
             headers.append(('Tamarackfield-Prompt-Prefix', ','.join(f'{part}:10' for part in parts)))
         return h11.Request(method='POST', target=f'{call.path}{call.query}', headers=headers)
 
--- a/tamarackfield/testing/tests/test_soak.py
+++ b/tamarackfield/testing/tests/test_soak.py
@@ -1,10 +1,12 @@
 """The soak test: short runs on fixed seeds, and its checks, which must detect the violations they are for."""
 
+import random
+
 import pytest
 
 from tamarackfield.testing.platform_site import MODEL_SERVICE, RETRY_ALLOWANCE
 from tamarackfield.testing.platform_worker import PlatformWorker, Refusal, Run
-from tamarackfield.testing.soak.callers import CRASHING_PART, Call
+from tamarackfield.testing.soak.callers import CRASHING_PART, Call, Caller
 from tamarackfield.testing.soak.crashes import check_late_runs
 from tamarackfield.testing.soak.limits import StatedLimit, check_limits
 from tamarackfield.testing.soak.main import run_soak
@@ -213,3 +215,14 @@
     soak = await run_soak(tmp_path, 3, 6.0, 4, Series.SIGNALS)
     assert soak.site.violations == []
     assert any('stopped' in incident.name for incident in soak.site.incidents)
+
+
+def test_calls_of_the_crashing_request_are_one_request():
+    # Guards against calls that the quarantine cannot know as one request, as their prompts share no further part.
+    caller = Caller(('127.0.0.1', 1), random.Random(1))
+    calls = [Call(f'call-{number}', '/draft/x', 'front-1', 1, 0.0, 5.0, query='?crashing1') for number in (13, 26, 39)]
+    headers = [dict(caller.make_request(call).headers) for call in calls]
+    assert len({fields[b'tamarackfield-model'] for fields in headers}) == 1
+    prompts = [fields[b'tamarackfield-prompt-prefix'].decode().split(',') for fields in headers]
+    assert len({tuple(parts[:-1]) for parts in prompts}) == 1
+    assert [parts[-1] for parts in prompts] == [f'{call.request_id}:10' for call in calls]
