The connection of a liveness check is closed, not kept for requests

Cause, found on reading the change: the connection went to the pool without the idle time-out that the target announces, so that a request that may not be repeated could have been sent on it just as the target closed it. The check now closes its connection, as the other checks of ends do; the answer that it is about has ended its own connection, so that one more is opened for it at most.

--- a/tamarackfield/gateway/end_watch.py
+++ b/tamarackfield/gateway/end_watch.py
@@ -51,7 +51,7 @@
         self.check_liveness: Callable[[Target], Awaitable[Liveness]] = _know_nothing
 
     def connect(self, pool: ConnectionPool, dialect: StatusDialect, find_catalog: Callable[[], Catalog | None]) -> None:
-        """Ask targets whether they live in a dialect, and keep the connections in a pool."""
+        """Ask targets in a dialect whether they live; a pool limits the memory for their answers."""
         self.check_liveness = LivenessCheck(pool, dialect, find_catalog).check
 
     def check(self, run: BrokenRun, address: Address) -> asyncio.Future[None]:
--- a/tamarackfield/gateway/liveness.py
+++ b/tamarackfield/gateway/liveness.py
@@ -50,7 +50,7 @@
     Parameters
     ----------
     pool : ConnectionPool
-        Pool that takes over the connections of answered calls.
+        Pool of the entry, which limits the memory for answers.
     dialect : StatusDialect
         Formats the calls.
     find_catalog : callable
@@ -78,7 +78,7 @@
         return liveness
 
     async def _ask(self, target: Target) -> Liveness:
-        """Make one call on a new connection: one that is open may have an answer from before."""
+        """Make one call on a connection of its own: one that is open may have an answer from before."""
         address = target.record.address
         catalog = self.find_catalog()
         service = None if catalog is None else catalog.services.get(target.record.service)
@@ -96,7 +96,7 @@
         except (ClientError, h11.LocalProtocolError):
             return Liveness.UNKNOWN
         finally:
-            self.pool.release(address, connection, target.max_connections)
+            connection.fail('not used any more')
 
     async def _read_answer(self, target: Target, connection: TargetConnection, request_id: str) -> Liveness:
         event = await connection.receive()
