--- a/tamarackfield/platform/tests/test_continuations.py
+++ b/tamarackfield/platform/tests/test_continuations.py
@@ -6,7 +6,7 @@
 from tamarackfield.web import ClientError
 
 ADAPTER = ('Tamarackfield-Model', 'base/a7')
-KINDS = ('unframed', 'unnumbered', 'text', '400', '404', '204', '500')
+KINDS = ('unframed', 'unnumbered', 'text', '400', '404', '204', '500', '600', '999')
 
 
 async def start_workers(site, count):
