--- a/review/plain3.py
+++ b/review/plain3.py
@@ -1,7 +1,8 @@
 """Plain worker: one process that serves a listening socket which its supervisor passes on.
 
-Arguments: number of the socket's descriptor, id of the worker, milliseconds of work. What it runs, and how far, is
-written to standard output, one line each. Answers have no length and end with their connection.
+Arguments: number of the socket's descriptor, id of the worker, milliseconds of work, and ``framed`` or ``unframed``:
+answers of the latter have no length and end with their connection. What it runs, and how far, is written to standard
+output, one line each.
 """
 
 import socket
@@ -22,7 +23,7 @@
 def main():
     """Serve until the process is killed."""
     listener = socket.socket(fileno=int(sys.argv[1]))
-    name, work_seconds = sys.argv[2], int(sys.argv[3]) / 1000
+    name, work_seconds, framed = sys.argv[2], int(sys.argv[3]) / 1000, sys.argv[4] == 'framed'
     lock = threading.Lock()
 
     def say(text):
@@ -32,10 +33,10 @@
 
     while True:
         connection, _ = listener.accept()
-        threading.Thread(target=serve, args=(connection, name, work_seconds, say), daemon=True).start()
+        threading.Thread(target=serve, args=(connection, name, work_seconds, framed, say), daemon=True).start()
 
 
-def serve(connection, name, work_seconds, say):
+def serve(connection, name, work_seconds, framed, say):
     """Serve the requests of one connection."""
     with connection:
         stream = connection.makefile('rb')
@@ -56,17 +57,19 @@
                 answer = f'HTTP/1.1 200 OK\r\n{named}Tamarackfield-Instance-Id: {name}\r\n'
                 connection.sendall(f'{answer}Content-Length: 2\r\n\r\nok'.encode())
             else:
-                run(connection, request_id, named, path, work_seconds, say)
-                return
+                run(connection, request_id, named, path, work_seconds, framed, say)
+                if not framed:
+                    return
 
 
-def run(connection, request_id, named, path, work_seconds, say):
-    """Run a request and answer it without a length."""
+def run(connection, request_id, named, path, work_seconds, framed, say):
+    """Run a request and answer it."""
     say(f'runs {request_id} {path}')
     body = make_body(request_id)
+    framing = f'Content-Length: {len(body)}' if framed else 'Connection: close'
     head = (
         f'HTTP/1.1 200 OK\r\n{named}Tamarackfield-Server-Signature: 3e1b.{request_id}\r\n'
-        'Content-Type: application/json\r\nConnection: close\r\n\r\n'
+        f'Content-Type: application/json\r\n{framing}\r\n\r\n'
     )
     connection.sendall(head.encode())
     for number in range(BODY_PARTS):
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -52,13 +52,29 @@
         return time.monotonic() - self.began_at
 
 
+class QuietServer(ThreadingHTTPServer):
+    """Server that says nothing of callers that leave."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        pass
+
+
 class Store:
-    """The platform's store, as PROTOCOL.md tells it: ranges and watches; machines in `refused` get 503."""
+    """The platform's store, as PROTOCOL.md tells it: ranges and watches; machines in `refused` get 503.
+
+    All connections come from one loopback address, so the store has a listener of its own for each machine.
+    """
 
-    def __init__(self, host):
+    def __init__(self):
         self.items, self.history, self.revision = {}, [], 100
         self.changed = threading.Condition()
         self.refused = set()
+        self.servers = []
+
+    def open(self, host, machine):
+        """Listen for the calls of a machine; return the address."""
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -71,7 +87,7 @@
             def do_GET(self):
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-                status, document = store.answer(url.path, query, self.client_address[0])
+                status, document = store.answer(url.path, query, machine)
                 body = json.dumps(document).encode()
                 self.send_response(status)
                 self.send_header('Content-Type', 'application/json')
@@ -79,10 +95,10 @@
                 self.end_headers()
                 self.wfile.write(body)
 
-        self.server = ThreadingHTTPServer((host, 0), Handler)
-        self.server.daemon_threads = True
-        self.address = f'{host}:{self.server.server_address[1]}'
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        server = QuietServer((host, 0), Handler)
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return f'{host}:{server.server_address[1]}'
 
     def answer(self, path, query, caller):
         """Return status and document of a reading call."""
@@ -121,10 +137,10 @@
             self.changed.notify_all()
             return self.revision
 
-    def refuse(self, hosts):
+    def refuse(self, machines):
         """Turn some machines away from now on, also those whose watches wait."""
         with self.changed:
-            self.refused = set(hosts)
+            self.refused = set(machines)
             self.changed.notify_all()
 
 
@@ -136,7 +152,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review3-'))
         self.block = f'127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250 + 1}'
         self.numbers = itertools.count(10)
-        self.store = Store(self.new_host())
+        self.store = Store()
         self.processes = []
         self.entries = {}
         self.request_numbers = itertools.count(1)
@@ -165,7 +181,7 @@
             'contracts': ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'fleet', 'stream', 'engine',
                           'platform'],
             'fault_tolerance': {'machines': 2, 'zones': 0, 'regions': 0}, 'bounds': BOUNDS,
-            'provider': {'address': self.store.address, 'form': 'read', 'writes_per_s': 400, 'reads_per_s': 2000,
+            'provider': {'address': self.store.open(self.new_host(), node), 'form': 'read', 'writes_per_s': 400, 'reads_per_s': 2000,
                          'history_s': 20, 'value_bytes': 1048576, 'min_ttl_ms': 1000},
         }  # fmt: skip
         path = self.folder / f'{node}.json'
@@ -221,11 +237,60 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes:
             process.wait()
-        self.store.server.shutdown()
+        for server in self.store.servers:
+            server.shutdown()
         if os.environ.get('KEEP_LOGS') != '1':
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Worker:
+    """Supervisor of one worker: it keeps the listening socket, and starts the process anew."""
+
+    def __init__(self, deployment, record, name, service, work_ms, framed=True, on_line=None):
+        self.deployment, self.record, self.name, self.service = deployment, record, name, service
+        self.options = [str(work_ms), 'framed' if framed else 'unframed']
+        self.on_line = on_line or (lambda worker, words: None)
+        host = deployment.new_host()
+        self.listener = socket.socket()
+        self.listener.bind((host, 0))
+        self.listener.listen(64)
+        self.address = f'{host}:{self.listener.getsockname()[1]}'
+        self.start()
+
+    def start(self):
+        """Start the process, and write its entry to the store."""
+        number = self.listener.fileno()
+        command = ['python3', '-S', str(ROOT / 'review' / 'plain3.py'), str(number), self.name, *self.options]
+        self.process = self.deployment.start_process(
+            self.name, command, stdout=subprocess.PIPE, pass_fds=(number,), text=True
+        )
+        self.born = int(time.time() * 1000)
+        threading.Thread(target=self.follow, args=(self.process,), daemon=True).start()
+        self.write_entry()
+
+    def write_entry(self):
+        """Write the entry of the worker."""
+        entry = {
+            'service': self.service, 'address': self.address, 'zone': 'regina-a', 'version': 'v1', 'slots': 6,
+            'state': 'ready', 'cold_ms': 0, 'seq': 0, 'born': self.born,
+        }  # fmt: skip
+        self.deployment.store.put(f'servers/{self.name}', entry)
+
+    def follow(self, process):
+        """Record what the process says."""
+        for line in process.stdout:
+            self.record.add(f'{self.name} {line.strip()}')
+            self.on_line(self, line.split())
+
+    def crash(self, restart_seconds):
+        """Kill the process, and start it again."""
+        self.process.kill()
+        self.record.add(f'{self.name} is killed')
+        time.sleep(restart_seconds)
+        self.start()
+        self.record.add(f'{self.name} has started again under its id')
+
+
 def free_port(host):
     """Return a port that is free at an address."""
     with socket.socket() as probe:
