--- a/review/plain3.py
+++ b/review/plain3.py
@@ -12,6 +12,8 @@
 
 BODY_PARTS = 4
 PART_BYTES = 200
+#: Requests that run at once, as in the entry of the worker.
+SLOTS = threading.Semaphore(6)
 
 
 def make_body(request_id):
@@ -71,6 +73,12 @@
         f'HTTP/1.1 200 OK\r\n{named}Tamarackfield-Server-Signature: 3e1b.{request_id}\r\n'
         f'Content-Type: application/json\r\n{framing}\r\n\r\n'
     )
+    if framed:
+        with SLOTS:
+            time.sleep(work_seconds)
+        connection.sendall(head.encode() + body)
+        say(f'ends {request_id}')
+        return
     connection.sendall(head.encode())
     for number in range(BODY_PARTS):
         connection.sendall(body[number * PART_BYTES : (number + 1) * PART_BYTES])
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -222,13 +222,14 @@
         """Return the id of a request, 16 hexadecimal digits as in PROTOCOL.md."""
         return f'{os.getpid() & 0xFFFFFF:06x}{next(self.request_numbers):010x}'
 
-    def get(self, node, path, request_id, deadline_ms=1000):
-        """Send an idempotent request on a new connection; return status, headers and body."""
+    def call(self, node, path, request_id, deadline_ms=1000, method='GET', body=b''):
+        """Send a request on a new connection; return status, headers and body."""
+        length = f'Content-Length: {len(body)}\r\n' if body else ''
         head = (
-            f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\nTamarackfield-Request-Id: {request_id}\r\n'
-            f'Tamarackfield-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\r\n'
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nTamarackfield-Request-Id: {request_id}\r\n'
+            f'Tamarackfield-Deadline-Ms: {deadline_ms}\r\n{length}Connection: close\r\n\r\n'
         )
-        return exchange(self.front(node), head.encode(), deadline_ms / 1000 + 1)
+        return exchange(self.front(node), head.encode() + body, deadline_ms / 1000 + 1)
 
     def close(self):
         """End all processes that were started here, and remove the temporary folder."""
@@ -246,10 +247,11 @@
 class Worker:
     """Supervisor of one worker: it keeps the listening socket, and starts the process anew."""
 
-    def __init__(self, deployment, record, name, service, work_ms, framed=True, on_line=None):
+    def __init__(self, deployment, record, name, service, work_ms, framed=True, on_line=None, clock_ahead_seconds=0.0):
         self.deployment, self.record, self.name, self.service = deployment, record, name, service
         self.options = [str(work_ms), 'framed' if framed else 'unframed']
         self.on_line = on_line or (lambda worker, words: None)
+        self.clock_ahead_seconds, self.state = clock_ahead_seconds, 'ready'
         host = deployment.new_host()
         self.listener = socket.socket()
         self.listener.bind((host, 0))
@@ -264,7 +266,7 @@
         self.process = self.deployment.start_process(
             self.name, command, stdout=subprocess.PIPE, pass_fds=(number,), text=True
         )
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + self.clock_ahead_seconds) * 1000)
         threading.Thread(target=self.follow, args=(self.process,), daemon=True).start()
         self.write_entry()
 
@@ -272,7 +274,7 @@
         """Write the entry of the worker."""
         entry = {
             'service': self.service, 'address': self.address, 'zone': 'regina-a', 'version': 'v1', 'slots': 6,
-            'state': 'ready', 'cold_ms': 0, 'seq': 0, 'born': self.born,
+            'state': self.state, 'cold_ms': 0, 'seq': 0, 'born': self.born,
         }  # fmt: skip
         self.deployment.store.put(f'servers/{self.name}', entry)
 
