--- a/review/13/case.py
+++ b/review/13/case.py
@@ -33,7 +33,7 @@
     address = f'{host}:{listener.getsockname()[1]}'
     born = int(time.time() * 1000)
     number = str(listener.fileno())
-    options = [number, name, str(born), MODEL, ADAPTER, str(EVENTS), str(INTERVAL_MS), str(SILENCE_MS)]
+    options = [number, name, str(born), MODEL, ADAPTER, str(EVENTS), str(INTERVAL_MS), str(SILENCE_MS), 'before']
     process = deployment.start_process(
         name,
         ['python3', '-S', str(FOLDER.parent / 'model3.py'), *options],
